--- /dev/null
+++ b/Makefile
@@ -0,0 +1,99 @@
+# GNU make.  Targets: all check install clean deps run measure lint format.
+VERSION = 0.1.0
+BUILD ?= release
+CC = gcc
+PREFIX ?= /usr/local
+PACKAGES = libmsgpack-dev libneon27-gnutls-dev libmicrohttpd-dev \
+  liburcu-dev libargtable2-dev libglib2.0-dev libjansson-dev \
+  libxxhash-dev libsodium-dev pkg-config curl
+PC = msgpack neon libmicrohttpd liburcu glib-2.0 jansson libxxhash \
+  libsodium argtable2
+
+OUT = build/$(BUILD)
+WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
+  -Wno-missing-field-initializers
+CFLAGS_debug = -O0 -g
+CFLAGS_release = -O2 -g
+CFLAGS_asan = -O1 -g -fsanitize=address,undefined -fno-omit-frame-pointer
+CFLAGS_tsan = -O1 -g -fsanitize=thread
+CFLAGS = -std=gnu11 $(WARN) $(CFLAGS_$(BUILD)) -pthread \
+  -D_GNU_SOURCE -DCS_VERSION='"$(VERSION)"' -Iinclude $(shell pkg-config --cflags $(PC))
+LDLIBS = $(shell pkg-config --libs $(PC)) -lm
+
+LIB_SRC = $(wildcard source/kernel/*.c source/platform/*.c \
+  source/config/*.c source/dist/*.c source/member/*.c source/route/*.c \
+  source/admit/*.c source/once/*.c source/move/*.c)
+NODE_SRC = $(wildcard source/node/*.c)
+CTL_SRC = $(wildcard source/tools/*.c)
+STANDIN_SRC = $(wildcard tests/standins/*.c)
+TEST_SRC = $(wildcard tests/test-*.c)
+ALL_SRC = $(LIB_SRC) $(NODE_SRC) $(CTL_SRC) $(STANDIN_SRC) $(TEST_SRC) \
+  $(wildcard tests/*.c)
+HEADERS = $(wildcard include/cardamom/*.h source/*/*.h tests/*.h)
+
+obj = $(patsubst %.c,$(OUT)/%.o,$(1))
+LIB = $(OUT)/libcardamom.a
+PROGRAMS = $(OUT)/cardamomd $(OUT)/cardamomctl
+STANDINS = $(patsubst tests/standins/%.c,$(OUT)/%,$(STANDIN_SRC))
+TESTS = $(patsubst tests/%.c,$(OUT)/%,$(TEST_SRC))
+
+.PHONY: all check check-run install clean deps run measure lint format tests
+.SECONDARY:
+
+all: $(LIB) $(PROGRAMS)
+tests: all $(STANDINS) $(TESTS)
+
+$(OUT)/%.o: %.c $(HEADERS)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -c $< -o $@
+
+$(LIB): $(call obj,$(LIB_SRC))
+	@rm -f $@
+	ar rcs $@ $^
+
+# The whole archive is linked, for plug-ins register themselves.
+LINK = $(CC) $(CFLAGS) -o $@ $(filter %.o,$^) \
+  -Wl,--whole-archive $(LIB) -Wl,--no-whole-archive $(LDLIBS)
+
+$(OUT)/cardamomd: $(call obj,$(NODE_SRC)) $(LIB)
+	$(LINK)
+$(OUT)/cardamomctl: $(call obj,$(CTL_SRC)) $(LIB)
+	$(LINK)
+$(OUT)/standin-%: $(OUT)/tests/standins/standin-%.o $(LIB)
+	$(LINK)
+$(OUT)/test-%: $(OUT)/tests/test-%.o $(LIB)
+	$(LINK)
+
+deps:
+	@pkg-config --exists $(PC) 2>/dev/null || \
+	  { apt-get update -q && apt-get install -y -q $(PACKAGES); }
+
+check: deps
+	@$(MAKE) --no-print-directory tests
+	@tests/run-checks $(OUT)
+
+run: deps
+	@$(MAKE) --no-print-directory tests
+	@tests/run-demo $(OUT)
+
+measure: deps
+	@$(MAKE) --no-print-directory tests
+	@tests/run-measures $(OUT)
+
+lint:
+	clang-format --dry-run -Werror $(ALL_SRC) $(HEADERS)
+	cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr \
+	  --enable=warning,portability --suppress=missingIncludeSystem \
+	  -Iinclude $(LIB_SRC) $(NODE_SRC) $(CTL_SRC) $(STANDIN_SRC)
+
+format:
+	clang-format -i $(ALL_SRC) $(HEADERS)
+
+install: all
+	install -D -m 755 -t $(DESTDIR)$(PREFIX)/bin $(PROGRAMS)
+	install -D -m 644 -t $(DESTDIR)$(PREFIX)/lib $(LIB)
+	install -D -m 644 -t $(DESTDIR)$(PREFIX)/include/cardamom \
+	  include/cardamom/*.h
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/include/cardamom/counters.h
@@ -0,0 +1,109 @@
+/* Counters and gauges, lock-free on the hot path.  */
+#ifndef CARDAMOM_COUNTERS_H
+#define CARDAMOM_COUNTERS_H
+
+#include <glib.h>
+#include <stdint.h>
+
+/* Every counter of the product: identifier, exposed name, help text.  */
+#define CS_COUNTER_TABLE(X)                                                   \
+  X (CALLS, "cardamom_calls_total", "Calls taken from callers.")              \
+  X (CALLS_DONE, "cardamom_calls_done_total", "Calls answered: done.")        \
+  X (CALLS_NOT_RUN, "cardamom_calls_not_run_total",                           \
+     "Calls answered: not run.")                                              \
+  X (CALLS_UNKNOWN, "cardamom_calls_unknown_total",                           \
+     "Calls answered: outcome unknown.")                                      \
+  X (ATTEMPTS, "cardamom_attempts_total", "Attempts sent to upstreams.")      \
+  X (RETRIES, "cardamom_retries_total", "Attempts after the first.")          \
+  X (RETRIES_REFUSED, "cardamom_retries_refused_total",                       \
+     "Retries refused by the retry budget.")                                  \
+  X (NO_ROUTE, "cardamom_no_route_total", "Calls that match no route.")       \
+  X (REFUSED_INPUT, "cardamom_refused_input_total",                           \
+     "Malformed, ambiguous or oversize requests refused.")                    \
+  X (SHED, "cardamom_shed_total", "Requests shed by admission.")              \
+  X (SERVED, "cardamom_served_total", "Requests run on the local upstream.")  \
+  X (SERVED_ERRORS, "cardamom_served_errors_total",                           \
+     "Requests on which the local upstream failed.")                          \
+  X (LATE_RESULTS, "cardamom_late_results_total",                             \
+     "Results dropped because their caller had been answered.")               \
+  X (SPILL_DC, "cardamom_spill_dc_total",                                     \
+     "Attempts sent to another data centre of the region.")                   \
+  X (SPILL_REGION, "cardamom_spill_region_total",                             \
+     "Attempts sent to another region.")                                      \
+  X (ONCE_CLAIMS, "cardamom_once_claims_total",                               \
+     "Idempotency keys claimed before a run.")                                \
+  X (ONCE_REPLAYS, "cardamom_once_replays_total",                             \
+     "Answers replayed for a known idempotency key.")                         \
+  X (ONCE_REFUSED, "cardamom_once_refused_total",                             \
+     "Keyed requests refused because no record could be consulted.")          \
+  X (QUARANTINED, "cardamom_quarantined_total",                               \
+     "Requests refused by quarantine.")                                       \
+  X (STRIKES, "cardamom_strikes_total",                                       \
+     "Upstream deaths ascribed to a request.")                                \
+  X (CONFIG_APPLIED, "cardamom_config_applied_total",                         \
+     "Configuration versions put in force.")                                  \
+  X (CONFIG_REFUSED, "cardamom_config_refused_total",                         \
+     "Configuration versions refused by this node.")                          \
+  X (CONFIG_STALE, "cardamom_config_stale_total",                             \
+     "Configuration frames at or below the version in force.")                \
+  X (STORE_READS, "cardamom_store_reads_total",                               \
+     "Requests that read from the platform.")                                 \
+  X (STORE_WRITES, "cardamom_store_writes_total",                             \
+     "Requests that write to the platform.")                                  \
+  X (STORE_ERRORS, "cardamom_store_errors_total",                             \
+     "Requests to the platform that failed.")                                 \
+  X (CONTROL_BYTES_OUT, "cardamom_control_bytes_out_total",                   \
+     "Bytes of control frames sent to other nodes.")                          \
+  X (CONTROL_BYTES_IN, "cardamom_control_bytes_in_total",                     \
+     "Bytes of control frames received from other nodes.")                    \
+  X (REGION_BYTES_OUT, "cardamom_region_control_bytes_out_total",             \
+     "Bytes of control frames sent to other regions.")                        \
+  X (CALL_BYTES_OUT, "cardamom_call_bytes_out_total",                         \
+     "Bytes of call frames sent to other nodes.")                             \
+  X (CONTROL_CPU_US, "cardamom_control_cpu_microseconds_total",               \
+     "Processor time of the control and platform threads.")                   \
+  X (FRAMES_REFUSED, "cardamom_frames_refused_total",                         \
+     "Malformed or oversize frames; each cost its sender the connection.")    \
+  X (PEERS_DENIED, "cardamom_peers_denied_total",                             \
+     "Connections that failed authentication.")                               \
+  X (PROBES_FAILED, "cardamom_probes_failed_total",                           \
+     "Membership probes without an answer.")                                  \
+  X (EJECTIONS, "cardamom_ejections_total",                                   \
+     "Upstreams taken out of the choice for failing.")                        \
+  X (MOVES_TAKEN_BACK, "cardamom_moves_taken_back_total",                     \
+     "Version moves this node saw taken back.")                               \
+  X (LEASES_TAKEN, "cardamom_leases_taken_total",                             \
+     "Leases of the move writer taken by this node.")                         \
+  X (G_CONFIG_VERSION, "cardamom_config_version",                             \
+     "Configuration version in force (gauge).")                               \
+  X (G_MEMBERS, "cardamom_members", "Live members known (gauge).")            \
+  X (G_INFLIGHT, "cardamom_inflight",                                         \
+     "Requests running on the local upstream (gauge).")                       \
+  X (G_QUEUED, "cardamom_queued", "Requests queued for it (gauge).")          \
+  X (G_LIMIT, "cardamom_limit", "Concurrency limit in force (gauge).")
+
+typedef enum
+{
+#define CS_COUNTER_ID(id, name, help) CS_C_##id,
+  CS_COUNTER_TABLE (CS_COUNTER_ID)
+#undef CS_COUNTER_ID
+      CS_COUNTER_COUNT
+} cs_counter_t;
+
+/* Add N to COUNTER.  Each thread adds to a cell of its own.  */
+void cs_count (cs_counter_t counter, uint64_t n);
+
+/* Set the gauge COUNTER; the last writer wins.  */
+void cs_gauge (cs_counter_t counter, uint64_t value);
+
+/* The sum over all threads.  */
+uint64_t cs_counter_read (cs_counter_t counter);
+
+/* The exposed name and the help text of COUNTER, static strings.  */
+const char *cs_counter_name (cs_counter_t counter);
+const char *cs_counter_help (cs_counter_t counter);
+
+/* Append every counter to OUT in the text exposition format.  */
+void cs_counters_write (GString *out);
+
+#endif
--- /dev/null
+++ b/source/config/accept.c
@@ -0,0 +1,350 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "cardamom/accept.h"
+
+#define HEAD_KEY "cs/head"
+#define TRIES_MAX 16 /* Lost races and lost answers settled per change.  */
+#define KEY_MAX 256
+
+GPtrArray *
+cs_changes_new (void)
+{
+  return g_ptr_array_new_with_free_func (cs_change_free);
+}
+
+static cs_status_t
+decode_head (cs_ctx_t *ctx, const cs_row_t *row, cs_head_t *head)
+{
+  long long version;
+  unsigned long long digest;
+  if (sscanf (row->value->str, "%lld %16llx", &version, &digest) != 2)
+    return cs_fail (ctx, CS_CORRUPT,
+                    "the row cs/head is damaged; restore it from cs/log");
+  *head = (cs_head_t){ .version = version,
+                       .digest = digest,
+                       .revision = row->revision };
+  return CS_OK;
+}
+
+cs_status_t
+cs_head_load (cs_ctx_t *ctx, cs_platform_t *platform, cs_head_t *head)
+{
+  cs_row_t *row = NULL;
+  *head = (cs_head_t){ 0 };
+  cs_status_t status = cs_platform_row (ctx, platform, HEAD_KEY, &row);
+  if (status == CS_NOT_FOUND)
+    return CS_OK;
+  if (status == CS_OK)
+    status = decode_head (ctx, row, head);
+  cs_row_free (row);
+  return status;
+}
+
+static cs_status_t
+load_docs_once (cs_ctx_t *ctx, cs_platform_t *platform, cs_docs_t *docs)
+{
+  int64_t revision;
+  GPtrArray *rows = cs_rows_new ();
+  cs_status_t status
+      = cs_platform_prefix (ctx, platform, "cs/doc/", rows, &revision);
+  for (guint i = 0; status == CS_OK && i < rows->len; i++)
+    {
+      const cs_row_t *row = rows->pdata[i];
+      cs_docs_set (docs, row->key + strlen ("cs/doc"), row->value->str);
+    }
+  g_ptr_array_unref (rows);
+  return status;
+}
+
+cs_status_t
+cs_docs_load (cs_ctx_t *ctx, cs_platform_t *platform, cs_head_t *head,
+              cs_docs_t **docs)
+{
+  for (int try = 0; try < TRIES_MAX; try++)
+    {
+      cs_docs_t *loaded = cs_docs_new (ctx);
+      cs_status_t status = cs_head_load (ctx, platform, head);
+      if (status == CS_OK)
+        status = load_docs_once (ctx, platform, loaded);
+      if (status == CS_OK && cs_docs_digest (loaded) == head->digest)
+        {
+          *docs = loaded;
+          return CS_OK;
+        }
+      cs_docs_drop (ctx, loaded);
+      if (status != CS_OK)
+        return status;
+    }
+  return cs_fail (ctx, CS_UNAVAILABLE,
+                  "the documents do not match the head's digest; if this "
+                  "stays, compare cs/doc with cs/log");
+}
+
+cs_status_t
+cs_changes_load (cs_ctx_t *ctx, cs_platform_t *platform, int64_t after,
+                 GPtrArray *changes)
+{
+  char first[KEY_MAX];
+  snprintf (first, sizeof first, "cs/log/%016lld", (long long)after + 1);
+  cs_range_t range = { .first = first, .end = "cs/log0" };
+  GPtrArray *rows = cs_rows_new ();
+  int64_t revision;
+  cs_status_t status
+      = platform->vtable->range (ctx, platform, &range, rows, &revision);
+  for (guint i = 0; status == CS_OK && i < rows->len; i++)
+    {
+      const cs_row_t *row = rows->pdata[i];
+      cs_change_t *change = NULL;
+      status = cs_change_decode (ctx, cs_str_of_gstring (row->value), &change);
+      if (status != CS_OK)
+        break;
+      g_ptr_array_add (changes, change);
+      if (change->version != after + 1 + (int64_t)i)
+        status = cs_fail (ctx, CS_NOT_FOUND,
+                          "the change log begins after version %lld",
+                          (long long)after);
+    }
+  g_ptr_array_unref (rows);
+  return status;
+}
+
+/* What one try of an acceptance reads and makes.  */
+typedef struct
+{
+  cs_head_t head;
+  cs_docs_t *docs;
+  int64_t sub_revision, sub_version;
+  cs_change_t *next;
+  char *encoded;
+} attempt_t;
+
+static void
+attempt_clear (cs_ctx_t *ctx, attempt_t *attempt)
+{
+  cs_docs_drop (ctx, attempt->docs);
+  cs_change_free (attempt->next);
+  g_free (attempt->encoded);
+  *attempt = (attempt_t){ 0 };
+}
+
+static cs_status_t
+read_number_row (cs_ctx_t *ctx, cs_platform_t *platform, const char *key,
+                 int64_t *value, int64_t *revision)
+{
+  cs_row_t *row = NULL;
+  *value = *revision = 0;
+  cs_status_t status = cs_platform_row (ctx, platform, key, &row);
+  if (status == CS_OK)
+    {
+      *value = g_ascii_strtoll (row->value->str, NULL, 10);
+      *revision = row->revision;
+    }
+  cs_row_free (row);
+  return status == CS_NOT_FOUND ? CS_OK : status;
+}
+
+static cs_status_t
+prepare (cs_ctx_t *ctx, cs_platform_t *platform, const cs_proposal_t *proposal,
+         attempt_t *attempt)
+{
+  char key[KEY_MAX];
+  cs_status_t status
+      = cs_docs_load (ctx, platform, &attempt->head, &attempt->docs);
+  if (status != CS_OK)
+    return status;
+  snprintf (key, sizeof key, "cs/sub/%s", proposal->team);
+  status = read_number_row (ctx, platform, key, &attempt->sub_version,
+                            &attempt->sub_revision);
+  if (status != CS_OK)
+    return status;
+  if (proposal->expected >= 0 && proposal->expected != attempt->sub_version)
+    return cs_fail (ctx, CS_CONFLICT,
+                    "the subtree of '%s' was last changed by version %lld, "
+                    "not %lld; read it again and repeat the change",
+                    proposal->team, (long long)attempt->sub_version,
+                    (long long)proposal->expected);
+  return CS_OK;
+}
+
+/* Build the next version on top of the attempt's documents and check it as
+   every node will.  */
+static cs_status_t
+build_next (cs_ctx_t *ctx, const cs_proposal_t *proposal, attempt_t *attempt)
+{
+  cs_snapshot_t *snapshot = NULL;
+  cs_change_t *next = attempt->next = cs_change_new ();
+  GString *errors = g_string_new (NULL);
+  for (guint i = 0; i < proposal->change->sets->len; i++)
+    {
+      const cs_set_t *set = proposal->change->sets->pdata[i];
+      cs_docs_set (attempt->docs, set->path, set->document);
+      cs_change_add (next, set->path, set->document);
+    }
+  next->version = attempt->head.version + 1;
+  next->digest = cs_docs_digest (attempt->docs);
+  next->operation = g_strdup (proposal->operation);
+  next->team = g_strdup (proposal->team);
+  next->accepted_ms = cs_wall (ctx) / CS_MSEC;
+  attempt->encoded = cs_change_encode (next);
+  cs_status_t status = cs_snapshot_build (ctx, next->version,
+                                          cs_docs_copy (ctx, attempt->docs),
+                                          &snapshot, errors);
+  cs_snapshot_drop (ctx, snapshot);
+  g_string_free (errors, TRUE);
+  return status;
+}
+
+static cs_write_t *
+add_write (GArray *writes, GStringChunk *keys, const char *key)
+{
+  cs_write_t write = { .key = g_string_chunk_insert (keys, key) };
+  g_array_append_val (writes, write);
+  return &g_array_index (writes, cs_write_t, writes->len - 1);
+}
+
+static void
+add_documents (GArray *writes, GStringChunk *keys, const cs_change_t *change)
+{
+  for (guint i = 0; i < change->sets->len; i++)
+    {
+      const cs_set_t *set = change->sets->pdata[i];
+      char *key = g_strconcat ("cs/doc", set->path, NULL);
+      cs_write_t *write = add_write (writes, keys, key);
+      write->erase = !set->document;
+      write->value = cs_str_of (set->document);
+      g_free (key);
+    }
+}
+
+static cs_status_t
+commit (cs_ctx_t *ctx, cs_platform_t *platform, const cs_proposal_t *proposal,
+        const attempt_t *attempt)
+{
+  char key[KEY_MAX], sub_key[KEY_MAX], op_key[KEY_MAX], head[64], number[32];
+  int64_t revision, version = attempt->next->version;
+  GStringChunk *keys = g_string_chunk_new (1024);
+  GArray *writes = g_array_new (FALSE, TRUE, sizeof (cs_write_t));
+  GArray *conditions = g_array_new (FALSE, TRUE, sizeof (cs_condition_t));
+  snprintf (sub_key, sizeof sub_key, "cs/sub/%s", proposal->team);
+  snprintf (op_key, sizeof op_key, "cs/op/%s/%s", proposal->team,
+            proposal->operation);
+  snprintf (head, sizeof head, "%lld %016llx", (long long)version,
+            (unsigned long long)attempt->next->digest);
+  snprintf (number, sizeof number, "%lld", (long long)version);
+  add_write (writes, keys, HEAD_KEY)->value = cs_str_of (head);
+  add_write (writes, keys, sub_key)->value = cs_str_of (number);
+  add_write (writes, keys, op_key)->value = cs_str_of (number);
+  snprintf (key, sizeof key, "cs/log/%016lld", (long long)version);
+  add_write (writes, keys, key)->value = cs_str_of (attempt->encoded);
+  if (version > CS_LOG_KEPT)
+    {
+      snprintf (key, sizeof key, "cs/log/%016lld",
+                (long long)version - CS_LOG_KEPT);
+      add_write (writes, keys, key)->erase = true;
+    }
+  add_documents (writes, keys, attempt->next);
+  cs_condition_t fixed[] = {
+    { .key = HEAD_KEY, .revision = attempt->head.revision },
+    { .key = sub_key, .revision = attempt->sub_revision },
+    { .key = op_key, .revision = 0 },
+  };
+  g_array_append_vals (conditions, fixed, G_N_ELEMENTS (fixed));
+  if (proposal->fence_count)
+    g_array_append_vals (conditions, proposal->fences,
+                         (guint)proposal->fence_count);
+  cs_txn_t txn = { .conditions = (cs_condition_t *)(void *)conditions->data,
+                   .condition_count = conditions->len,
+                   .writes = (cs_write_t *)(void *)writes->data,
+                   .write_count = writes->len };
+  cs_status_t status = cs_platform_commit (ctx, platform, &txn, &revision);
+  g_array_unref (conditions);
+  g_array_unref (writes);
+  g_string_chunk_free (keys);
+  return status;
+}
+
+/* Whether the operation has taken effect; *VERSION is 0 when it has not.  */
+static cs_status_t
+find_operation (cs_ctx_t *ctx, cs_platform_t *platform,
+                const cs_proposal_t *proposal, int64_t *version)
+{
+  char key[KEY_MAX];
+  int64_t revision;
+  snprintf (key, sizeof key, "cs/op/%s/%s", proposal->team,
+            proposal->operation);
+  return read_number_row (ctx, platform, key, version, &revision);
+}
+
+static cs_status_t
+check_fences (cs_ctx_t *ctx, cs_platform_t *platform,
+              const cs_proposal_t *proposal)
+{
+  for (size_t i = 0; i < proposal->fence_count; i++)
+    {
+      const cs_condition_t *fence = &proposal->fences[i];
+      cs_row_t *row = NULL;
+      cs_status_t status = cs_platform_row (ctx, platform, fence->key, &row);
+      int64_t revision = row ? row->revision : 0;
+      cs_row_free (row);
+      if (status != CS_OK && status != CS_NOT_FOUND)
+        return status;
+      if (revision != fence->revision)
+        return cs_fail (ctx, CS_CONFLICT,
+                        "the lease on row %s is lost; nothing was written",
+                        fence->key);
+    }
+  return CS_OK;
+}
+
+static cs_status_t
+accept_once (cs_ctx_t *ctx, cs_platform_t *platform,
+             const cs_proposal_t *proposal, attempt_t *attempt)
+{
+  cs_status_t status = prepare (ctx, platform, proposal, attempt);
+  if (status == CS_OK)
+    status = build_next (ctx, proposal, attempt);
+  if (status != CS_OK)
+    return status;
+  return commit (ctx, platform, proposal, attempt);
+}
+
+cs_status_t
+cs_accept (cs_ctx_t *ctx, cs_platform_t *platform,
+           const cs_proposal_t *proposal, int64_t *version,
+           cs_change_t **accepted)
+{
+  cs_status_t status = CS_CONFLICT;
+  bool uncertain = false;
+  for (int try = 0; try < TRIES_MAX; try++)
+    {
+      attempt_t attempt = { 0 };
+      status = find_operation (ctx, platform, proposal, version);
+      if (status == CS_OK && *version > 0)
+        return CS_OK;
+      if (status == CS_OK)
+        status = check_fences (ctx, platform, proposal);
+      if (status != CS_OK)
+        break;
+      status = accept_once (ctx, platform, proposal, &attempt);
+      if (status == CS_OK)
+        {
+          *version = attempt.next->version;
+          if (accepted)
+            {
+              *accepted = attempt.next;
+              attempt.next = NULL;
+            }
+        }
+      bool committing = attempt.encoded != NULL;
+      attempt_clear (ctx, &attempt);
+      uncertain = uncertain || status == CS_UNKNOWN;
+      if (!(committing && (status == CS_CONFLICT || status == CS_UNKNOWN)))
+        break;
+    }
+  if (status == CS_UNAVAILABLE && uncertain)
+    return cs_fail (ctx, CS_UNKNOWN,
+                    "the platform took the change but its answer was lost; "
+                    "repeat with the same operation id");
+  return status;
+}
--- /dev/null
+++ b/source/kernel/clock.c
@@ -0,0 +1,61 @@
+#include <time.h>
+
+#include "cardamom/clock.h"
+
+static cs_usec_t
+read_clock (clockid_t id)
+{
+  struct timespec ts;
+  clock_gettime (id, &ts);
+  return (cs_usec_t)ts.tv_sec * CS_SEC + ts.tv_nsec / 1000;
+}
+
+static cs_usec_t
+system_monotonic (cs_clock_t *clock)
+{
+  (void)clock;
+  return read_clock (CLOCK_MONOTONIC);
+}
+
+static cs_usec_t
+system_wall (cs_clock_t *clock)
+{
+  (void)clock;
+  return read_clock (CLOCK_REALTIME);
+}
+
+cs_clock_t *
+cs_clock_system (void)
+{
+  static cs_clock_t clock
+      = { .monotonic = system_monotonic, .wall = system_wall };
+  return &clock;
+}
+
+static cs_usec_t
+manual_monotonic (cs_clock_t *clock)
+{
+  return ((cs_manual_clock_t *)clock)->now;
+}
+
+static cs_usec_t
+manual_wall (cs_clock_t *clock)
+{
+  cs_manual_clock_t *manual = (cs_manual_clock_t *)clock;
+  return manual->zero + manual->now;
+}
+
+void
+cs_manual_clock_init (cs_manual_clock_t *clock, cs_usec_t zero)
+{
+  *clock = (cs_manual_clock_t){
+    .base = { .monotonic = manual_monotonic, .wall = manual_wall },
+    .zero = zero,
+  };
+}
+
+void
+cs_manual_clock_advance (cs_manual_clock_t *clock, cs_usec_t step)
+{
+  clock->now += step;
+}
--- /dev/null
+++ b/source/kernel/pack.c
@@ -0,0 +1,158 @@
+#include <string.h>
+
+#include "cardamom/pack.h"
+
+void
+cs_pack_init (cs_pack_t *pack)
+{
+  msgpack_sbuffer_init (&pack->buffer);
+  msgpack_packer_init (&pack->packer, &pack->buffer, msgpack_sbuffer_write);
+}
+
+void
+cs_pack_clear (cs_pack_t *pack)
+{
+  msgpack_sbuffer_destroy (&pack->buffer);
+}
+
+void
+cs_pack_array (cs_pack_t *pack, size_t count)
+{
+  msgpack_pack_array (&pack->packer, count);
+}
+
+void
+cs_pack_number (cs_pack_t *pack, int64_t value)
+{
+  msgpack_pack_int64 (&pack->packer, value);
+}
+
+void
+cs_pack_unsigned (cs_pack_t *pack, uint64_t value)
+{
+  msgpack_pack_uint64 (&pack->packer, value);
+}
+
+void
+cs_pack_str (cs_pack_t *pack, cs_str_t text)
+{
+  msgpack_pack_str (&pack->packer, text.len);
+  if (text.len)
+    msgpack_pack_str_body (&pack->packer, text.data, text.len);
+}
+
+void
+cs_pack_text (cs_pack_t *pack, const char *text)
+{
+  cs_pack_str (pack, cs_str_of (text));
+}
+
+void
+cs_pack_bytes (cs_pack_t *pack, cs_str_t bytes)
+{
+  msgpack_pack_bin (&pack->packer, bytes.len);
+  if (bytes.len)
+    msgpack_pack_bin_body (&pack->packer, bytes.data, bytes.len);
+}
+
+cs_str_t
+cs_pack_payload (const cs_pack_t *pack)
+{
+  return (cs_str_t){ .data = pack->buffer.data, .len = pack->buffer.size };
+}
+
+static cs_cursor_t
+cursor_of (const msgpack_object *object)
+{
+  return (cs_cursor_t){ .at = object->via.array.ptr,
+                        .left = object->via.array.size };
+}
+
+cs_status_t
+cs_unpack_init (cs_ctx_t *ctx, cs_unpack_t *unpack, cs_str_t payload,
+                cs_cursor_t *cursor)
+{
+  size_t offset = 0;
+  msgpack_unpacked_init (&unpack->unpacked);
+  msgpack_unpack_return code = msgpack_unpack_next (
+      &unpack->unpacked, payload.data, payload.len, &offset);
+  if (code == MSGPACK_UNPACK_SUCCESS && offset == payload.len
+      && unpack->unpacked.data.type == MSGPACK_OBJECT_ARRAY)
+    {
+      *cursor = cursor_of (&unpack->unpacked.data);
+      return CS_OK;
+    }
+  cs_unpack_clear (unpack);
+  return cs_fail (ctx, CS_CORRUPT,
+                  "a payload of %zu bytes is not one msgpack array",
+                  payload.len);
+}
+
+void
+cs_unpack_clear (cs_unpack_t *unpack)
+{
+  msgpack_unpacked_destroy (&unpack->unpacked);
+}
+
+static const msgpack_object *
+take (cs_cursor_t *cursor)
+{
+  if (cursor->bad || cursor->left == 0)
+    {
+      cursor->bad = true;
+      return NULL;
+    }
+  cursor->left--;
+  return cursor->at++;
+}
+
+int64_t
+cs_take_number (cs_cursor_t *cursor)
+{
+  const msgpack_object *o = take (cursor);
+  if (o && o->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
+    return o->via.i64;
+  if (o && o->type == MSGPACK_OBJECT_POSITIVE_INTEGER
+      && o->via.u64 <= INT64_MAX)
+    return (int64_t)o->via.u64;
+  cursor->bad = true;
+  return 0;
+}
+
+uint64_t
+cs_take_unsigned (cs_cursor_t *cursor)
+{
+  const msgpack_object *o = take (cursor);
+  if (o && o->type == MSGPACK_OBJECT_POSITIVE_INTEGER)
+    return o->via.u64;
+  cursor->bad = true;
+  return 0;
+}
+
+cs_str_t
+cs_take_str (cs_cursor_t *cursor)
+{
+  const msgpack_object *o = take (cursor);
+  if (o && o->type == MSGPACK_OBJECT_STR)
+    return (cs_str_t){ .data = o->via.str.ptr, .len = o->via.str.size };
+  if (o && o->type == MSGPACK_OBJECT_BIN)
+    return (cs_str_t){ .data = o->via.bin.ptr, .len = o->via.bin.size };
+  cursor->bad = true;
+  return (cs_str_t){ .data = "", .len = 0 };
+}
+
+char *
+cs_take_text (cs_cursor_t *cursor)
+{
+  return cs_str_dup (cs_take_str (cursor));
+}
+
+cs_cursor_t
+cs_take_array (cs_cursor_t *cursor)
+{
+  const msgpack_object *o = take (cursor);
+  if (o && o->type == MSGPACK_OBJECT_ARRAY)
+    return cursor_of (o);
+  cursor->bad = true;
+  return (cs_cursor_t){ .bad = true };
+}
--- /dev/null
+++ b/source/node/call.c
@@ -0,0 +1,355 @@
+/* One caller's request: route, version, upstream, attempts, answer.  */
+#include <stdio.h>
+#include <string.h>
+
+#include "node.h"
+#include "rcu.h"
+#include "slo.h"
+#include "view.h"
+
+#define TRIED_MAX 8
+#define NEEDED_MIN (2 * CS_MSEC) /* For an attempt of unknown length.  */
+
+/* What a request needs of the routing view, copied or kept, so that nothing
+   of the view is used while the call waits.  */
+typedef struct
+{
+  char *route, *service, *team, *version;
+  int64_t weight, priority, max_attempts, latency_ms;
+  bool idempotent;
+  cs_usec_t deadline;
+  cs_upstreams_t *set;
+  cs_retry_budget_t *budget;
+} plan_t;
+
+/* One call under way.  */
+typedef struct
+{
+  node_t *node;
+  cs_ctx_t *ctx;
+  const caller_request_t *request;
+  plan_t plan;
+  int64_t depth;
+  uint64_t print;
+  int attempts;
+  const char *tried[TRIED_MAX + 1];
+  cs_upstream_t *kept[TRIED_MAX];
+} call_t;
+
+void
+caller_answer_clear (caller_answer_t *answer)
+{
+  if (answer->headers)
+    g_ptr_array_unref (answer->headers);
+  if (answer->body)
+    g_string_free (answer->body, TRUE);
+  *answer = (caller_answer_t){ 0 };
+}
+
+static void
+answer_text (caller_answer_t *answer, outcome_t outcome, int status,
+             int64_t retry_after_ms, const char *why)
+{
+  *answer = (caller_answer_t){ .outcome = outcome,
+                               .status = status,
+                               .retry_after_ms = retry_after_ms,
+                               .body = g_string_new (why) };
+  g_string_append_c (answer->body, '\n');
+}
+
+static int64_t
+number_header (const caller_request_t *r, const char *name, int64_t fallback)
+{
+  const char *text = cs_headers_get (r->headers, name);
+  char *end;
+  int64_t value = text ? g_ascii_strtoll (text, &end, 10) : -1;
+  return text && end != text && !*end && value >= 0 ? value : fallback;
+}
+
+static void
+plan_clear (plan_t *plan)
+{
+  g_free (plan->route);
+  g_free (plan->service);
+  g_free (plan->team);
+  g_free (plan->version);
+  cs_upstreams_drop (plan->set);
+}
+
+static void
+plan_route (call_t *call, const cs_route_t *route)
+{
+  plan_t *plan = &call->plan;
+  const cs_service_t *service = route->service;
+  int64_t timeout
+      = route->timeout_ms ? route->timeout_ms : service->timeout_ms;
+  timeout = MIN (
+      timeout, number_header (call->request, "Cardamom-Deadline-Ms", timeout));
+  plan->route = g_strdup (route->path);
+  plan->service = g_strdup (service->path);
+  plan->team = g_strdup (route->team);
+  plan->weight = service->weight;
+  plan->priority = route->priority;
+  plan->max_attempts = service->max_attempts;
+  plan->latency_ms = service->latency_ms;
+  plan->idempotent = route->idempotent;
+  plan->deadline = cs_now (call->ctx) + timeout * CS_MSEC;
+}
+
+/* Fill the plan from the view; FALSE with ANSWER filled when there is no way
+   to run the request.  */
+static bool
+make_plan (call_t *call, unsigned method, caller_answer_t *answer)
+{
+  const caller_request_t *r = call->request;
+  plan_t *plan = &call->plan;
+  RCU_READ_BEGIN ();
+  const view_t *view = RCU_LOAD (call->node->view);
+  const cs_route_t *route
+      = view->ready && view->snapshot ? cs_snapshot_route (
+            view->snapshot, cs_str_of (r->host), cs_str_of (r->path), method)
+                                      : NULL;
+  bool ready = view->ready;
+  if (route)
+    {
+      plan_route (call, route);
+      view_choose_version (call->ctx, view, route->service, plan->service,
+                           &plan->version, &plan->set);
+      plan->budget = g_hash_table_lookup (view->budgets, plan->service);
+    }
+  RCU_READ_END ();
+  if (route)
+    return true;
+  if (!ready)
+    answer_text (answer, OUTCOME_NOT_RUN, 503, 1000,
+                 "this node is still learning the configuration");
+  else
+    answer_text (answer, OUTCOME_NOT_RUN, 404, 0,
+                 "no route matches the request");
+  cs_count (CS_C_NO_ROUTE, ready);
+  return false;
+}
+
+static request_t *
+make_request (const call_t *call)
+{
+  const caller_request_t *r = call->request;
+  request_t *request = g_new0 (request_t, 1);
+  request->method = g_strdup (r->method);
+  request->path = g_strdup (r->path);
+  request->headers = cs_headers_copy (r->headers);
+  request->body = g_string_new_len (r->body.data, (gssize)r->body.len);
+  request->service = g_strdup (call->plan.service);
+  request->version = g_strdup (call->plan.version);
+  request->team = g_strdup (call->plan.team);
+  request->weight = call->plan.weight;
+  request->priority = call->plan.priority;
+  request->depth = call->depth;
+  request->budget_us = call->plan.deadline - cs_now (call->ctx);
+  request->print = call->print;
+  return request;
+}
+
+static void
+send_cancel (call_t *call, const peer_address_t *to, uint64_t id)
+{
+  cs_pack_t pack;
+  cs_pack_init (&pack);
+  calls_pack_cancel (&pack, id);
+  peers_send (call->node->peers, to, cs_pack_payload (&pack), 0);
+  cs_pack_clear (&pack);
+}
+
+/* Send REQUEST to the node beside U and wait.  NULL at the deadline.  */
+static result_t *
+run_remote (call_t *call, const cs_upstream_t *u, request_t *request)
+{
+  uint64_t id;
+  cs_pack_t pack;
+  peer_address_t to = { .port = u->port };
+  g_strlcpy (to.name, u->node, sizeof to.name);
+  g_strlcpy (to.host, u->host, sizeof to.host);
+  pending_t *pending = calls_begin (call->node->calls, &id);
+  cs_pack_init (&pack);
+  calls_pack_call (&pack, id, request);
+  cs_str_t payload = cs_pack_payload (&pack);
+  if (u->distance == CS_FAR)
+    atomic_fetch_sub (&call->node->link_tokens, (int64_t)payload.len);
+  if (!peers_send (call->node->peers, &to, payload, id))
+    calls_complete (call->node->calls, id,
+                    result_new (CS_RUN_NOT, "the upstream's node cannot be "
+                                            "reached"));
+  cs_pack_clear (&pack);
+  result_t *result
+      = calls_wait (call->node->calls, id, pending, call->plan.deadline);
+  request_free (request);
+  if (!result)
+    send_cancel (call, &to, id);
+  else if (u->distance == CS_FAR && result->body)
+    atomic_fetch_sub (&call->node->link_tokens, (int64_t)result->body->len);
+  return result;
+}
+
+static result_t *
+run_local (call_t *call, request_t *request)
+{
+  uint64_t id;
+  pending_t *pending = calls_begin (call->node->calls, &id);
+  serve_submit (call->node->serve, request, NULL, id);
+  result_t *result
+      = calls_wait (call->node->calls, id, pending, call->plan.deadline);
+  if (!result)
+    serve_cancel (call->node->serve, NULL, id);
+  return result;
+}
+
+static cs_attempt_t
+attempt_of (const result_t *result)
+{
+  if (result->status)
+    return result->status >= 500 ? CS_ATTEMPT_FAILED : CS_ATTEMPT_OK;
+  return result->shed ? CS_ATTEMPT_SHED : CS_ATTEMPT_FAILED;
+}
+
+/* One attempt at U; the result is never NULL.  */
+static result_t *
+run_attempt (call_t *call, cs_upstream_t *u)
+{
+  cs_usec_t started = cs_now (call->ctx);
+  request_t *request = make_request (call);
+  cs_count (CS_C_ATTEMPTS, 1);
+  cs_count (CS_C_SPILL_DC, u->distance == CS_SAME_REGION);
+  cs_count (CS_C_SPILL_REGION, u->distance == CS_FAR);
+  cs_upstream_begin (u);
+  bool local = strcmp (u->node, call->node->settings.node) == 0;
+  result_t *result
+      = local ? run_local (call, request) : run_remote (call, u, request);
+  if (!result)
+    result = result_new (CS_RUN_MAYBE, "no answer before the deadline");
+  cs_upstream_end (call->ctx, u, call->plan.set, attempt_of (result),
+                   cs_now (call->ctx) - started, result->load);
+  return result;
+}
+
+static cs_upstream_t *
+choose_upstream (call_t *call)
+{
+  cs_choice_t choice
+      = { .now = cs_now (call->ctx),
+          .now_ms = cs_wall (call->ctx) / CS_MSEC,
+          .far_allowed = atomic_load (&call->node->link_tokens) > 0,
+          .no = call->tried };
+  cs_upstream_t *u
+      = call->node->balancer->choose (call->ctx, call->plan.set, &choice);
+  if (u && call->attempts < TRIED_MAX)
+    {
+      call->kept[call->attempts] = cs_upstream_keep (u);
+      call->tried[call->attempts] = u->node;
+    }
+  return u;
+}
+
+static bool
+should_retry (call_t *call, const result_t *result)
+{
+  const plan_t *plan = &call->plan;
+  if (result->status && result->status < 500)
+    return false;
+  cs_retry_facts_t facts
+      = { .run = result->run,
+          .idempotent = plan->idempotent,
+          .first_layer = call->depth == 0,
+          .attempts = call->attempts,
+          .max_attempts = (int)MIN (plan->max_attempts, TRIED_MAX),
+          .remaining = plan->deadline - cs_now (call->ctx),
+          .needed = NEEDED_MIN };
+  return cs_retry_decide (plan->budget, &facts) == CS_RETRY_YES;
+}
+
+static result_t *
+run_attempts (call_t *call)
+{
+  result_t *result = NULL;
+  for (;;)
+    {
+      cs_upstream_t *u = choose_upstream (call);
+      if (!u)
+        return result ? result
+                      : result_new (CS_RUN_NOT,
+                                    "no upstream of the service is known");
+      result_free (result);
+      result = run_attempt (call, u);
+      call->attempts++;
+      if (!should_retry (call, result))
+        return result;
+    }
+}
+
+/* Turn RESULT, taken over, into the caller's answer.  */
+static void
+answer_result (result_t *result, caller_answer_t *answer)
+{
+  if (result->status)
+    {
+      *answer = (caller_answer_t){ .outcome = OUTCOME_DONE,
+                                   .status = result->status,
+                                   .headers = result->headers,
+                                   .body = result->body };
+      result->headers = NULL;
+      result->body = NULL;
+    }
+  else if (result->run == CS_RUN_NOT)
+    answer_text (answer, OUTCOME_NOT_RUN, 503,
+                 MAX (result->retry_after_ms, 1000), result->why);
+  else
+    answer_text (answer, OUTCOME_UNKNOWN, 504, 0, result->why);
+  result_free (result);
+}
+
+static void
+count_outcome (outcome_t outcome)
+{
+  static const cs_counter_t counters[] = {
+    [OUTCOME_DONE] = CS_C_CALLS_DONE,
+    [OUTCOME_NOT_RUN] = CS_C_CALLS_NOT_RUN,
+    [OUTCOME_UNKNOWN] = CS_C_CALLS_UNKNOWN,
+  };
+  cs_count (counters[outcome], 1);
+}
+
+static uint64_t
+print_of (const caller_request_t *r)
+{
+  uint64_t seed = cs_hash_text (r->path, cs_hash_text (r->method, 0));
+  return cs_hash (r->body.data, r->body.len, seed);
+}
+
+void
+call_run (node_t *node, cs_ctx_t *ctx, caller_request_t *request,
+          caller_answer_t *answer)
+{
+  call_t call = { .node = node, .ctx = ctx, .request = request };
+  cs_usec_t started = cs_now (ctx);
+  unsigned method = cs_method_parse (request->method);
+  cs_count (CS_C_CALLS, 1);
+  if (method == 0)
+    answer_text (answer, OUTCOME_NOT_RUN, 501, 0,
+                 "this method is not passed on");
+  else if (make_plan (&call, method, answer))
+    {
+      call.depth = number_header (request, "Cardamom-Depth", 0);
+      call.print = print_of (request);
+      cs_retry_budget_call (call.plan.budget);
+      answer_result (run_attempts (&call), answer);
+      cs_usec_t took = cs_now (ctx) - started;
+      slo_note (node->slo, call.plan.route,
+                answer->outcome == OUTCOME_DONE && answer->status < 500
+                    && took <= call.plan.latency_ms * CS_MSEC);
+    }
+  count_outcome (answer->outcome);
+  for (int i = 0; i < TRIED_MAX; i++)
+    cs_upstream_drop (call.kept[i]);
+  plan_clear (&call.plan);
+  g_ptr_array_unref (request->headers);
+  request->headers = NULL;
+}
--- /dev/null
+++ b/source/node/calls.c
@@ -0,0 +1,309 @@
+/* Calls that wait for their result, and the frames that carry calls.  */
+#include <string.h>
+
+#include "node.h"
+#include "peer-internal.h"
+
+struct pending
+{
+  pthread_cond_t done;
+  result_t *result;
+  bool waiting;
+};
+
+struct calls
+{
+  node_t *node;
+  pthread_mutex_t lock;
+  GHashTable *table; /* id -> pending_t.  */
+  uint64_t next_id;
+};
+
+void
+request_free (request_t *request)
+{
+  if (!request)
+    return;
+  g_free (request->method);
+  g_free (request->path);
+  if (request->headers)
+    g_ptr_array_unref (request->headers);
+  if (request->body)
+    g_string_free (request->body, TRUE);
+  g_free (request->service);
+  g_free (request->version);
+  g_free (request->team);
+  g_free (request);
+}
+
+result_t *
+result_new (cs_run_state_t run, const char *why)
+{
+  result_t *result = g_new0 (result_t, 1);
+  result->run = run;
+  result->load = -1;
+  result->why = g_strdup (why);
+  return result;
+}
+
+void
+result_free (result_t *result)
+{
+  if (!result)
+    return;
+  if (result->headers)
+    g_ptr_array_unref (result->headers);
+  if (result->body)
+    g_string_free (result->body, TRUE);
+  g_free (result->why);
+  g_free (result);
+}
+
+calls_t *
+calls_new (node_t *node)
+{
+  calls_t *calls = g_new0 (calls_t, 1);
+  calls->node = node;
+  pthread_mutex_init (&calls->lock, NULL);
+  calls->table = g_hash_table_new (g_int64_hash, g_int64_equal);
+  /* Ids of an earlier life of this node must not match.  */
+  calls->next_id = (uint64_t)cs_wall (node->ctx) << 8;
+  return calls;
+}
+
+void
+calls_drop (calls_t *calls)
+{
+  g_hash_table_unref (calls->table);
+  pthread_mutex_destroy (&calls->lock);
+  g_free (calls);
+}
+
+typedef struct
+{
+  uint64_t id;
+  pending_t pending;
+} entry_t;
+
+static entry_t *
+entry_of (pending_t *pending)
+{
+  return (entry_t *)(void *)((char *)pending - offsetof (entry_t, pending));
+}
+
+pending_t *
+calls_begin (calls_t *calls, uint64_t *id)
+{
+  pthread_condattr_t attr;
+  entry_t *entry = g_new0 (entry_t, 1);
+  pthread_condattr_init (&attr);
+  pthread_condattr_setclock (&attr, CLOCK_MONOTONIC);
+  pthread_cond_init (&entry->pending.done, &attr);
+  pthread_condattr_destroy (&attr);
+  pthread_mutex_lock (&calls->lock);
+  entry->id = *id = ++calls->next_id;
+  g_hash_table_insert (calls->table, &entry->id, entry);
+  pthread_mutex_unlock (&calls->lock);
+  return &entry->pending;
+}
+
+bool
+calls_complete (calls_t *calls, uint64_t id, result_t *result)
+{
+  pthread_mutex_lock (&calls->lock);
+  entry_t *entry = g_hash_table_lookup (calls->table, &id);
+  bool taken = entry && !entry->pending.result;
+  if (taken)
+    {
+      entry->pending.result = result;
+      pthread_cond_signal (&entry->pending.done);
+    }
+  pthread_mutex_unlock (&calls->lock);
+  if (!taken)
+    {
+      cs_count (CS_C_LATE_RESULTS, 1);
+      result_free (result);
+    }
+  return taken;
+}
+
+result_t *
+calls_wait (calls_t *calls, uint64_t id, pending_t *pending,
+            cs_usec_t deadline)
+{
+  struct timespec until
+      = { .tv_sec = deadline / CS_SEC, .tv_nsec = (deadline % CS_SEC) * 1000 };
+  int code = 0;
+  pthread_mutex_lock (&calls->lock);
+  while (!pending->result && code == 0)
+    code = pthread_cond_timedwait (&pending->done, &calls->lock, &until);
+  result_t *result = pending->result;
+  g_hash_table_remove (calls->table, &id);
+  pthread_mutex_unlock (&calls->lock);
+  peers_forget_call (calls->node->peers, id);
+  pthread_cond_destroy (&pending->done);
+  g_free (entry_of (pending));
+  return result;
+}
+
+/* Frames.  */
+
+static void
+pack_headers (cs_pack_t *pack, const GPtrArray *headers)
+{
+  guint count = headers ? headers->len : 0;
+  cs_pack_array (pack, 2 * (size_t)count);
+  for (guint i = 0; i < count; i++)
+    {
+      const cs_header_t *h = headers->pdata[i];
+      cs_pack_text (pack, h->name);
+      cs_pack_text (pack, h->value);
+    }
+}
+
+static GPtrArray *
+take_headers (cs_cursor_t *in)
+{
+  GPtrArray *headers = cs_headers_new ();
+  cs_cursor_t list = cs_take_array (in);
+  while (list.left && !list.bad)
+    {
+      char *name = cs_take_text (&list);
+      char *value = cs_take_text (&list);
+      cs_headers_add (headers, name, value);
+      g_free (name);
+      g_free (value);
+    }
+  in->bad = in->bad || list.bad;
+  return headers;
+}
+
+static GString *
+take_body (cs_cursor_t *in)
+{
+  cs_str_t bytes = cs_take_str (in);
+  return g_string_new_len (bytes.data, (gssize)bytes.len);
+}
+
+void
+calls_pack_call (cs_pack_t *pack, uint64_t id, const request_t *r)
+{
+  cs_pack_array (pack, 14);
+  cs_pack_number (pack, FRAME_CALL);
+  cs_pack_unsigned (pack, id);
+  cs_pack_text (pack, r->method);
+  cs_pack_text (pack, r->path);
+  cs_pack_text (pack, r->service);
+  cs_pack_text (pack, r->version);
+  cs_pack_text (pack, r->team);
+  cs_pack_number (pack, r->weight);
+  cs_pack_number (pack, r->priority);
+  cs_pack_number (pack, r->depth);
+  cs_pack_number (pack, r->budget_us);
+  cs_pack_unsigned (pack, r->print);
+  pack_headers (pack, r->headers);
+  cs_pack_bytes (pack, cs_str_of_gstring (r->body));
+}
+
+void
+calls_take_call (node_t *node, const char *from, cs_str_t payload)
+{
+  cs_unpack_t unpack;
+  cs_cursor_t in;
+  cs_ctx_t *ctx = node_thread_ctx (node);
+  if (cs_unpack_init (ctx, &unpack, payload, &in) != CS_OK)
+    return;
+  request_t *r = g_new0 (request_t, 1);
+  cs_take_number (&in);
+  uint64_t id = cs_take_unsigned (&in);
+  r->method = cs_take_text (&in);
+  r->path = cs_take_text (&in);
+  r->service = cs_take_text (&in);
+  r->version = cs_take_text (&in);
+  r->team = cs_take_text (&in);
+  r->weight = cs_take_number (&in);
+  r->priority = cs_take_number (&in);
+  r->depth = cs_take_number (&in);
+  r->budget_us = cs_take_number (&in);
+  r->print = cs_take_unsigned (&in);
+  r->headers = take_headers (&in);
+  r->body = take_body (&in);
+  cs_unpack_clear (&unpack);
+  if (!in.bad)
+    serve_submit (node->serve, r, from, id);
+  else
+    {
+      cs_count (CS_C_FRAMES_REFUSED, 1);
+      request_free (r);
+    }
+}
+
+void
+calls_pack_result (cs_pack_t *pack, uint64_t id, const result_t *r)
+{
+  cs_pack_array (pack, 10);
+  cs_pack_number (pack, FRAME_RESULT);
+  cs_pack_unsigned (pack, id);
+  cs_pack_number (pack, r->run);
+  cs_pack_number (pack, r->status);
+  cs_pack_number (pack, r->shed);
+  cs_pack_number (pack, r->load);
+  cs_pack_number (pack, r->retry_after_ms);
+  cs_pack_text (pack, r->why ? r->why : "");
+  pack_headers (pack, r->headers);
+  cs_pack_bytes (pack,
+                 r->body ? cs_str_of_gstring (r->body) : (cs_str_t){ 0 });
+}
+
+void
+calls_take_result (node_t *node, cs_str_t payload)
+{
+  cs_unpack_t unpack;
+  cs_cursor_t in;
+  cs_ctx_t *ctx = node_thread_ctx (node);
+  if (cs_unpack_init (ctx, &unpack, payload, &in) != CS_OK)
+    return;
+  result_t *r = g_new0 (result_t, 1);
+  cs_take_number (&in);
+  uint64_t id = cs_take_unsigned (&in);
+  int64_t run = cs_take_number (&in);
+  r->run = (cs_run_state_t)run;
+  r->status = (int)cs_take_number (&in);
+  r->shed = cs_take_number (&in) != 0;
+  r->load = cs_take_number (&in);
+  r->retry_after_ms = cs_take_number (&in);
+  r->why = cs_take_text (&in);
+  r->headers = take_headers (&in);
+  r->body = take_body (&in);
+  cs_unpack_clear (&unpack);
+  if (!in.bad && run >= CS_RUN_NOT && run <= CS_RUN_CRASHED)
+    calls_complete (node->calls, id, r);
+  else
+    {
+      cs_count (CS_C_FRAMES_REFUSED, 1);
+      result_free (r);
+    }
+}
+
+void
+calls_pack_cancel (cs_pack_t *pack, uint64_t id)
+{
+  cs_pack_array (pack, 2);
+  cs_pack_number (pack, FRAME_CANCEL);
+  cs_pack_unsigned (pack, id);
+}
+
+void
+calls_take_cancel (node_t *node, const char *from, cs_str_t payload)
+{
+  cs_unpack_t unpack;
+  cs_cursor_t in;
+  cs_ctx_t *ctx = node_thread_ctx (node);
+  if (cs_unpack_init (ctx, &unpack, payload, &in) != CS_OK)
+    return;
+  cs_take_number (&in);
+  uint64_t id = cs_take_unsigned (&in);
+  cs_unpack_clear (&unpack);
+  if (!in.bad)
+    serve_cancel (node->serve, from, id);
+}
--- /dev/null
+++ b/source/node/operator.c
@@ -0,0 +1,342 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "operator.h"
+
+#define SETS_MAX 256 /* Documents of one change.  */
+
+/* Everything that a request of an operator needs, opened per request: the
+   operators' port is quiet.  */
+typedef struct
+{
+  node_t *node;
+  cs_ctx_t *ctx;
+  cs_platform_t *platform;
+} session_t;
+
+static cs_status_t
+open_session (node_t *node, session_t *session)
+{
+  session->node = node;
+  session->ctx = node_thread_ctx (node);
+  session->platform = NULL;
+  return cs_platform_open (session->ctx, node->settings.platform,
+                           node->settings.platform_address,
+                           &session->platform);
+}
+
+static void
+close_session (session_t *session)
+{
+  cs_platform_drop (session->ctx, session->platform);
+}
+
+static void
+answer_status (session_t *session, cs_status_t status, cs_httpd_answer_t *out)
+{
+  admin_error (out, status, cs_message (session->ctx));
+}
+
+static cs_status_t
+check_bearer (session_t *session, const cs_httpd_request_t *in,
+              const char *team)
+{
+  const char *header = cs_headers_get (in->headers, "Authorization");
+  if (!header || !g_str_has_prefix (header, "Bearer "))
+    return cs_fail (session->ctx, CS_DENIED,
+                    "send the team's token as 'Authorization: Bearer TOKEN'");
+  return cs_team_check_token (session->ctx, session->platform, team,
+                              header + strlen ("Bearer "));
+}
+
+static cs_status_t
+take_set (cs_ctx_t *ctx, const char *team, const json_t *entry,
+          cs_change_t *change)
+{
+  const char *path = json_string_value (json_array_get (entry, 0));
+  json_t *document = json_array_get (entry, 1);
+  cs_path_t parsed;
+  char *canonical = NULL;
+  if (!path)
+    return cs_fail (ctx, CS_BAD_INPUT, "each set must be [PATH, DOCUMENT]");
+  cs_status_t status = cs_path_parse (ctx, path, &parsed);
+  if (status != CS_OK)
+    return status;
+  if (strcmp (parsed.team, team) != 0)
+    status = cs_fail (ctx, CS_DENIED,
+                      "%s is not in the subtree of '%s'; write to your own "
+                      "team's paths",
+                      path, team);
+  else if (parsed.kind == CS_DOC_MOVE_STATE)
+    status = cs_fail (ctx, CS_DENIED,
+                      "%s is written by the system; change the move itself",
+                      path);
+  else if (document && !json_is_null (document))
+    {
+      char *text = json_dumps (document, JSON_COMPACT | JSON_ENCODE_ANY);
+      status = cs_document_canonical (ctx, cs_str_of (text), &canonical);
+      free (text);
+    }
+  cs_path_clear (&parsed);
+  if (status == CS_OK)
+    cs_change_add (change, path, canonical);
+  g_free (canonical);
+  return status;
+}
+
+static cs_status_t
+take_sets (cs_ctx_t *ctx, const char *team, const json_t *sets,
+           cs_change_t *change)
+{
+  size_t i;
+  json_t *entry;
+  cs_status_t status = CS_OK;
+  if (!json_is_array (sets) || json_array_size (sets) == 0
+      || json_array_size (sets) > SETS_MAX)
+    return cs_fail (ctx, CS_BAD_INPUT,
+                    "'sets' must hold 1 to %d pairs [PATH, DOCUMENT]",
+                    SETS_MAX);
+  json_array_foreach (sets, i, entry)
+  {
+    if (status == CS_OK)
+      status = take_set (ctx, team, entry, change);
+  }
+  return status;
+}
+
+static void
+tell_dist (control_t *control, void *arg)
+{
+  cs_dist_accepted (control_ctx (control), control_dist (control), arg);
+}
+
+static cs_status_t
+run_change (session_t *session, const cs_httpd_request_t *in, json_t *body,
+            int64_t *version)
+{
+  cs_ctx_t *ctx = session->ctx;
+  json_error_t error;
+  const char *team, *operation;
+  json_int_t expected;
+  json_t *sets;
+  if (json_unpack_ex (body, &error, JSON_STRICT, "{s:s,s:s,s:I,s:o}", "team",
+                      &team, "operation", &operation, "expected", &expected,
+                      "sets", &sets)
+      != 0)
+    return cs_fail (ctx, CS_BAD_INPUT, "%s", error.text);
+  if (!*operation || strlen (operation) > CS_NAME_MAX
+      || strchr (operation, '/'))
+    return cs_fail (ctx, CS_BAD_INPUT,
+                    "'operation' must have 1 to %d characters without '/'",
+                    CS_NAME_MAX);
+  cs_status_t status = check_bearer (session, in, team);
+  if (status != CS_OK)
+    return status;
+  cs_change_t *change = cs_change_new (), *accepted = NULL;
+  status = take_sets (ctx, team, sets, change);
+  cs_proposal_t proposal = { .team = team,
+                             .operation = operation,
+                             .expected = expected,
+                             .change = change };
+  if (status == CS_OK)
+    status = cs_accept (ctx, session->platform, &proposal, version, &accepted);
+  cs_change_free (change);
+  if (accepted)
+    control_post (session->node->control, tell_dist, accepted, cs_change_free);
+  return status;
+}
+
+void
+operator_post_change (node_t *node, const cs_httpd_request_t *in,
+                      cs_httpd_answer_t *out)
+{
+  session_t session;
+  json_error_t error;
+  int64_t version = 0;
+  json_t *body = json_loadb (in->body.data, in->body.len,
+                             JSON_REJECT_DUPLICATES, &error);
+  cs_status_t status = open_session (node, &session);
+  if (status == CS_OK && !body)
+    status = cs_fail (session.ctx, CS_BAD_INPUT, "line %d: %s", error.line,
+                      error.text);
+  if (status == CS_OK)
+    status = run_change (&session, in, body, &version);
+  json_decref (body);
+  if (status == CS_OK)
+    admin_json (out, 200, json_pack ("{s:I}", "version", (json_int_t)version));
+  else
+    answer_status (&session, status, out);
+  close_session (&session);
+}
+
+/* The part of the target after PREFIX, a team's name.  */
+static const char *
+team_of (const cs_httpd_request_t *in, const char *prefix)
+{
+  return in->target + strlen (prefix);
+}
+
+typedef struct
+{
+  char *prefix;
+  json_t *docs;
+} subtree_t;
+
+static gboolean
+add_document (gpointer path, gpointer text, gpointer user)
+{
+  subtree_t *subtree = user;
+  if (g_str_has_prefix (path, subtree->prefix))
+    json_object_set_new (subtree->docs, path, json_loads (text, 0, NULL));
+  return FALSE;
+}
+
+static cs_status_t
+load_subtree (session_t *session, const char *team, json_t **result)
+{
+  cs_ctx_t *ctx = session->ctx;
+  cs_head_t head;
+  cs_docs_t *docs = NULL;
+  cs_row_t *row = NULL;
+  char *key = g_strconcat ("cs/sub/", team, NULL);
+  cs_status_t status = cs_platform_row (ctx, session->platform, key, &row);
+  g_free (key);
+  if (status != CS_OK && status != CS_NOT_FOUND)
+    return status;
+  int64_t version = row ? g_ascii_strtoll (row->value->str, NULL, 10) : 0;
+  cs_row_free (row);
+  status = cs_docs_load (ctx, session->platform, &head, &docs);
+  if (status != CS_OK)
+    return status;
+  subtree_t subtree = { .prefix = g_strconcat ("/", team, "/", NULL),
+                        .docs = json_object () };
+  cs_docs_foreach (docs, add_document, &subtree);
+  *result = json_pack ("{s:I,s:I,s:o}", "version", (json_int_t)version, "head",
+                       (json_int_t)head.version, "documents", subtree.docs);
+  g_free (subtree.prefix);
+  cs_docs_drop (ctx, docs);
+  return CS_OK;
+}
+
+void
+operator_get_subtree (node_t *node, const cs_httpd_request_t *in,
+                      cs_httpd_answer_t *out)
+{
+  session_t session;
+  json_t *result = NULL;
+  const char *team = team_of (in, "/v1/subtree/");
+  cs_status_t status = open_session (node, &session);
+  if (status == CS_OK)
+    status = check_bearer (&session, in, team);
+  if (status == CS_OK)
+    status = load_subtree (&session, team, &result);
+  if (status == CS_OK)
+    admin_json (out, 200, result);
+  else
+    answer_status (&session, status, out);
+  close_session (&session);
+}
+
+static json_t *
+json_of_change (const cs_change_t *change)
+{
+  json_t *paths = json_array ();
+  for (guint i = 0; i < change->sets->len; i++)
+    {
+      const cs_set_t *set = change->sets->pdata[i];
+      json_t *document
+          = set->document ? json_loads (set->document, 0, NULL) : NULL;
+      json_array_append_new (
+          paths,
+          json_pack ("[s,o]", set->path, document ? document : json_null ()));
+    }
+  return json_pack ("{s:I,s:s,s:s,s:I,s:o}", "version",
+                    (json_int_t)change->version, "team", change->team,
+                    "operation", change->operation, "accepted_ms",
+                    (json_int_t)change->accepted_ms, "sets", paths);
+}
+
+static bool
+touches_team (const cs_change_t *change, const char *team)
+{
+  char *prefix = g_strconcat ("/", team, "/", NULL);
+  bool touches = false;
+  for (guint i = 0; i < change->sets->len; i++)
+    touches = touches
+              || g_str_has_prefix (((cs_set_t *)change->sets->pdata[i])->path,
+                                   prefix);
+  g_free (prefix);
+  return touches;
+}
+
+static cs_status_t
+load_history (session_t *session, const char *team, json_t **result)
+{
+  cs_head_t head;
+  cs_status_t status = cs_head_load (session->ctx, session->platform, &head);
+  if (status != CS_OK)
+    return status;
+  GPtrArray *changes = cs_changes_new ();
+  int64_t after = MAX (head.version - CS_LOG_KEPT, 0);
+  status = cs_changes_load (session->ctx, session->platform, after, changes);
+  json_t *list = json_array ();
+  for (guint i = 0; i < changes->len; i++)
+    if (touches_team (changes->pdata[i], team))
+      json_array_append_new (list, json_of_change (changes->pdata[i]));
+  g_ptr_array_unref (changes);
+  *result = json_pack ("{s:I,s:o}", "head", (json_int_t)head.version,
+                       "changes", list);
+  if (status != CS_OK)
+    json_decref (*result);
+  return status;
+}
+
+void
+operator_get_history (node_t *node, const cs_httpd_request_t *in,
+                      cs_httpd_answer_t *out)
+{
+  session_t session;
+  json_t *result = NULL;
+  const char *team = team_of (in, "/v1/history/");
+  cs_status_t status = open_session (node, &session);
+  if (status == CS_OK)
+    status = check_bearer (&session, in, team);
+  if (status == CS_OK)
+    status = load_history (&session, team, &result);
+  if (status == CS_OK)
+    admin_json (out, 200, result);
+  else
+    answer_status (&session, status, out);
+  close_session (&session);
+}
+
+void
+operator_get_operation (node_t *node, const cs_httpd_request_t *in,
+                        cs_httpd_answer_t *out)
+{
+  session_t session;
+  char **parts = g_strsplit (team_of (in, "/v1/operation/"), "/", 2);
+  cs_row_t *row = NULL;
+  cs_status_t status = open_session (node, &session);
+  if (status == CS_OK && g_strv_length (parts) != 2)
+    status
+        = cs_fail (session.ctx, CS_BAD_INPUT, "write /v1/operation/TEAM/ID");
+  if (status == CS_OK)
+    status = check_bearer (&session, in, parts[0]);
+  if (status == CS_OK)
+    {
+      char *key = g_strconcat ("cs/op/", parts[0], "/", parts[1], NULL);
+      status = cs_platform_row (session.ctx, session.platform, key, &row);
+      g_free (key);
+    }
+  if (status == CS_OK)
+    admin_json (
+        out, 200,
+        json_pack ("{s:I}", "version",
+                   (json_int_t)g_ascii_strtoll (row->value->str, NULL, 10)));
+  else
+    answer_status (&session, status, out);
+  cs_row_free (row);
+  g_strfreev (parts);
+  close_session (&session);
+}
--- /dev/null
+++ b/source/platform/remote.c
@@ -0,0 +1,299 @@
+/* The platform over HTTP: the table by the JSON gateway of the etcd v3 API
+   (/v3/kv/range, /v3/kv/txn), objects by PUT and GET with entity tags.  */
+#include <jansson.h>
+#include <string.h>
+
+#include "cardamom/http.h"
+#include "cardamom/platform.h"
+#include "cardamom/registry.h"
+
+#define TIMEOUT_S 2
+
+typedef struct
+{
+  cs_platform_t base;
+  cs_http_t *http;
+} remote_t;
+
+static const cs_platform_vtable_t remote_vtable;
+
+static cs_status_t
+remote_open (cs_ctx_t *ctx, const char *address, cs_platform_t **platform)
+{
+  char *host;
+  unsigned port;
+  cs_status_t status = cs_address_parse (ctx, address, &host, &port);
+  if (status != CS_OK)
+    return status;
+  remote_t *remote = cs_calloc (ctx, sizeof *remote);
+  remote->base.vtable = &remote_vtable;
+  remote->http = cs_http_new (ctx, host, port, TIMEOUT_S);
+  g_free (host);
+  *platform = &remote->base;
+  return CS_OK;
+}
+
+static void
+remote_drop (cs_ctx_t *ctx, cs_platform_t *platform)
+{
+  cs_http_drop (ctx, ((remote_t *)platform)->http);
+  cs_free (ctx, platform);
+}
+
+static json_t *
+base64 (const char *data, size_t len)
+{
+  char *text = g_base64_encode ((const guchar *)data, len);
+  json_t *value = json_string (text);
+  g_free (text);
+  return value;
+}
+
+static json_t *
+base64_text (const char *text)
+{
+  return base64 (text, strlen (text));
+}
+
+/* 64-bit numbers travel as strings in the JSON mapping of the API.  */
+static json_t *
+number (int64_t value)
+{
+  return json_sprintf ("%lld", (long long)value);
+}
+
+static int64_t
+number_of (const json_t *value)
+{
+  if (json_is_integer (value))
+    return json_integer_value (value);
+  const char *text = json_string_value (value);
+  return text ? g_ascii_strtoll (text, NULL, 10) : 0;
+}
+
+static cs_status_t
+refused (cs_ctx_t *ctx, int status)
+{
+  if (status == 429 || status == 503)
+    return cs_fail (ctx, CS_UNAVAILABLE,
+                    "the platform refused with HTTP %d; try later", status);
+  return cs_fail (ctx, CS_UNKNOWN, "the platform answered HTTP %d", status);
+}
+
+/* POST BODY, which is consumed, to PATH and parse the answer.  */
+static cs_status_t
+post (cs_ctx_t *ctx, remote_t *remote, const char *path, json_t *body,
+      json_t **result)
+{
+  char *text = json_dumps (body, JSON_COMPACT);
+  json_decref (body);
+  cs_http_request_t request = { .method = "POST",
+                                .path = path,
+                                .body = cs_str_of (text),
+                                .answer_max = CS_OBJECT_MAX };
+  cs_http_answer_t answer;
+  cs_status_t status = cs_http_call (ctx, remote->http, &request, &answer);
+  free (text);
+  if (status != CS_OK)
+    return status;
+  if (answer.status != 200)
+    status = refused (ctx, answer.status);
+  else
+    {
+      *result = json_loadb (answer.body->str, answer.body->len, 0, NULL);
+      if (!json_is_object (*result))
+        {
+          json_decref (*result);
+          status = cs_fail (ctx, CS_UNKNOWN,
+                            "the platform's answer is no JSON object");
+        }
+    }
+  cs_http_answer_clear (&answer);
+  return status;
+}
+
+static cs_status_t
+add_row (cs_ctx_t *ctx, const json_t *kv, GPtrArray *rows)
+{
+  const char *key64 = json_string_value (json_object_get (kv, "key"));
+  const char *value64 = json_string_value (json_object_get (kv, "value"));
+  if (!key64)
+    return cs_fail (ctx, CS_UNKNOWN, "a row of the platform has no key");
+  gsize key_len, value_len = 0;
+  guchar *key = g_base64_decode (key64, &key_len);
+  guchar *value = g_base64_decode (value64 ? value64 : "", &value_len);
+  char *name = g_strndup ((char *)key, key_len);
+  cs_str_t content = { .data = (char *)value, .len = value_len };
+  g_ptr_array_add (
+      rows, cs_row_new (name, content,
+                        number_of (json_object_get (kv, "mod_revision"))));
+  g_free (name);
+  g_free (key);
+  g_free (value);
+  return CS_OK;
+}
+
+static cs_status_t
+remote_range (cs_ctx_t *ctx, cs_platform_t *platform, const cs_range_t *range,
+              GPtrArray *rows, int64_t *revision)
+{
+  json_t *body = json_object ();
+  json_object_set_new (body, "key", base64_text (range->first));
+  if (range->end)
+    json_object_set_new (body, "range_end", base64_text (range->end));
+  if (range->changed_since)
+    json_object_set_new (body, "min_mod_revision",
+                         number (range->changed_since));
+  if (range->limit)
+    json_object_set_new (body, "limit", number (range->limit));
+  json_t *result = NULL;
+  cs_status_t status
+      = post (ctx, (remote_t *)platform, "/v3/kv/range", body, &result);
+  if (status == CS_UNKNOWN)
+    status = CS_UNAVAILABLE; /* A read has no effect.  */
+  if (status != CS_OK)
+    return status;
+  *revision = number_of (
+      json_object_get (json_object_get (result, "header"), "revision"));
+  size_t i;
+  json_t *kv;
+  json_array_foreach (json_object_get (result, "kvs"), i, kv)
+  {
+    if (status == CS_OK)
+      status = add_row (ctx, kv, rows);
+  }
+  json_decref (result);
+  return status;
+}
+
+static json_t *
+compare_of (const cs_condition_t *condition)
+{
+  return json_pack ("{s:o,s:s,s:s,s:o}", "key", base64_text (condition->key),
+                    "target", "MOD", "result", "EQUAL", "mod_revision",
+                    number (condition->revision));
+}
+
+static json_t *
+operation_of (const cs_write_t *write)
+{
+  if (write->erase)
+    return json_pack ("{s:{s:o}}", "request_delete_range", "key",
+                      base64_text (write->key));
+  return json_pack ("{s:{s:o,s:o}}", "request_put", "key",
+                    base64_text (write->key), "value",
+                    base64 (write->value.data, write->value.len));
+}
+
+static cs_status_t
+remote_commit (cs_ctx_t *ctx, cs_platform_t *platform, const cs_txn_t *txn,
+               int64_t *revision)
+{
+  json_t *compare = json_array (), *success = json_array ();
+  for (size_t i = 0; i < txn->condition_count; i++)
+    json_array_append_new (compare, compare_of (&txn->conditions[i]));
+  for (size_t i = 0; i < txn->write_count; i++)
+    json_array_append_new (success, operation_of (&txn->writes[i]));
+  json_t *body
+      = json_pack ("{s:o,s:o}", "compare", compare, "success", success);
+  json_t *result = NULL;
+  cs_status_t status
+      = post (ctx, (remote_t *)platform, "/v3/kv/txn", body, &result);
+  if (status != CS_OK)
+    return status;
+  bool succeeded = json_is_true (json_object_get (result, "succeeded"));
+  *revision = number_of (
+      json_object_get (json_object_get (result, "header"), "revision"));
+  json_decref (result);
+  if (!succeeded)
+    return cs_fail (ctx, CS_CONFLICT, "a row changed meanwhile; read again");
+  return CS_OK;
+}
+
+static char *
+object_path (const char *key)
+{
+  char *escaped = g_uri_escape_string (key, "/", FALSE);
+  char *path = g_strconcat ("/objects/", escaped, NULL);
+  g_free (escaped);
+  return path;
+}
+
+static cs_status_t
+remote_put (cs_ctx_t *ctx, cs_platform_t *platform, const char *key,
+            cs_str_t body, const char *if_tag)
+{
+  GPtrArray *headers = cs_headers_new ();
+  if (if_tag && *if_tag)
+    cs_headers_add (headers, "If-Match", if_tag);
+  else if (if_tag)
+    cs_headers_add (headers, "If-None-Match", "*");
+  char *path = object_path (key);
+  cs_http_request_t request = { .method = "PUT",
+                                .path = path,
+                                .headers = headers,
+                                .body = body,
+                                .answer_max = CS_OBJECT_MAX };
+  cs_http_answer_t answer;
+  cs_status_t status
+      = cs_http_call (ctx, ((remote_t *)platform)->http, &request, &answer);
+  if (status == CS_OK && answer.status == 412)
+    status
+        = cs_fail (ctx, CS_CONFLICT, "object '%s' changed; read again", key);
+  else if (status == CS_OK && answer.status / 100 != 2)
+    status = refused (ctx, answer.status);
+  cs_http_answer_clear (&answer);
+  g_free (path);
+  g_ptr_array_unref (headers);
+  return status;
+}
+
+static cs_status_t
+remote_get (cs_ctx_t *ctx, cs_platform_t *platform, const char *key,
+            GString *body, char **tag)
+{
+  char *path = object_path (key);
+  cs_http_request_t request
+      = { .method = "GET", .path = path, .answer_max = CS_OBJECT_MAX };
+  cs_http_answer_t answer;
+  cs_status_t status
+      = cs_http_call (ctx, ((remote_t *)platform)->http, &request, &answer);
+  g_free (path);
+  if (status == CS_UNKNOWN)
+    status = CS_UNAVAILABLE; /* A read has no effect.  */
+  if (status != CS_OK)
+    return status;
+  if (answer.status == 404)
+    status = cs_fail (ctx, CS_NOT_FOUND, "no object '%s'", key);
+  else if (answer.status != 200)
+    {
+      refused (ctx, answer.status);
+      status = CS_UNAVAILABLE;
+    }
+  else
+    {
+      g_string_append_len (body, answer.body->str, (gssize)answer.body->len);
+      if (tag)
+        *tag = g_strdup (cs_headers_get (answer.headers, "ETag"));
+    }
+  cs_http_answer_clear (&answer);
+  return status;
+}
+
+static const cs_platform_vtable_t remote_vtable = {
+  .open = remote_open,
+  .drop = remote_drop,
+  .range = remote_range,
+  .commit = remote_commit,
+  .put = remote_put,
+  .get = remote_get,
+};
+
+static cs_plugin_t remote_plugin = {
+  .kind = CS_PLUGIN_PLATFORM,
+  .name = "http",
+  .summary = "table and object service over HTTP and JSON",
+  .vtable = &remote_vtable,
+};
+
+CS_PLUGIN (remote_plugin)
--- /dev/null
+++ b/tests/test-platform.c
@@ -0,0 +1,314 @@
+/* The contract of cs_platform_t, run against every implementation.  The
+   remote one talks to the stand-in whose address is in
+   CARDAMOM_TEST_PLATFORM; without it that row is skipped.  */
+#include <stdlib.h>
+#include <string.h>
+
+#include "cardamom/cardamom.h"
+
+typedef struct
+{
+  cs_ctx_t *ctx;
+  cs_platform_t *platform;
+  char prefix[32]; /* Own keys of this test case.  */
+} fixture_t;
+
+static char *
+key_of (const fixture_t *f, const char *name)
+{
+  return g_strconcat (f->prefix, name, NULL);
+}
+
+static cs_status_t
+put_if (fixture_t *f, const char *name, const char *value, int64_t revision)
+{
+  char *key = key_of (f, name);
+  int64_t now;
+  cs_condition_t condition = { .key = key, .revision = revision };
+  cs_write_t write
+      = { .key = key, .value = cs_str_of (value), .erase = !value };
+  cs_txn_t txn = { .conditions = &condition,
+                   .condition_count = revision >= 0,
+                   .writes = &write,
+                   .write_count = 1 };
+  cs_status_t status = cs_platform_commit (f->ctx, f->platform, &txn, &now);
+  g_free (key);
+  return status;
+}
+
+static int64_t
+revision_of (fixture_t *f, const char *name)
+{
+  char *key = key_of (f, name);
+  cs_row_t *row = NULL;
+  cs_platform_row (f->ctx, f->platform, key, &row);
+  int64_t revision = row ? row->revision : 0;
+  cs_row_free (row);
+  g_free (key);
+  return revision;
+}
+
+static void
+check_absent_row (fixture_t *f)
+{
+  cs_row_t *row = NULL;
+  char *key = key_of (f, "absent");
+  g_assert_cmpint (cs_platform_row (f->ctx, f->platform, key, &row), ==,
+                   CS_NOT_FOUND);
+  g_free (key);
+}
+
+static void
+check_put_and_get (fixture_t *f)
+{
+  cs_row_t *row = NULL;
+  char *key = key_of (f, "a");
+  g_assert_cmpint (put_if (f, "a", "one", -1), ==, CS_OK);
+  g_assert_cmpint (cs_platform_row (f->ctx, f->platform, key, &row), ==,
+                   CS_OK);
+  g_assert_cmpstr (row->value->str, ==, "one");
+  g_assert_cmpint (row->revision, >, 0);
+  cs_row_free (row);
+  g_free (key);
+}
+
+static void
+check_condition_absent (fixture_t *f)
+{
+  g_assert_cmpint (put_if (f, "b", "one", 0), ==, CS_OK);
+  g_assert_cmpint (put_if (f, "b", "two", 0), ==, CS_CONFLICT);
+}
+
+static void
+check_condition_revision (fixture_t *f)
+{
+  put_if (f, "c", "one", -1);
+  int64_t old = revision_of (f, "c");
+  g_assert_cmpint (put_if (f, "c", "two", old), ==, CS_OK);
+  g_assert_cmpint (put_if (f, "c", "three", old), ==, CS_CONFLICT);
+  g_assert_cmpint (revision_of (f, "c"), >, old);
+}
+
+static void
+check_all_or_nothing (fixture_t *f)
+{
+  char *a = key_of (f, "d1"), *b = key_of (f, "d2");
+  int64_t now;
+  cs_condition_t condition = { .key = a, .revision = 999999999 };
+  cs_write_t writes[] = { { .key = a, .value = CS_STR ("x") },
+                          { .key = b, .value = CS_STR ("y") } };
+  cs_txn_t txn = { .conditions = &condition,
+                   .condition_count = 1,
+                   .writes = writes,
+                   .write_count = 2 };
+  g_assert_cmpint (cs_platform_commit (f->ctx, f->platform, &txn, &now), ==,
+                   CS_CONFLICT);
+  g_assert_cmpint (revision_of (f, "d1"), ==, 0);
+  g_assert_cmpint (revision_of (f, "d2"), ==, 0);
+  txn.condition_count = 0;
+  g_assert_cmpint (cs_platform_commit (f->ctx, f->platform, &txn, &now), ==,
+                   CS_OK);
+  g_assert_cmpint (revision_of (f, "d1"), ==, revision_of (f, "d2"));
+  g_free (a);
+  g_free (b);
+}
+
+static void
+check_erase (fixture_t *f)
+{
+  put_if (f, "e", "one", -1);
+  g_assert_cmpint (put_if (f, "e", NULL, -1), ==, CS_OK);
+  g_assert_cmpint (revision_of (f, "e"), ==, 0);
+}
+
+static void
+check_range_order_and_since (fixture_t *f)
+{
+  int64_t now;
+  put_if (f, "r/2", "two", -1);
+  put_if (f, "r/1", "one", -1);
+  int64_t since = revision_of (f, "r/1");
+  put_if (f, "r/3", "three", -1);
+  char *first = key_of (f, "r/"), *end = key_of (f, "r0");
+  GPtrArray *rows = cs_rows_new ();
+  cs_range_t range = { .first = first, .end = end };
+  g_assert_cmpint (
+      f->platform->vtable->range (f->ctx, f->platform, &range, rows, &now), ==,
+      CS_OK);
+  g_assert_cmpuint (rows->len, ==, 3);
+  g_assert_cmpstr (((cs_row_t *)rows->pdata[0])->value->str, ==, "one");
+  g_assert_cmpstr (((cs_row_t *)rows->pdata[2])->value->str, ==, "three");
+  g_ptr_array_set_size (rows, 0);
+  range.changed_since = since;
+  f->platform->vtable->range (f->ctx, f->platform, &range, rows, &now);
+  g_assert_cmpuint (rows->len, ==, 2);
+  g_ptr_array_set_size (rows, 0);
+  range.changed_since = 0;
+  range.limit = 1;
+  f->platform->vtable->range (f->ctx, f->platform, &range, rows, &now);
+  g_assert_cmpuint (rows->len, ==, 1);
+  g_ptr_array_unref (rows);
+  g_free (first);
+  g_free (end);
+}
+
+static void
+check_objects (fixture_t *f)
+{
+  const cs_platform_vtable_t *v = f->platform->vtable;
+  char *key = key_of (f, "o/snap 1"), *tag = NULL;
+  GString *body = g_string_new (NULL);
+  g_assert_cmpint (v->get (f->ctx, f->platform, key, body, &tag), ==,
+                   CS_NOT_FOUND);
+  g_assert_cmpint (v->put (f->ctx, f->platform, key, CS_STR ("one"), ""), ==,
+                   CS_OK);
+  g_assert_cmpint (v->put (f->ctx, f->platform, key, CS_STR ("two"), ""), ==,
+                   CS_CONFLICT);
+  g_assert_cmpint (v->get (f->ctx, f->platform, key, body, &tag), ==, CS_OK);
+  g_assert_cmpstr (body->str, ==, "one");
+  g_assert_cmpint (v->put (f->ctx, f->platform, key, CS_STR ("two"), tag), ==,
+                   CS_OK);
+  g_assert_cmpint (v->put (f->ctx, f->platform, key, CS_STR ("three"), tag),
+                   ==, CS_CONFLICT);
+  g_string_free (body, TRUE);
+  g_free (tag);
+  g_free (key);
+}
+
+static const struct
+{
+  const char *name;
+  void (*check) (fixture_t *f);
+} contract[] = {
+  { "absent-row", check_absent_row },
+  { "put-and-get", check_put_and_get },
+  { "condition-absent", check_condition_absent },
+  { "condition-revision", check_condition_revision },
+  { "all-or-nothing", check_all_or_nothing },
+  { "erase", check_erase },
+  { "range", check_range_order_and_since },
+  { "objects", check_objects },
+};
+
+static const struct
+{
+  const char *plugin, *address;
+} implementations[] = { { "memory", "contract" }, { "http", NULL } };
+
+static const char *
+address_of (size_t i)
+{
+  return implementations[i].address ? implementations[i].address
+                                    : getenv ("CARDAMOM_TEST_PLATFORM");
+}
+
+static void
+run_case (gconstpointer data)
+{
+  size_t number = GPOINTER_TO_SIZE (data);
+  size_t i = number / G_N_ELEMENTS (contract);
+  size_t c = number % G_N_ELEMENTS (contract);
+  if (!address_of (i))
+    {
+      g_test_skip ("no stand-in is given");
+      return;
+    }
+  fixture_t f = { .ctx = cs_ctx_new (NULL, cs_clock_system (), 1) };
+  g_snprintf (f.prefix, sizeof f.prefix, "contract-%s/", contract[c].name);
+  g_assert_cmpint (cs_platform_open (f.ctx, implementations[i].plugin,
+                                     address_of (i), &f.platform),
+                   ==, CS_OK);
+  contract[c].check (&f);
+  cs_platform_drop (f.ctx, f.platform);
+  cs_ctx_drop (f.ctx);
+}
+
+/* Faults of the remote platform: what the stand-in is told, what a write must
+   report, and whether the write took effect.  */
+static const struct
+{
+  const char *mode;
+  cs_status_t status;
+  bool took_effect;
+} faults[] = {
+  { "none", CS_OK, true },      { "down", CS_UNAVAILABLE, false },
+  { "lost", CS_UNKNOWN, true }, { "drop", CS_UNKNOWN, false },
+  { "half", CS_UNKNOWN, true },
+};
+
+static void
+set_fault (cs_ctx_t *ctx, const char *mode)
+{
+  char *host, *body;
+  unsigned port;
+  cs_http_answer_t answer;
+  cs_address_parse (ctx, getenv ("CARDAMOM_TEST_PLATFORM"), &host, &port);
+  cs_http_t *http = cs_http_new (ctx, host, port, 2);
+  body = g_strdup_printf ("{\"mode\": \"%s\", \"count\": 1}", mode);
+  cs_http_request_t request = { .method = "POST",
+                                .path = "/standin/fault",
+                                .body = cs_str_of (body),
+                                .answer_max = 1024 };
+  g_assert_cmpint (cs_http_call (ctx, http, &request, &answer), ==, CS_OK);
+  cs_http_answer_clear (&answer);
+  cs_http_drop (ctx, http);
+  g_free (body);
+  g_free (host);
+}
+
+static void
+run_fault (gconstpointer data)
+{
+  size_t i = GPOINTER_TO_SIZE (data);
+  const char *address = getenv ("CARDAMOM_TEST_PLATFORM");
+  if (!address)
+    {
+      g_test_skip ("no stand-in is given");
+      return;
+    }
+  fixture_t f = { .ctx = cs_ctx_new (NULL, cs_clock_system (), 1) };
+  g_snprintf (f.prefix, sizeof f.prefix, "fault-%s/", faults[i].mode);
+  cs_platform_open (f.ctx, "http", address, &f.platform);
+  set_fault (f.ctx, faults[i].mode);
+  g_assert_cmpint (put_if (&f, "w", "one", -1), ==, faults[i].status);
+  set_fault (f.ctx, "none");
+  g_assert_cmpint (revision_of (&f, "w") > 0, ==, faults[i].took_effect);
+  cs_platform_drop (f.ctx, f.platform);
+  cs_ctx_drop (f.ctx);
+}
+
+static void
+test_unknown_plugin (void)
+{
+  cs_ctx_t *ctx = cs_ctx_new (NULL, cs_clock_system (), 1);
+  cs_platform_t *platform;
+  g_assert_cmpint (cs_platform_open (ctx, "paper", "x", &platform), ==,
+                   CS_NOT_FOUND);
+  g_assert_cmpstr (cs_message (ctx), ==,
+                   "no platform named 'paper'; choose one of: http, memory");
+  cs_ctx_drop (ctx);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (implementations); i++)
+    for (size_t c = 0; c < G_N_ELEMENTS (contract); c++)
+      {
+        char *path = g_strdup_printf (
+            "/platform/%s/%s", implementations[i].plugin, contract[c].name);
+        g_test_add_data_func (
+            path, GSIZE_TO_POINTER (i * G_N_ELEMENTS (contract) + c),
+            run_case);
+        g_free (path);
+      }
+  for (size_t i = 0; i < G_N_ELEMENTS (faults); i++)
+    {
+      char *path = g_strdup_printf ("/platform/fault/%s", faults[i].mode);
+      g_test_add_data_func (path, GSIZE_TO_POINTER (i), run_fault);
+      g_free (path);
+    }
+  g_test_add_func ("/platform/unknown-plugin", test_unknown_plugin);
+  return g_test_run ();
+}
