--- a/Makefile
+++ b/Makefile
@@ -27,15 +27,16 @@
 CTL_SRC = $(wildcard source/tools/*.c)
 STANDIN_SRC = $(wildcard tests/standins/*.c)
 TEST_SRC = $(wildcard tests/test-*.c)
-ALL_SRC = $(LIB_SRC) $(NODE_SRC) $(CTL_SRC) $(STANDIN_SRC) $(TEST_SRC) \
-  $(wildcard tests/*.c)
+BENCH_SRC = $(wildcard tests/bench-*.c)
+ALL_SRC = $(LIB_SRC) $(NODE_SRC) $(CTL_SRC) $(STANDIN_SRC) \
+  $(TEST_SRC) $(BENCH_SRC)
 HEADERS = $(wildcard include/cardamom/*.h source/*/*.h tests/*.h)
 
 obj = $(patsubst %.c,$(OUT)/%.o,$(1))
 LIB = $(OUT)/libcardamom.a
 PROGRAMS = $(OUT)/cardamomd $(OUT)/cardamomctl
 STANDINS = $(patsubst tests/standins/%.c,$(OUT)/%,$(STANDIN_SRC))
-TESTS = $(patsubst tests/%.c,$(OUT)/%,$(TEST_SRC))
+TESTS = $(patsubst tests/%.c,$(OUT)/%,$(TEST_SRC) $(BENCH_SRC))
 
 .PHONY: all check check-run install clean deps run measure lint format tests
 .SECONDARY:
@@ -63,6 +64,8 @@
 	$(LINK)
 $(OUT)/test-%: $(OUT)/tests/test-%.o $(LIB)
 	$(LINK)
+$(OUT)/bench-%: $(OUT)/tests/bench-%.o $(LIB)
+	$(LINK)
 
 deps:
 	@pkg-config --exists $(PC) 2>/dev/null || \
--- a/include/cardamom/members.h
+++ b/include/cardamom/members.h
@@ -45,6 +45,7 @@
   char *region;
   cs_node_state_t state;
   cs_endpoint_t endpoint;
+  uint64_t boot; /* Wall time of its start in ms; not changed by rebuttals. */
   uint64_t incarnation;
   uint64_t seq;
   cs_health_t health;
--- a/source/member/members.c
+++ b/source/member/members.c
@@ -30,7 +30,7 @@
 static void
 pack_member (cs_pack_t *pack, const cs_member_t *m)
 {
-  cs_pack_array (pack, 11);
+  cs_pack_array (pack, 12);
   cs_pack_text (pack, m->host);
   cs_pack_number (pack, m->port);
   cs_pack_number (pack, m->admin_port);
@@ -42,6 +42,7 @@
   cs_pack_number (pack, m->endpoint.slots);
   cs_pack_number (pack, m->endpoint.draining);
   cs_pack_number (pack, m->endpoint.since_ms);
+  cs_pack_unsigned (pack, m->boot);
 }
 
 static void
@@ -70,6 +71,7 @@
   m->endpoint.slots = cs_take_number (&in);
   m->endpoint.draining = cs_take_number (&in) != 0;
   m->endpoint.since_ms = cs_take_number (&in);
+  m->boot = cs_take_unsigned (&in);
   m->state = (cs_node_state_t)state;
   cs_unpack_clear (&unpack);
   return !in.bad && state >= CS_NODE_JOINING && state <= CS_NODE_LEFT
@@ -181,6 +183,7 @@
     .dc = g_strdup (identity->dc),
     .region = g_strdup (identity->region),
     .endpoint = { .service = g_strdup (""), .version = g_strdup ("") },
+    .boot = (uint64_t)(cs_wall (ctx) / CS_MSEC),
     .incarnation = (uint64_t)(cs_wall (ctx) / CS_MSEC),
     .rank = cs_hash_text (identity->name, 0),
   };
--- a/source/node/call.c
+++ b/source/node/call.c
@@ -3,11 +3,13 @@
 #include <string.h>
 
 #include "node.h"
+#include "once-node.h"
 #include "rcu.h"
 #include "slo.h"
 #include "view.h"
 
 #define TRIED_MAX 8
+#define KEY_MAX 255              /* Characters of an Idempotency-Key.  */
 #define NEEDED_MIN (2 * CS_MSEC) /* For an attempt of unknown length.  */
 
 /* What a request needs of the routing view, copied or kept, so that nothing
@@ -32,6 +34,7 @@
   int64_t depth;
   uint64_t print;
   int attempts;
+  cs_choice_t choice;
   const char *tried[TRIED_MAX + 1];
   cs_upstream_t *kept[TRIED_MAX];
 } call_t;
@@ -234,13 +237,14 @@
 static cs_upstream_t *
 choose_upstream (call_t *call)
 {
-  cs_choice_t choice
-      = { .now = cs_now (call->ctx),
-          .now_ms = cs_wall (call->ctx) / CS_MSEC,
-          .far_allowed = atomic_load (&call->node->link_tokens) > 0,
-          .no = call->tried };
-  cs_upstream_t *u
-      = call->node->balancer->choose (call->ctx, call->plan.set, &choice);
+  call->choice = (cs_choice_t){
+    .now = cs_now (call->ctx),
+    .now_ms = cs_wall (call->ctx) / CS_MSEC,
+    .far_allowed = atomic_load (&call->node->link_tokens) > 0,
+    .no = call->tried,
+  };
+  cs_upstream_t *u = call->node->balancer->choose (call->ctx, call->plan.set,
+                                                   &call->choice);
   if (u && call->attempts < TRIED_MAX)
     {
       call->kept[call->attempts] = cs_upstream_keep (u);
@@ -306,6 +310,53 @@
   result_free (result);
 }
 
+/* Run a request that carries an idempotency key, at most once.  */
+static void
+run_keyed (call_t *call, const char *text, caller_answer_t *answer)
+{
+  key_claim_t claim;
+  char *key = g_strconcat (text, " ", call->plan.service, NULL);
+  key_verdict_t verdict = key_claim (call->node, call->ctx, key, call->print,
+                                     call->plan.deadline, &claim, answer);
+  g_free (key);
+  switch (verdict)
+    {
+    case KEY_GRANTED:
+      answer_result (run_attempts (call), answer);
+      key_finish (call->node, &claim, answer);
+      break;
+    case KEY_REPLAY:
+      break;
+    case KEY_MISMATCH:
+      answer_text (answer, OUTCOME_NOT_RUN, 422, 0,
+                   "the Idempotency-Key belongs to another request");
+      break;
+    case KEY_UNKNOWN:
+      answer_text (answer, OUTCOME_UNKNOWN, 503, 1000,
+                   "the record of the Idempotency-Key cannot be consulted; "
+                   "send the request again with the same key");
+      break;
+    case KEY_BUSY:
+      answer_text (answer, OUTCOME_UNKNOWN, 409, 1000,
+                   "a request with this Idempotency-Key is under way or did "
+                   "not report its end");
+      break;
+    }
+}
+
+static void
+run_planned (call_t *call, caller_answer_t *answer)
+{
+  const char *key = cs_headers_get (call->request->headers, "Idempotency-Key");
+  if (call->plan.idempotent || !key)
+    answer_result (run_attempts (call), answer);
+  else if (!*key || strlen (key) > KEY_MAX)
+    answer_text (answer, OUTCOME_NOT_RUN, 400, 0,
+                 "the Idempotency-Key must have 1 to 255 characters");
+  else
+    run_keyed (call, key, answer);
+}
+
 static void
 count_outcome (outcome_t outcome)
 {
@@ -340,7 +391,7 @@
       call.depth = number_header (request, "Cardamom-Depth", 0);
       call.print = print_of (request);
       cs_retry_budget_call (call.plan.budget);
-      answer_result (run_attempts (&call), answer);
+      run_planned (&call, answer);
       cs_usec_t took = cs_now (ctx) - started;
       slo_note (node->slo, call.plan.route,
                 answer->outcome == OUTCOME_DONE && answer->status < 500
--- a/source/node/control-internal.h
+++ b/source/node/control-internal.h
@@ -5,6 +5,8 @@
 #include "node.h"
 #include "view.h"
 
+typedef struct keeper keeper_t;
+
 struct control
 {
   node_t *node;
@@ -15,6 +17,7 @@
   cs_members_t *members;
   cs_prober_t *prober;
   cs_dist_t *dist;
+  keeper_t *keeper;
   cs_snapshot_t *snapshot; /* In force; NULL before the first.  */
   view_store_t view_store;
   bool view_stale;
--- a/source/node/control.c
+++ b/source/node/control.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "control-internal.h"
+#include "once-node.h"
 #include "rcu.h"
 
 #define TICK (20 * CS_MSEC)
@@ -113,6 +114,11 @@
 control_send (control_t *control, const char *name, cs_str_t payload)
 {
   const cs_member_t *m = cs_members_find (control->members, name);
+  if (m == cs_members_self (control->members))
+    {
+      control_frame (control, name, payload);
+      return;
+    }
   cs_count (CS_C_CONTROL_BYTES_OUT, payload.len + 4);
   if (!m)
     {
@@ -290,6 +296,12 @@
     case FRAME_DIST:
       take_dist (control, from, &in);
       break;
+    case FRAME_ONCE:
+      keeper_take_frame (control, from, &in);
+      break;
+    case FRAME_ONCE_ANSWER:
+      keeper_take_answer (control, from, &in);
+      break;
     default:
       break;
     }
@@ -304,6 +316,7 @@
   if (!cs_dist_ready (control->dist)
       || cs_members_self (control->members)->state != CS_NODE_JOINING)
     return;
+  keeper_joined (control);
   cs_members_set_state (control->ctx, control->members, CS_NODE_UP);
   control->view_stale = true;
 }
@@ -329,6 +342,7 @@
   cs_prober_tick (control->ctx, control->prober);
   cs_dist_tick (control->ctx, control->dist);
   follow_readiness (control);
+  keeper_tick (control);
   if (now - control->gossiped_at >= GOSSIP_INTERVAL)
     {
       control->gossiped_at = now;
@@ -416,6 +430,7 @@
                                    &prober_options, send_probe, control);
   control->dist = cs_dist_new (control->ctx, control->members,
                                &cs_dist_defaults, &dist_ops, control);
+  control->keeper = keeper_new (control);
   gossip_init (control);
   cs_members_watch (control->members, gossip_on_record, control);
   cs_dist_set_heard (control->dist, gossip_heard_of_dc, control);
@@ -457,6 +472,7 @@
     }
   view_free (control->node->view);
   gossip_clear (control);
+  keeper_drop (control, control->keeper);
   cs_dist_drop (control->ctx, control->dist);
   cs_prober_drop (control->ctx, control->prober);
   cs_members_drop (control->ctx, control->members);
--- a/source/node/gossip.c
+++ b/source/node/gossip.c
@@ -3,7 +3,7 @@
    that nothing stays unknown.  Between data centres one member speaks.  */
 #include <string.h>
 
-#include "control-internal.h"
+#include "once-node.h"
 
 #define FANOUT 3
 #define COMPARE_INTERVAL (1 * CS_SEC)
@@ -102,6 +102,7 @@
 {
   control_t *control = user;
   control->view_stale = true;
+  keeper_on_record (control, record);
   /* An urgent record was sent to every mate by whoever published it, so it
      is passed on only by its publisher and on arrival from elsewhere.  */
   if (record->urgent && !control->from_mate)
--- a/source/node/main.c
+++ b/source/node/main.c
@@ -88,6 +88,20 @@
   g_strfreev (seeds);
 }
 
+static void
+check_dcs (node_t *node, GString *errors)
+{
+  const node_settings_t *s = &node->settings;
+  node->home_dcs = g_strsplit (*s->dcs ? s->dcs : s->dc, ",", -1);
+  for (char **dc = node->home_dcs; *dc; dc++)
+    g_strstrip (*dc);
+  if (!g_strv_contains ((const char *const *)node->home_dcs, s->dc))
+    g_string_append_printf (errors,
+                            "--dcs: lacks this node's data centre '%s'; name "
+                            "every data centre of the mesh\n",
+                            s->dc);
+}
+
 /* What cannot be checked setting by setting.  */
 static void
 check_settings (node_t *node, GString *errors)
@@ -110,6 +124,7 @@
                             "notice, info\n",
                             s->log_level);
   check_seeds (node, errors);
+  check_dcs (node, errors);
 }
 
 static void
--- a/source/node/node.h
+++ b/source/node/node.h
@@ -22,7 +22,7 @@
   char *node, *dc, *region, *host;
   int64_t port, peer_port, admin_port;
   char *admin_host;
-  char *seeds;
+  char *seeds, *dcs;
   char *platform, *platform_address;
   char *cluster_key, *cluster_key_old;
   char *balancer, *limiter, *judge, *log_level;
@@ -65,6 +65,8 @@
   cs_httpd_t *front, *admin;
   view_t *view; /* Read under RCU; replaced by control.  */
   const cs_balancer_vtable_t *balancer;
+  char **home_dcs;       /* Data centres that keep idempotency keys.  */
+  _Atomic uint64_t boot; /* Of this node's member record; 0: not read.  */
   atomic_bool draining;
   _Atomic int64_t fronting;    /* Callers' requests being answered.  */
   _Atomic int64_t link_tokens; /* Bytes the region link may still carry.  */
--- /dev/null
+++ b/source/once/keepers.c
@@ -0,0 +1,194 @@
+#include <string.h>
+
+#include "cardamom/keepers.h"
+
+uint64_t
+cs_keeper_weight (const char *name, const char *key)
+{
+  return cs_hash_text (key, cs_hash_text (name, 0));
+}
+
+typedef struct
+{
+  const cs_member_t *member;
+  uint64_t weight;
+} candidate_t;
+
+static gint
+compare_candidates (gconstpointer a, gconstpointer b)
+{
+  const candidate_t *ca = a, *cb = b;
+  if (ca->weight != cb->weight)
+    return ca->weight > cb->weight ? -1 : 1;
+  return strcmp (ca->member->name, cb->member->name);
+}
+
+GPtrArray *
+cs_keepers_of (const cs_members_t *members, const char *dc, const char *key)
+{
+  GPtrArray *list = cs_members_of_dc (members, dc);
+  GArray *candidates = g_array_new (FALSE, FALSE, sizeof (candidate_t));
+  for (guint i = 0; i < list->len; i++)
+    {
+      const cs_member_t *m = list->pdata[i];
+      candidate_t c
+          = { .member = m, .weight = cs_keeper_weight (m->name, key) };
+      if (m->state == CS_NODE_UP)
+        g_array_append_val (candidates, c);
+    }
+  g_array_sort (candidates, compare_candidates);
+  g_ptr_array_set_size (list, 0);
+  for (guint i = 0; i < candidates->len; i++)
+    g_ptr_array_add (
+        list, (gpointer)g_array_index (candidates, candidate_t, i).member);
+  g_array_unref (candidates);
+  return list;
+}
+
+bool
+cs_keepers_have_majority (const cs_members_t *members)
+{
+  const cs_member_t *self = cs_members_self (members);
+  GPtrArray *all = cs_members_all (members);
+  guint known = 0, alive = 0;
+  bool first_alive = false;
+  for (guint i = 0; i < all->len; i++)
+    {
+      const cs_member_t *m = all->pdata[i];
+      if (strcmp (m->dc, self->dc) != 0 || m->state == CS_NODE_LEFT)
+        continue;
+      bool lives = m->health != CS_DEAD;
+      if (known == 0)
+        first_alive = lives;
+      known++;
+      alive += lives;
+    }
+  g_ptr_array_unref (all);
+  return 2 * alive > known || (2 * alive == known && first_alive);
+}
+
+const char *
+cs_keepers_home (const char *key, char *const *dcs)
+{
+  const char *best = NULL;
+  uint64_t best_weight = 0;
+  if (g_str_has_prefix (key, "dc:"))
+    {
+      const char *name = key + strlen ("dc:");
+      const char *end = strchr (name, ':');
+      if (end)
+        {
+          char *copy = g_strndup (name, (gsize)(end - name));
+          best = g_intern_string (copy);
+          g_free (copy);
+          return best;
+        }
+    }
+  for (char *const *dc = dcs; *dc; dc++)
+    {
+      uint64_t weight = cs_keeper_weight (*dc, key);
+      if (!best || weight > best_weight)
+        {
+          best = *dc;
+          best_weight = weight;
+        }
+    }
+  return best;
+}
+
+cs_loss_t *
+cs_loss_new (int64_t until_ms, bool all)
+{
+  cs_loss_t *loss = g_new0 (cs_loss_t, 1);
+  loss->until_ms = until_ms;
+  loss->all = all;
+  loss->view = g_ptr_array_new_with_free_func (g_free);
+  loss->dead = g_ptr_array_new_with_free_func (g_free);
+  return loss;
+}
+
+void
+cs_loss_free (void *data)
+{
+  cs_loss_t *loss = data;
+  if (!loss)
+    return;
+  g_ptr_array_unref (loss->view);
+  g_ptr_array_unref (loss->dead);
+  g_free (loss);
+}
+
+static void
+pack_names (cs_pack_t *pack, const GPtrArray *names)
+{
+  cs_pack_array (pack, names->len);
+  for (guint i = 0; i < names->len; i++)
+    cs_pack_text (pack, names->pdata[i]);
+}
+
+static void
+take_names (cs_cursor_t *in, GPtrArray *names)
+{
+  cs_cursor_t list = cs_take_array (in);
+  while (list.left && !list.bad)
+    g_ptr_array_add (names, cs_take_text (&list));
+  in->bad = in->bad || list.bad;
+}
+
+void
+cs_loss_pack (cs_pack_t *pack, const cs_loss_t *loss)
+{
+  cs_pack_array (pack, 4);
+  cs_pack_number (pack, loss->until_ms);
+  cs_pack_number (pack, loss->all);
+  pack_names (pack, loss->view);
+  pack_names (pack, loss->dead);
+}
+
+cs_loss_t *
+cs_loss_take (cs_cursor_t *in)
+{
+  int64_t until = cs_take_number (in);
+  bool all = cs_take_number (in) != 0;
+  cs_loss_t *loss = cs_loss_new (until, all);
+  take_names (in, loss->view);
+  take_names (in, loss->dead);
+  if (!in->bad)
+    return loss;
+  cs_loss_free (loss);
+  return NULL;
+}
+
+static bool
+is_dead (const cs_loss_t *loss, const char *name)
+{
+  return g_ptr_array_find_with_equal_func (loss->dead, name, g_str_equal,
+                                           NULL);
+}
+
+bool
+cs_loss_covers (const cs_loss_t *loss, const char *key)
+{
+  const char *first = NULL, *second = NULL;
+  uint64_t first_weight = 0, second_weight = 0;
+  if (loss->all)
+    return true;
+  for (guint i = 0; i < loss->view->len; i++)
+    {
+      const char *name = loss->view->pdata[i];
+      uint64_t weight = cs_keeper_weight (name, key);
+      if (!first || weight > first_weight)
+        {
+          second = first;
+          second_weight = first_weight;
+          first = name;
+          first_weight = weight;
+        }
+      else if (!second || weight > second_weight)
+        {
+          second = name;
+          second_weight = weight;
+        }
+    }
+  return first && is_dead (loss, first) && (!second || is_dead (loss, second));
+}
--- /dev/null
+++ b/source/once/once.c
@@ -0,0 +1,270 @@
+#include <string.h>
+
+#include "cardamom/once.h"
+
+struct cs_once
+{
+  GHashTable *table; /* key -> cs_once_record_t.  */
+  GQueue by_age;     /* Keys of records with a result, oldest first.  */
+  size_t records_max, bytes_max, bytes;
+};
+
+void
+cs_once_record_free (void *data)
+{
+  cs_once_record_t *record = data;
+  if (!record)
+    return;
+  g_free (record->key);
+  g_free (record->owner);
+  if (record->result)
+    g_string_free (record->result, TRUE);
+  g_free (record);
+}
+
+static cs_once_record_t *
+record_copy (const cs_once_record_t *from)
+{
+  cs_once_record_t *copy = g_new (cs_once_record_t, 1);
+  *copy = *from;
+  copy->key = g_strdup (from->key);
+  copy->owner = g_strdup (from->owner);
+  copy->result = from->result ? g_string_new_len (from->result->str,
+                                                  (gssize)from->result->len)
+                              : NULL;
+  return copy;
+}
+
+void
+cs_once_record_pack (cs_pack_t *pack, const cs_once_record_t *record)
+{
+  cs_pack_array (pack, 9);
+  cs_pack_text (pack, record->key);
+  cs_pack_text (pack, record->owner);
+  cs_pack_unsigned (pack, record->owner_boot);
+  cs_pack_unsigned (pack, record->claim);
+  cs_pack_unsigned (pack, record->print);
+  cs_pack_number (pack, record->state);
+  cs_pack_number (pack, record->expires_ms);
+  cs_pack_number (pack, record->result != NULL);
+  cs_pack_bytes (pack, record->result ? cs_str_of_gstring (record->result)
+                                      : (cs_str_t){ 0 });
+}
+
+cs_once_record_t *
+cs_once_record_take (cs_cursor_t *cursor)
+{
+  cs_cursor_t in = cs_take_array (cursor);
+  cs_once_record_t *record = g_new0 (cs_once_record_t, 1);
+  record->key = cs_take_text (&in);
+  record->owner = cs_take_text (&in);
+  record->owner_boot = cs_take_unsigned (&in);
+  record->claim = cs_take_unsigned (&in);
+  record->print = cs_take_unsigned (&in);
+  int64_t state = cs_take_number (&in);
+  record->state = (cs_once_state_t)state;
+  record->expires_ms = cs_take_number (&in);
+  bool has_result = cs_take_number (&in) != 0;
+  cs_str_t result = cs_take_str (&in);
+  if (in.bad || state < CS_ONCE_CLAIMED || state > CS_ONCE_UNKNOWN
+      || !*record->key || strlen (record->key) > CS_ONCE_KEY_MAX
+      || result.len > CS_ONCE_RESULT_MAX)
+    {
+      cursor->bad = true;
+      cs_once_record_free (record);
+      return NULL;
+    }
+  if (has_result)
+    record->result = g_string_new_len (result.data, (gssize)result.len);
+  return record;
+}
+
+cs_once_t *
+cs_once_new (cs_ctx_t *ctx, size_t records_max, size_t bytes_max)
+{
+  cs_once_t *once = cs_calloc (ctx, sizeof *once);
+  once->records_max = records_max;
+  once->bytes_max = bytes_max;
+  once->table = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                       cs_once_record_free);
+  g_queue_init (&once->by_age);
+  return once;
+}
+
+void
+cs_once_drop (cs_ctx_t *ctx, cs_once_t *once)
+{
+  if (!once)
+    return;
+  g_queue_clear_full (&once->by_age, g_free);
+  g_hash_table_unref (once->table);
+  cs_free (ctx, once);
+}
+
+const cs_once_record_t *
+cs_once_find (const cs_once_t *once, const char *key)
+{
+  return g_hash_table_lookup (once->table, key);
+}
+
+size_t
+cs_once_count (const cs_once_t *once)
+{
+  return g_hash_table_size (once->table);
+}
+
+size_t
+cs_once_bytes (const cs_once_t *once)
+{
+  return once->bytes;
+}
+
+static void
+drop_result (cs_once_t *once, cs_once_record_t *record)
+{
+  if (!record->result)
+    return;
+  once->bytes -= record->result->len;
+  g_string_free (record->result, TRUE);
+  record->result = NULL;
+}
+
+/* Count RECORD's result and give up the oldest ones beyond the bound.  */
+static void
+account_result (cs_once_t *once, const cs_once_record_t *record)
+{
+  if (!record->result)
+    return;
+  once->bytes += record->result->len;
+  g_queue_push_tail (&once->by_age, g_strdup (record->key));
+  while (once->bytes > once->bytes_max && once->by_age.length > 0)
+    {
+      char *oldest = g_queue_pop_head (&once->by_age);
+      cs_once_record_t *old = g_hash_table_lookup (once->table, oldest);
+      if (old)
+        drop_result (once, old);
+      g_free (oldest);
+    }
+}
+
+static void
+insert (cs_once_t *once, const cs_once_record_t *record)
+{
+  cs_once_record_t *old = g_hash_table_lookup (once->table, record->key);
+  if (old)
+    drop_result (once, old);
+  cs_once_record_t *copy = record_copy (record);
+  g_hash_table_replace (once->table, copy->key, copy);
+  account_result (once, copy);
+}
+
+cs_claim_t
+cs_once_claim (cs_once_t *once, const cs_once_record_t *wanted,
+               const cs_once_record_t **held)
+{
+  const cs_once_record_t *record = cs_once_find (once, wanted->key);
+  *held = record;
+  if (!record)
+    {
+      if (cs_once_count (once) >= once->records_max)
+        return CS_CLAIM_FULL;
+      insert (once, wanted);
+      *held = cs_once_find (once, wanted->key);
+      return CS_CLAIM_GRANTED;
+    }
+  if (record->print != wanted->print)
+    return CS_CLAIM_MISMATCH;
+  if (record->state == CS_ONCE_DONE)
+    return CS_CLAIM_DONE;
+  if (record->state == CS_ONCE_UNKNOWN)
+    return CS_CLAIM_UNKNOWN;
+  return record->claim == wanted->claim ? CS_CLAIM_GRANTED
+                                        : CS_CLAIM_IN_FLIGHT;
+}
+
+const cs_once_record_t *
+cs_once_finish (cs_once_t *once, const char *key, uint64_t claim,
+                cs_once_state_t state, const cs_str_t *result)
+{
+  cs_once_record_t *record = g_hash_table_lookup (once->table, key);
+  if (!record || record->claim != claim || record->state == CS_ONCE_DONE)
+    return NULL;
+  record->state = state;
+  drop_result (once, record);
+  if (result && result->len <= CS_ONCE_RESULT_MAX)
+    {
+      record->result = g_string_new_len (result->data, (gssize)result->len);
+      account_result (once, record);
+    }
+  return record;
+}
+
+bool
+cs_once_release (cs_once_t *once, const char *key, uint64_t claim)
+{
+  cs_once_record_t *record = g_hash_table_lookup (once->table, key);
+  if (!record || record->claim != claim || record->state != CS_ONCE_CLAIMED)
+    return false;
+  g_hash_table_remove (once->table, key);
+  return true;
+}
+
+bool
+cs_once_adopt (cs_once_t *once, const cs_once_record_t *record)
+{
+  const cs_once_record_t *held = cs_once_find (once, record->key);
+  if (held && held->claim != record->claim)
+    return false;
+  /* What is known of the end is never forgotten for a copy from before.  */
+  if (held
+      && (held->state == CS_ONCE_DONE || record->state == CS_ONCE_CLAIMED))
+    return true;
+  insert (once, record);
+  return true;
+}
+
+void
+cs_once_foreach (const cs_once_t *once,
+                 void (*visit) (void *user, const cs_once_record_t *record),
+                 void *user)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, once->table);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    visit (user, value);
+}
+
+void
+cs_once_orphan (cs_once_t *once, const char *owner, uint64_t boot)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, once->table);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      cs_once_record_t *record = value;
+      if (record->state == CS_ONCE_CLAIMED && record->owner_boot <= boot
+          && strcmp (record->owner, owner) == 0)
+        record->state = CS_ONCE_UNKNOWN;
+    }
+}
+
+void
+cs_once_expire (cs_once_t *once, int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, once->table);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      cs_once_record_t *record = value;
+      if (record->expires_ms > now_ms)
+        continue;
+      drop_result (once, record);
+      g_hash_table_iter_remove (&iter);
+    }
+  while (once->by_age.length > 0
+         && !cs_once_find (once, g_queue_peek_head (&once->by_age)))
+    g_free (g_queue_pop_head (&once->by_age));
+}
--- /dev/null
+++ b/tests/judge-cases.h
@@ -0,0 +1,219 @@
+/* Seeded moves of good and bad versions, run against a judge without any
+   process: what the new version does is drawn call by call.  */
+#ifndef CARDAMOM_JUDGE_CASES_H
+#define CARDAMOM_JUDGE_CASES_H
+
+#include <math.h>
+
+#include "cardamom/cardamom.h"
+
+#define CASE_SECONDS 120
+#define CASE_TICK_MS 500
+#ifndef CASE_SEEDS
+#define CASE_SEEDS 10
+#endif
+#define CASE_ROUTES 3
+
+/* What a version does at time T_MS with SHARE permille on ROUTE.  */
+typedef struct
+{
+  double errors; /* Chance of an error.  */
+  double slow;   /* Factor on the latency.  */
+} conduct_t;
+
+typedef struct
+{
+  const char *name;
+  bool bad;
+  double calls_per_s;
+  double background; /* Chance of an error of the old version.  */
+  conduct_t (*conduct) (double background, int64_t t_ms, int64_t share,
+                        int route);
+} kind_t;
+
+static conduct_t
+like_old (double background, int64_t t_ms, int64_t share, int route)
+{
+  (void)t_ms, (void)share, (void)route;
+  return (conduct_t){ background, 1.0 };
+}
+
+static conduct_t
+fails_all (double background, int64_t t_ms, int64_t share, int route)
+{
+  (void)background, (void)t_ms, (void)share, (void)route;
+  return (conduct_t){ 1.0, 1.0 };
+}
+
+static conduct_t
+fails_some (double background, int64_t t_ms, int64_t share, int route)
+{
+  (void)t_ms, (void)share, (void)route;
+  return (conduct_t){ background + 0.3, 1.0 };
+}
+
+static conduct_t
+fails_late (double background, int64_t t_ms, int64_t share, int route)
+{
+  (void)share, (void)route;
+  return (conduct_t){ t_ms > 60000 ? 0.5 : background, 1.0 };
+}
+
+static conduct_t
+fails_under_load (double background, int64_t t_ms, int64_t share, int route)
+{
+  (void)t_ms, (void)route;
+  return (conduct_t){ share >= 350 ? 0.4 : background, 1.0 };
+}
+
+static conduct_t
+fails_on_route (double background, int64_t t_ms, int64_t share, int route)
+{
+  (void)t_ms, (void)share;
+  return (conduct_t){ route == 2 ? 0.9 : background, 1.0 };
+}
+
+static conduct_t
+is_slow (double background, int64_t t_ms, int64_t share, int route)
+{
+  (void)t_ms, (void)share, (void)route;
+  return (conduct_t){ background, 4.0 };
+}
+
+static conduct_t
+slow_late (double background, int64_t t_ms, int64_t share, int route)
+{
+  (void)share, (void)route;
+  return (conduct_t){ background, t_ms > 60000 ? 5.0 : 1.0 };
+}
+
+static conduct_t
+slow_on_route (double background, int64_t t_ms, int64_t share, int route)
+{
+  (void)t_ms, (void)share;
+  return (conduct_t){ background, route == 2 ? 6.0 : 1.0 };
+}
+
+static conduct_t
+slow_under_load (double background, int64_t t_ms, int64_t share, int route)
+{
+  (void)t_ms, (void)route;
+  return (conduct_t){ background, share >= 350 ? 5.0 : 1.0 };
+}
+
+static const kind_t kinds[] = {
+  { "good", false, 100, 0.002, like_old },
+  { "good-busy", false, 1000, 0.002, like_old },
+  { "good-background", false, 100, 0.2, like_old },
+  { "good-thin", false, 3, 0.0, like_old },
+  { "good-thin-background", false, 4, 0.05, like_old },
+  { "good-bursts", false, 100, -1.0, like_old },
+  { "bad-all", true, 100, 0.002, fails_all },
+  { "bad-some", true, 100, 0.002, fails_some },
+  { "bad-background", true, 100, 0.2, fails_some },
+  { "bad-late", true, 100, 0.002, fails_late },
+  { "bad-under-load", true, 100, 0.002, fails_under_load },
+  { "bad-one-route", true, 100, 0.002, fails_on_route },
+  { "bad-thin", true, 3, 0.0, fails_some },
+  { "slow", true, 100, 0.002, is_slow },
+  { "slow-late", true, 100, 0.002, slow_late },
+  { "slow-one-route", true, 100, 0.002, slow_on_route },
+  { "slow-under-load", true, 100, 0.002, slow_under_load },
+};
+
+typedef struct
+{
+  int cases, taken_back, finished;
+  double calls, exposed; /* All, and those that met bad conduct.  */
+} tally_t;
+
+/* 45%, 45% and 10% of the calls.  */
+static int
+draw_route (GRand *random)
+{
+  double u = g_rand_double (random);
+  return u < 0.45 ? 0 : u < 0.9 ? 1 : 2;
+}
+
+static cs_usec_t
+draw_latency (GRand *random, double factor)
+{
+  double sum = 0.0;
+  for (int i = 0; i < 6; i++)
+    sum += g_rand_double (random);
+  return (cs_usec_t)(5000.0 * factor * exp (0.6 * (sum - 3.0)));
+}
+
+/* The old version's chance of an error now; kinds with bursts have a third
+   of errors in 2 of every 15 seconds.  */
+static double
+background_at (const kind_t *kind, int64_t t_ms)
+{
+  if (kind->background >= 0.0)
+    return kind->background;
+  return t_ms % 15000 < 2000 ? 0.33 : 0.005;
+}
+
+static void
+draw_tick (const kind_t *kind, GRand *random, int64_t t_ms, int64_t share,
+           cs_sample_t growth[CASE_ROUTES], tally_t *tally)
+{
+  double background = background_at (kind, t_ms);
+  double expected = kind->calls_per_s * CASE_TICK_MS / 1000.0;
+  int calls = (int)(expected + g_rand_double (random));
+  for (int i = 0; i < calls; i++)
+    {
+      int route = draw_route (random);
+      bool new = g_rand_int_range (random, 0, CS_SHARE_ONE) < share;
+      conduct_t c = { background, 1.0 };
+      if (new)
+        c = kind->conduct (background, t_ms, share, route);
+      bool failed = g_rand_double (random) < c.errors;
+      cs_arm_note (new ? &growth[route].new : &growth[route].old, failed,
+                   draw_latency (random, c.slow));
+      tally->calls += 1.0;
+      tally->exposed += c.errors > background || c.slow > 1.0;
+    }
+}
+
+/* Run one move to its end.  */
+static void
+run_move (cs_ctx_t *ctx, const cs_judge_vtable_t *vtable, double alarm,
+          const kind_t *kind, guint32 seed, tally_t *tally)
+{
+  static const char *const routes[CASE_ROUTES] = { "/a", "/b", "/c" };
+  GRand *random = g_rand_new_with_seed (seed);
+  cs_jury_t *jury = cs_jury_new (ctx, vtable, alarm);
+  cs_move_t move
+      = { .deadline_ms = CASE_SECONDS * 1000, .first_permille = 20 };
+  tally->cases++;
+  for (int64_t t = 0; move.phase == CS_MOVE_RUNNING; t += CASE_TICK_MS)
+    {
+      cs_sample_t growth[CASE_ROUTES] = { 0 };
+      draw_tick (kind, random, t, move.share_permille, growth, tally);
+      for (int i = 0; i < CASE_ROUTES; i++)
+        cs_jury_add (ctx, jury, routes[i], &growth[i]);
+      cs_jury_tick (jury);
+      uint64_t calls = cs_jury_new_calls (jury);
+      cs_move_facts_t facts = { .now_ms = t,
+                                .verdict = cs_jury_verdict (jury),
+                                .new_calls = calls,
+                                .has_upstreams = true };
+      cs_step_t step = cs_move_decide (&move, &facts);
+      if (step.kind == CS_STEP_RAISE)
+        {
+          move.share_permille = step.share_permille;
+          move.since_ms = t;
+        }
+      else if (step.kind == CS_STEP_FINISH)
+        move.phase = CS_MOVE_DONE;
+      else if (step.kind == CS_STEP_TAKE_BACK)
+        move.phase = CS_MOVE_TAKEN_BACK;
+    }
+  tally->taken_back += move.phase == CS_MOVE_TAKEN_BACK;
+  tally->finished += move.phase == CS_MOVE_DONE;
+  cs_jury_drop (ctx, jury);
+  g_rand_free (random);
+}
+
+#endif
--- a/tests/mesh.sh
+++ b/tests/mesh.sh
@@ -79,7 +79,8 @@
     --node="$dc-n$i" --dc="$dc" --region="$region" \
     --port="$(mesh_port "$i" 0)" --peer-port="$(mesh_port "$i" 1)" \
     --admin-port="$(mesh_port "$i" 2)" --seeds="$seeds" \
-    --platform-address="$MESH_PLATFORM" $MESH_NODE_FLAGS "$@"
+    --platform-address="$MESH_PLATFORM" --dcs="${MESH_DCS:-}" \
+    $MESH_NODE_FLAGS "$@"
 }
 
 # mesh_backend I SERVICE [FLAG...]: the upstream beside node I.
