--- a/include/cardamom/members.h
+++ b/include/cardamom/members.h
@@ -122,11 +122,10 @@
 /* This node's place among the reachable members of its data centre.  */
 unsigned cs_members_own_rank (const cs_members_t *members);
 
-/* Whether this node's data centre comes first, by hash, among those of its
-   region, counting only data centres that HEARD accepts.  */
-bool cs_members_leads_region (const cs_members_t *members,
-                              bool (*heard) (void *user, const char *dc),
-                              void *user);
+/* Whether this node's data centre comes first, by hash, among those of REGION
+   (NULL: of the mesh), counting only data centres that HEARD accepts.  */
+bool cs_members_leads (const cs_members_t *members, const char *region,
+                       bool (*heard) (void *user, const char *dc), void *user);
 
 /* Grows with every change of membership or endpoints.  */
 uint64_t cs_members_generation (const cs_members_t *members);
--- a/source/dist/dist.c
+++ b/source/dist/dist.c
@@ -540,8 +540,9 @@
   if (rank >= dist->options.readers)
     return 0;
   if (rank == 0 && dist->heard
-      && !cs_members_leads_region (dist->members, dist->heard,
-                                   dist->heard_user))
+      && !cs_members_leads (dist->members,
+                            cs_members_self (dist->members)->region,
+                            dist->heard, dist->heard_user))
     return dist->options.reader_poll;
   return rank == 0 ? dist->options.lead_poll : dist->options.reader_poll;
 }
--- a/source/member/members.c
+++ b/source/member/members.c
@@ -377,9 +377,8 @@
 }
 
 bool
-cs_members_leads_region (const cs_members_t *members,
-                         bool (*heard) (void *user, const char *dc),
-                         void *user)
+cs_members_leads (const cs_members_t *members, const char *region,
+                  bool (*heard) (void *user, const char *dc), void *user)
 {
   GHashTableIter iter;
   gpointer value;
@@ -389,7 +388,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const cs_member_t *m = value;
-      if (cs_member_reachable (m) && strcmp (m->region, self->region) == 0
+      if (cs_member_reachable (m)
+          && (!region || strcmp (m->region, region) == 0)
           && strcmp (m->dc, self->dc) != 0 && cs_hash_text (m->dc, 0) < own
           && heard (user, m->dc))
         return false;
--- a/source/move/judges.c
+++ b/source/move/judges.c
@@ -193,9 +193,11 @@
 static bool
 update_cusum (track_t *t, count_t old, count_t new, count_t all, double bar)
 {
-  belief_t steady
-      = { t->old_events + t->prior_events,
-          t->old_calls + PRIOR_CALLS - t->old_events - t->prior_events };
+  /* What all routes did is where a route of few calls starts from.  */
+  double prior = PRIOR_CALLS * (t->all_events + t->prior_events)
+                 / (t->all_calls + PRIOR_CALLS);
+  belief_t steady = { t->old_events + prior,
+                      t->old_calls + PRIOR_CALLS - t->old_events - prior };
   belief_t burst = { 1.0, 1.0 };
   double weight = burst_chance (t, all);
   double log_steady = log (1.0 - weight) + log_chance (steady, old);
--- a/source/move/jury.c
+++ b/source/move/jury.c
@@ -3,6 +3,9 @@
 #define SHARES 4.0 /* Routes that the chance of an alarm is divided by.  */
 #define OLD_CALLS_MIN 8 /* Of the old version, for a weighing.  */
 #define TICKS_MAX 6     /* Longest wait for them.  */
+#define BUSY_CALLS                                                            \
+  100 /* Of the new version on a route, to be asked of it.                    \
+       */
 
 struct cs_jury
 {
@@ -98,8 +101,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &total))
     {
       const cs_sample_t *t = total;
-      if (t->new.calls * 10 >= jury->total.new.calls && t->new.calls >= 30
-          && !cs_sample_shows_good (t))
+      if (t->new.calls * 10 >= jury->total.new.calls
+          && t->new.calls >= BUSY_CALLS && !cs_sample_shows_good (t))
         return false;
     }
   return true;
--- a/source/node/admin.c
+++ b/source/node/admin.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "moves.h"
 #include "node.h"
 #include "operator.h"
 #include "slo.h"
@@ -111,6 +112,21 @@
   admin_json (out, 200, json_pack ("{s:o}", "nodes", list));
 }
 
+static void
+collect_moves (control_t *control, void *arg)
+{
+  *(json_t **)arg = moves_report (control);
+}
+
+static void
+get_moves (node_t *node, const cs_httpd_request_t *in, cs_httpd_answer_t *out)
+{
+  json_t *list = NULL;
+  (void)in;
+  control_call (node->control, collect_moves, &list);
+  admin_json (out, 200, json_pack ("{s:o}", "moves", list));
+}
+
 static void
 get_slo (node_t *node, const cs_httpd_request_t *in, cs_httpd_answer_t *out)
 {
@@ -189,6 +205,7 @@
   { "GET", "/v1/status", false, get_status },
   { "GET", "/v1/nodes", false, get_members },
   { "GET", "/v1/slo", false, get_slo },
+  { "GET", "/v1/moves", false, get_moves },
   { "POST", "/v1/announce", false, post_announce },
   { "POST", "/v1/fault", false, post_fault },
   { "POST", "/v1/changes", false, operator_post_change },
--- a/source/node/call.c
+++ b/source/node/call.c
@@ -2,13 +2,16 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "evidence.h"
 #include "node.h"
 #include "once-node.h"
 #include "rcu.h"
 #include "slo.h"
+#include "strikes.h"
 #include "view.h"
 
 #define TRIED_MAX 8
+#define SUSPECT_RETRY_MS 1000
 #define KEY_MAX 255              /* Characters of an Idempotency-Key.  */
 #define NEEDED_MIN (2 * CS_MSEC) /* For an attempt of unknown length.  */
 
@@ -16,12 +19,13 @@
    of the view is used while the call waits.  */
 typedef struct
 {
-  char *route, *service, *team, *version;
+  char *route, *service, *team;
   int64_t weight, priority, max_attempts, latency_ms;
   bool idempotent;
   cs_usec_t deadline;
-  cs_upstreams_t *set;
+  version_choice_t choice;
   cs_retry_budget_t *budget;
+  unsigned strikes;
 } plan_t;
 
 /* One call under way.  */
@@ -75,8 +79,7 @@
   g_free (plan->route);
   g_free (plan->service);
   g_free (plan->team);
-  g_free (plan->version);
-  cs_upstreams_drop (plan->set);
+  version_choice_clear (&plan->choice);
 }
 
 static void
@@ -116,8 +119,8 @@
   if (route)
     {
       plan_route (call, route);
-      view_choose_version (call->ctx, view, route->service, plan->service,
-                           &plan->version, &plan->set);
+      view_choose_version (call->ctx, view, route->service, &plan->choice);
+      plan->strikes = cs_strikes_of (view->strikes, call->print);
       plan->budget = g_hash_table_lookup (view->budgets, plan->service);
     }
   RCU_READ_END ();
@@ -143,7 +146,7 @@
   request->headers = cs_headers_copy (r->headers);
   request->body = g_string_new_len (r->body.data, (gssize)r->body.len);
   request->service = g_strdup (call->plan.service);
-  request->version = g_strdup (call->plan.version);
+  request->version = g_strdup (call->plan.choice.version);
   request->team = g_strdup (call->plan.team);
   request->weight = call->plan.weight;
   request->priority = call->plan.priority;
@@ -214,6 +217,19 @@
   return result->shed ? CS_ATTEMPT_SHED : CS_ATTEMPT_FAILED;
 }
 
+/* Count the attempt for the running move.  What did not run says nothing of
+   the version.  */
+static void
+note_evidence (call_t *call, const result_t *result, cs_usec_t took)
+{
+  const version_choice_t *choice = &call->plan.choice;
+  if (!choice->move || (!result->status && result->run == CS_RUN_NOT))
+    return;
+  evidence_note (call->node->evidence, choice->move, call->plan.route,
+                 choice->new_version,
+                 result->status == 0 || result->status >= 500, took);
+}
+
 /* One attempt at U; the result is never NULL.  */
 static result_t *
 run_attempt (call_t *call, cs_upstream_t *u)
@@ -229,8 +245,12 @@
       = local ? run_local (call, request) : run_remote (call, u, request);
   if (!result)
     result = result_new (CS_RUN_MAYBE, "no answer before the deadline");
-  cs_upstream_end (call->ctx, u, call->plan.set, attempt_of (result),
-                   cs_now (call->ctx) - started, result->load);
+  cs_usec_t took = cs_now (call->ctx) - started;
+  cs_upstream_end (call->ctx, u, call->plan.choice.set, attempt_of (result),
+                   took, result->load);
+  note_evidence (call, result, took);
+  if (result->run == CS_RUN_CRASHED && !result->status)
+    strikes_note (call->node, call->print, u->node);
   return result;
 }
 
@@ -243,8 +263,8 @@
     .far_allowed = atomic_load (&call->node->link_tokens) > 0,
     .no = call->tried,
   };
-  cs_upstream_t *u = call->node->balancer->choose (call->ctx, call->plan.set,
-                                                   &call->choice);
+  cs_upstream_t *u = call->node->balancer->choose (
+      call->ctx, call->plan.choice.set, &call->choice);
   if (u && call->attempts < TRIED_MAX)
     {
       call->kept[call->attempts] = cs_upstream_keep (u);
@@ -257,7 +277,7 @@
 should_retry (call_t *call, const result_t *result)
 {
   const plan_t *plan = &call->plan;
-  if (result->status && result->status < 500)
+  if (result->status ? result->status < 500 : result->run == CS_RUN_CRASHED)
     return false;
   cs_retry_facts_t facts
       = { .run = result->run,
@@ -286,6 +306,7 @@
       call->attempts++;
       if (!should_retry (call, result))
         return result;
+      version_choice_fall_back (&call->plan.choice);
     }
 }
 
@@ -310,6 +331,68 @@
   result_free (result);
 }
 
+/* Run a request that an upstream died of, unless another node runs it now:
+   one attempt at a time in the whole mesh.  */
+static result_t *
+run_suspect (call_t *call)
+{
+  key_claim_t claim;
+  caller_answer_t unused = { 0 };
+  caller_answer_t over = { .outcome = OUTCOME_NOT_RUN };
+  char *key
+      = g_strdup_printf ("suspect %016llx", (unsigned long long)call->print);
+  key_verdict_t verdict = key_claim (call->node, call->ctx, key, call->print,
+                                     call->plan.deadline, &claim, &unused);
+  g_free (key);
+  caller_answer_clear (&unused);
+  if (verdict != KEY_GRANTED)
+    {
+      result_t *result
+          = result_new (CS_RUN_NOT, "the request is suspected of crashing "
+                                    "upstreams and is being tried elsewhere");
+      result->retry_after_ms = SUSPECT_RETRY_MS;
+      return result;
+    }
+  call->plan.max_attempts = call->attempts + 1;
+  result_t *result = run_attempts (call);
+  key_finish (call->node, &claim, &over);
+  if (result->status)
+    strikes_clear (call->node, call->print);
+  return result;
+}
+
+/* Whether the call, whose last attempt ended with a crash, may have one more
+   as a suspect.  */
+static bool
+may_try_as_suspect (const call_t *call, const result_t *result)
+{
+  const plan_t *plan = &call->plan;
+  return !result->status && result->run == CS_RUN_CRASHED && plan->idempotent
+         && call->depth == 0 && plan->strikes == 0
+         && call->attempts < plan->max_attempts;
+}
+
+/* All attempts of the call, by what is known of its print.  */
+static result_t *
+run_by_print (call_t *call)
+{
+  if (call->plan.strikes >= CS_STRIKES_OUT)
+    {
+      result_t *result = result_new (
+          CS_RUN_NOT, "the request is in quarantine: it crashed upstreams");
+      cs_count (CS_C_QUARANTINED, 1);
+      result->retry_after_ms = CS_STRIKE_LIFE_MS;
+      return result;
+    }
+  if (call->plan.strikes > 0)
+    return run_suspect (call);
+  result_t *result = run_attempts (call);
+  if (!may_try_as_suspect (call, result))
+    return result;
+  result_free (result);
+  return run_suspect (call);
+}
+
 /* Run a request that carries an idempotency key, at most once.  */
 static void
 run_keyed (call_t *call, const char *text, caller_answer_t *answer)
@@ -322,7 +405,7 @@
   switch (verdict)
     {
     case KEY_GRANTED:
-      answer_result (run_attempts (call), answer);
+      answer_result (run_by_print (call), answer);
       key_finish (call->node, &claim, answer);
       break;
     case KEY_REPLAY:
@@ -349,7 +432,7 @@
 {
   const char *key = cs_headers_get (call->request->headers, "Idempotency-Key");
   if (call->plan.idempotent || !key)
-    answer_result (run_attempts (call), answer);
+    answer_result (run_by_print (call), answer);
   else if (!*key || strlen (key) > KEY_MAX)
     answer_text (answer, OUTCOME_NOT_RUN, 400, 0,
                  "the Idempotency-Key must have 1 to 255 characters");
@@ -382,14 +465,14 @@
   call_t call = { .node = node, .ctx = ctx, .request = request };
   cs_usec_t started = cs_now (ctx);
   unsigned method = cs_method_parse (request->method);
+  call.depth = number_header (request, "Cardamom-Depth", 0);
+  call.print = print_of (request);
   cs_count (CS_C_CALLS, 1);
   if (method == 0)
     answer_text (answer, OUTCOME_NOT_RUN, 501, 0,
                  "this method is not passed on");
   else if (make_plan (&call, method, answer))
     {
-      call.depth = number_header (request, "Cardamom-Depth", 0);
-      call.print = print_of (request);
       cs_retry_budget_call (call.plan.budget);
       run_planned (&call, answer);
       cs_usec_t took = cs_now (ctx) - started;
--- a/source/node/control-internal.h
+++ b/source/node/control-internal.h
@@ -6,6 +6,7 @@
 #include "view.h"
 
 typedef struct keeper keeper_t;
+typedef struct moves moves_t;
 
 struct control
 {
@@ -18,6 +19,7 @@
   cs_prober_t *prober;
   cs_dist_t *dist;
   keeper_t *keeper;
+  moves_t *moves;
   cs_snapshot_t *snapshot; /* In force; NULL before the first.  */
   view_store_t view_store;
   bool view_stale;
--- a/source/node/control.c
+++ b/source/node/control.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "control-internal.h"
+#include "moves.h"
 #include "once-node.h"
 #include "rcu.h"
 
@@ -172,6 +173,7 @@
   view_t *fresh
       = view_new (&control->view_store, control->members, control->snapshot,
                   backs, cs_dist_ready (control->dist));
+  fresh->strikes = cs_strikes_collect (cs_members_records (control->members));
   view_t *old = RCU_EXCHANGE (control->node->view, fresh);
   control->view_stale = false;
   RCU_WAIT ();
@@ -184,6 +186,7 @@
   control_t *control = user;
   cs_snapshot_t *old = control->snapshot;
   control->snapshot = snapshot;
+  moves_follow_snapshot (control);
   rebuild_view (control);
   if (old)
     cs_snapshot_drop (control->ctx, old);
@@ -296,6 +299,9 @@
     case FRAME_DIST:
       take_dist (control, from, &in);
       break;
+    case FRAME_EVIDENCE:
+      moves_take_evidence (control, from, &in);
+      break;
     case FRAME_ONCE:
       keeper_take_frame (control, from, &in);
       break;
@@ -343,6 +349,7 @@
   cs_dist_tick (control->ctx, control->dist);
   follow_readiness (control);
   keeper_tick (control);
+  moves_tick (control);
   if (now - control->gossiped_at >= GOSSIP_INTERVAL)
     {
       control->gossiped_at = now;
@@ -431,6 +438,7 @@
   control->dist = cs_dist_new (control->ctx, control->members,
                                &cs_dist_defaults, &dist_ops, control);
   control->keeper = keeper_new (control);
+  control->moves = moves_new (control);
   gossip_init (control);
   cs_members_watch (control->members, gossip_on_record, control);
   cs_dist_set_heard (control->dist, gossip_heard_of_dc, control);
@@ -473,6 +481,7 @@
   view_free (control->node->view);
   gossip_clear (control);
   keeper_drop (control, control->keeper);
+  moves_drop (control, control->moves);
   cs_dist_drop (control->ctx, control->dist);
   cs_prober_drop (control->ctx, control->prober);
   cs_members_drop (control->ctx, control->members);
--- a/source/node/main.c
+++ b/source/node/main.c
@@ -7,6 +7,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "evidence.h"
 #include "node.h"
 #include "rcu.h"
 #include "slo.h"
@@ -116,6 +117,8 @@
     check_key ("cluster-key-old", s->cluster_key_old, errors);
   check_plugin (node, CS_PLUGIN_BALANCER, s->balancer,
                 (const void **)&node->balancer, errors);
+  check_plugin (node, CS_PLUGIN_JUDGE, s->judge, (const void **)&node->judge,
+                errors);
   check_plugin (node, CS_PLUGIN_LIMITER, s->limiter, &unused, errors);
   check_plugin (node, CS_PLUGIN_PLATFORM, s->platform, &unused, errors);
   if (cs_log_level_parse (s->log_level) < 0)
@@ -220,6 +223,7 @@
 {
   node->calls = calls_new (node);
   node->slo = slo_new (node);
+  node->evidence = evidence_new ();
   node->serve = serve_start (node);
   node->store = store_start (node);
   node->control = control_start (node);
@@ -242,6 +246,7 @@
   control_stop (node->control);
   peers_stop (node->peers);
   control_free (node->control);
+  evidence_drop (node->evidence);
   slo_drop (node->slo);
   calls_drop (node->calls);
 }
--- a/source/node/node.h
+++ b/source/node/node.h
@@ -41,6 +41,7 @@
 typedef struct store store_t;
 typedef struct calls calls_t;
 typedef struct slo slo_t;
+typedef struct evidence evidence_t;
 
 /* What traffic is routed by: replaced as a whole under RCU.  */
 typedef struct
@@ -49,6 +50,7 @@
   GHashTable *upstreams;   /* "SERVICE VERSION" -> cs_upstreams_t.  */
   GHashTable *backs;       /* Paths of moves taken back, as a set.  */
   GHashTable *budgets;     /* Service path -> cs_retry_budget_t, shared.  */
+  GHashTable *strikes;     /* Print -> strikes, see quarantine.h.  */
   bool ready;
 } view_t;
 
@@ -62,9 +64,11 @@
   store_t *store;
   calls_t *calls;
   slo_t *slo;
+  evidence_t *evidence;
   cs_httpd_t *front, *admin;
   view_t *view; /* Read under RCU; replaced by control.  */
   const cs_balancer_vtable_t *balancer;
+  const cs_judge_vtable_t *judge;
   char **home_dcs;       /* Data centres that keep idempotency keys.  */
   _Atomic uint64_t boot; /* Of this node's member record; 0: not read.  */
   atomic_bool draining;
--- a/source/node/serve.c
+++ b/source/node/serve.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "node.h"
+#include "strikes.h"
 
 #define CONNECTIONS_MAX 100 /* Of one upstream, by the brief.  */
 #define READ_TIMEOUT_S 60   /* Longest silence of a running request.  */
@@ -129,6 +130,8 @@
 }
 
 static void *run_jobs (void *arg);
+static void publish (serve_t *s, const upstream_life_t *life, cs_ctx_t *ctx,
+                     bool urgent);
 
 /* Hand JOB to a thread; the lock is held.  */
 static void
@@ -266,12 +269,15 @@
 
 static result_t *
 result_of_failure (serve_t *s, cs_ctx_t *ctx, cs_status_t status,
-                   unsigned port)
+                   unsigned port, uint64_t print)
 {
   if (status == CS_UNAVAILABLE)
     return result_new (CS_RUN_NOT, cs_message (ctx));
   if (status == CS_UNKNOWN && is_gone (s->node->settings.host, port))
-    return result_new (CS_RUN_CRASHED, "the upstream died while running it");
+    {
+      strikes_note (s->node, print, s->node->settings.node);
+      return result_new (CS_RUN_CRASHED, "the upstream died while running it");
+    }
   return result_new (CS_RUN_MAYBE, cs_message (ctx));
 }
 
@@ -294,7 +300,7 @@
   cs_status_t status = cs_http_call (ctx, http, &request, &answer);
   g_ptr_array_unref (headers);
   if (status != CS_OK)
-    return result_of_failure (s, ctx, status, port);
+    return result_of_failure (s, ctx, status, port, r->print);
   result_t *result = result_new (CS_RUN_FAILED, NULL);
   result->status = answer.status;
   result->headers = without_hop_headers (answer.headers);
@@ -363,6 +369,26 @@
   link->life = life;
 }
 
+/* The upstream of LIFE does not listen any more: say so at once instead of
+   waiting for its announcements to stop.  */
+static void
+retire_life (serve_t *s, cs_ctx_t *ctx, upstream_life_t *life)
+{
+  pthread_mutex_lock (&s->lock);
+  bool current = s->life == life;
+  if (current)
+    {
+      s->life = NULL;
+      publish (s, NULL, ctx, true);
+    }
+  pthread_mutex_unlock (&s->lock);
+  if (!current)
+    return;
+  cs_log (CS_LOG_WARNING, "upstream-lost", "service=%s version=%s port=%u",
+          life->about.service, life->about.version, life->about.port);
+  life_drop (life);
+}
+
 static void *
 run_jobs (void *arg)
 {
@@ -384,6 +410,8 @@
         {
           use_life (s, ctx, &link, life);
           result = run_request (s, ctx, link.http, job, life->about.port);
+          if (!result->status && result->run != CS_RUN_MAYBE)
+            retire_life (s, ctx, life);
         }
       end_job (s, ctx, job, result, cs_now (ctx) - started);
     }
--- a/source/node/view.c
+++ b/source/node/view.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "moves.h"
 #include "view.h"
 
 static void
@@ -163,6 +164,7 @@
   g_hash_table_unref (view->upstreams);
   g_hash_table_unref (view->backs);
   g_hash_table_unref (view->budgets);
+  g_hash_table_unref (view->strikes);
   g_free (view);
 }
 
@@ -175,27 +177,61 @@
   return set;
 }
 
-static const char *
-version_by_share (cs_ctx_t *ctx, const view_t *view,
-                  const cs_service_t *service)
+static cs_upstreams_t *
+keep_set (const view_t *view, const char *service, const char *version)
 {
-  const cs_move_t *move = cs_snapshot_move (view->snapshot, service);
-  if (!move || g_hash_table_contains (view->backs, move->path))
-    return service->version;
-  int64_t draw = g_rand_int_range (ctx->random, 0, CS_SHARE_ONE);
-  if (draw >= move->share_permille
-      || !find_set (view, service->path, move->to))
-    return service->version;
-  return move->to;
+  cs_upstreams_t *set = find_set (view, service, version);
+  return set ? cs_upstreams_keep (set) : cs_upstreams_new ();
+}
+
+static bool
+draws_new_version (cs_ctx_t *ctx, const view_t *view, const cs_move_t *move)
+{
+  return g_rand_int_range (ctx->random, 0, CS_SHARE_ONE) < move->share_permille
+         && find_set (view, move->service_path, move->to);
 }
 
 void
 view_choose_version (cs_ctx_t *ctx, const view_t *view,
-                     const cs_service_t *service, const char *path,
-                     char **version, cs_upstreams_t **set)
+                     const cs_service_t *service, version_choice_t *choice)
 {
-  const char *chosen = version_by_share (ctx, view, service);
-  cs_upstreams_t *found = find_set (view, path, chosen);
-  *version = g_strdup (chosen);
-  *set = found ? cs_upstreams_keep (found) : cs_upstreams_new ();
+  const cs_move_t *move = cs_snapshot_move (view->snapshot, service);
+  if (move && g_hash_table_contains (view->backs, move->path))
+    move = NULL;
+  *choice = (version_choice_t){ 0 };
+  if (move)
+    choice->move = moves_name (move);
+  choice->new_version = move && draws_new_version (ctx, view, move);
+  choice->version
+      = g_strdup (choice->new_version ? move->to : service->version);
+  choice->set = keep_set (view, service->path, choice->version);
+  if (!choice->new_version)
+    return;
+  choice->old_version = g_strdup (service->version);
+  choice->old_set = keep_set (view, service->path, service->version);
+}
+
+void
+version_choice_clear (version_choice_t *choice)
+{
+  g_free (choice->version);
+  g_free (choice->move);
+  g_free (choice->old_version);
+  cs_upstreams_drop (choice->set);
+  cs_upstreams_drop (choice->old_set);
+  *choice = (version_choice_t){ 0 };
+}
+
+void
+version_choice_fall_back (version_choice_t *choice)
+{
+  if (!choice->new_version)
+    return;
+  g_free (choice->version);
+  cs_upstreams_drop (choice->set);
+  choice->version = choice->old_version;
+  choice->set = choice->old_set;
+  choice->old_version = NULL;
+  choice->old_set = NULL;
+  choice->new_version = false;
 }
--- a/source/node/view.h
+++ b/source/node/view.h
@@ -16,15 +16,32 @@
 void view_store_clear (view_store_t *store);
 
 /* A view of SNAPSHOT (borrowed, may be NULL) and the members.  BACKS is a set
-   of paths of moves taken back, taken over.  */
+   of paths of moves taken back, taken over.  The caller sets STRIKES.  */
 view_t *view_new (view_store_t *store, cs_members_t *members,
                   cs_snapshot_t *snapshot, GHashTable *backs, bool ready);
 void view_free (view_t *view);
 
-/* Choose the version that takes a request to SERVICE, by the share of its
-   running move.  The caller frees *VERSION and drops *SET.  */
+/* Which version takes a request, with its upstreams.  */
+typedef struct
+{
+  char *version;
+  cs_upstreams_t *set;
+  char *move; /* Name of the running move; NULL without one.  */
+  bool new_version;
+  /* The old version, for attempts after the new one failed; NULL unless
+     NEW_VERSION.  */
+  char *old_version;
+  cs_upstreams_t *old_set;
+} version_choice_t;
+
+/* Choose by the share of SERVICE's running move.  The caller clears
+   CHOICE.  */
 void view_choose_version (cs_ctx_t *ctx, const view_t *view,
-                          const cs_service_t *service, const char *path,
-                          char **version, cs_upstreams_t **set);
+                          const cs_service_t *service,
+                          version_choice_t *choice);
+void version_choice_clear (version_choice_t *choice);
+
+/* Go on with the old version.  */
+void version_choice_fall_back (version_choice_t *choice);
 
 #endif
--- /dev/null
+++ b/source/once/quarantine.c
@@ -0,0 +1,79 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "cardamom/quarantine.h"
+
+#define PRINT_DIGITS 16
+#define SEQ_STRUCK 1
+#define SEQ_CLEARED 2
+
+cs_record_t *
+cs_strike_new (uint64_t print, const char *node, int64_t now_ms)
+{
+  char *key = g_strdup_printf ("%016llx/%s", (unsigned long long)print, node);
+  cs_record_t *record = cs_record_new (CS_RECORD_STRIKE, key, (uint64_t)now_ms,
+                                       SEQ_STRUCK, (cs_str_t){ 0 });
+  record->expires_ms = now_ms + CS_STRIKE_LIFE_MS;
+  record->urgent = true;
+  g_free (key);
+  return record;
+}
+
+static uint64_t
+print_of (const cs_record_t *record)
+{
+  return g_ascii_strtoull (record->key, NULL, 16);
+}
+
+static void
+count_strike (void *user, const cs_record_t *record)
+{
+  GHashTable *strikes = user;
+  uint64_t print = print_of (record);
+  if (record->seq != SEQ_STRUCK)
+    return;
+  unsigned count = cs_strikes_of (strikes, print);
+  uint64_t *key = g_new (uint64_t, 1);
+  *key = print;
+  g_hash_table_replace (strikes, key, GUINT_TO_POINTER (count + 1));
+}
+
+GHashTable *
+cs_strikes_collect (const cs_records_t *records)
+{
+  GHashTable *strikes
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  cs_records_foreach (records, CS_RECORD_STRIKE, count_strike, strikes);
+  return strikes;
+}
+
+unsigned
+cs_strikes_of (GHashTable *strikes, uint64_t print)
+{
+  return GPOINTER_TO_UINT (g_hash_table_lookup (strikes, &print));
+}
+
+typedef struct
+{
+  uint64_t print;
+  GPtrArray *list;
+} clearing_t;
+
+static void
+clear_strike (void *user, const cs_record_t *record)
+{
+  clearing_t *c = user;
+  if (record->seq != SEQ_STRUCK || print_of (record) != c->print)
+    return;
+  cs_record_t *cleared = cs_record_copy (record);
+  cleared->seq = SEQ_CLEARED;
+  g_ptr_array_add (c->list, cleared);
+}
+
+GPtrArray *
+cs_strikes_clear (const cs_records_t *records, uint64_t print)
+{
+  clearing_t c = { .print = print, .list = cs_record_list_new () };
+  cs_records_foreach (records, CS_RECORD_STRIKE, clear_strike, &c);
+  return c.list;
+}
