Ask members that have not handed over their key records

Cause: a new member's HANDED was dropped when it did not know the sender yet, and nothing repeated it, so that the member granted no claim: 234 of 450 keyed calls stayed unknown. The start now travels in the message, and whoever lacks a member's word asks for it.

--- a/source/node/keeper.c
+++ b/source/node/keeper.c
@@ -26,7 +26,8 @@
   OP_COPY,
   OP_FINISH,
   OP_RELEASE,
-  OP_HANDED
+  OP_HANDED,    /* All is handed over; the id is the sender's start.  */
+  OP_ASK_HANDED /* Please hand over (again).  */
 } op_t;
 
 /* Verdicts beyond cs_claim_t.  */
@@ -72,7 +73,7 @@
   GQueue deaths;        /* death_t *, oldest first.  */
   GPtrArray *losses;    /* cs_loss_t *.  */
   uint64_t generation;
-  cs_usec_t alive_at, expired_at;
+  cs_usec_t alive_at, expired_at, asked_at;
   bool alone_checked;
 };
 
@@ -185,6 +186,13 @@
   cs_pack_clear (&pack);
 }
 
+static void
+send_handed (control_t *control, const char *to)
+{
+  send_op (control, to, OP_HANDED, cs_members_self (control->members)->boot,
+           NULL);
+}
+
 /* The keepers of KEY in this data centre by this node's view.  */
 static GPtrArray *
 own_keepers (control_t *control, const char *key)
@@ -303,17 +311,20 @@
                  NULL);
 }
 
+static void hand_over_to (control_t *control, const char *name);
+
 void
 keeper_take_frame (control_t *control, const char *from, cs_cursor_t *in)
 {
   keeper_t *k = control->keeper;
   int64_t op = cs_take_number (in);
   uint64_t id = cs_take_unsigned (in);
-  const cs_member_t *sender = cs_members_find (control->members, from);
-  if (op == OP_HANDED)
+  if (op == OP_HANDED || op == OP_ASK_HANDED)
     {
-      if (sender && !in->bad)
-        set_boot (k->handed, from, sender->boot);
+      if (op == OP_HANDED && !in->bad)
+        set_boot (k->handed, from, id);
+      else if (!in->bad)
+        hand_over_to (control, from);
       return;
     }
   cs_once_record_t *record = cs_once_record_take (in);
@@ -480,6 +491,35 @@
       send_op (h->control, now[i], OP_COPY, 0, record);
 }
 
+typedef struct
+{
+  control_t *control;
+  const char *name;
+} return_t;
+
+static void
+hand_over_if_kept (void *user, const cs_once_record_t *record)
+{
+  const return_t *r = user;
+  const char *now[CS_KEEPERS];
+  first_two (r->control->keeper->serving, record->key, now);
+  for (int i = 0; i < CS_KEEPERS; i++)
+    if (now[i] && strcmp (now[i], r->name) == 0)
+      send_op (r->control, r->name, OP_COPY, 0, record);
+}
+
+/* Send NAME all that it keeps by this node's view, if it is in service by
+   that view.  */
+static void
+hand_over_to (control_t *control, const char *name)
+{
+  return_t r = { .control = control, .name = name };
+  if (!g_hash_table_contains (control->keeper->serving, name))
+    return;
+  cs_once_foreach (control->keeper->table, hand_over_if_kept, &r);
+  send_handed (control, name);
+}
+
 static GHashTable *
 members_in_service (control_t *control)
 {
@@ -598,7 +638,24 @@
   while (g_hash_table_iter_next (&iter, &name, &boot))
     if (strcmp (name, control->node->settings.node) != 0
         && !has_boot (before, name, *(uint64_t *)boot))
-      send_op (control, name, OP_HANDED, 0, NULL);
+      send_handed (control, name);
+}
+
+/* Ask those that have not handed over, as when their word was lost.  */
+static void
+ask_for_handover (control_t *control, cs_usec_t now)
+{
+  keeper_t *k = control->keeper;
+  GHashTableIter iter;
+  gpointer name, boot;
+  if (now - k->asked_at < RESEND_INTERVAL)
+    return;
+  k->asked_at = now;
+  g_hash_table_iter_init (&iter, k->serving);
+  while (g_hash_table_iter_next (&iter, &name, &boot))
+    if (strcmp (name, control->node->settings.node) != 0
+        && !has_boot (k->handed, name, *(uint64_t *)boot))
+      send_op (control, name, OP_ASK_HANDED, 0, NULL);
 }
 
 static bool
@@ -812,6 +869,7 @@
   cs_usec_t now = cs_now (control->ctx);
   follow_members (control);
   give_up_copies (control, now);
+  ask_for_handover (control, now);
   resend (control, now);
   if (now - k->expired_at >= CS_SEC)
     {
--- a/tests/standins/standin-backend.c
+++ b/tests/standins/standin-backend.c
@@ -45,7 +45,7 @@
     .kind = CS_SETTING_TEXT,
     AT (service),
     .help = "path of the service" },
-  { .name = "version",
+  { .name = "release",
     .kind = CS_SETTING_TEXT,
     AT (version),
     .fallback = "v1",
