Hear the members of the data centre before joining by the store

Cause: a restarted node could join by the store's answer before any member had told it the marks; it then took itself for the first of its data centre and declared all key records lost (40 of 40 keys unknown).

--- a/include/cardamom/dist.h
+++ b/include/cardamom/dist.h
@@ -64,6 +64,7 @@
   unsigned readers;        /* Members of a data centre that poll.  */
   cs_usec_t resend;        /* Of a staged version not yet acknowledged.  */
   cs_usec_t join_patience; /* Wait for silent members when joining.  */
+  cs_usec_t join_lonely;   /* Wait for any member of the data centre.  */
   unsigned joins_per_s;    /* Full answers given to joining nodes.  */
 } cs_dist_options_t;
 
--- a/source/dist/dist.c
+++ b/source/dist/dist.c
@@ -14,6 +14,7 @@
   .readers = 2,
   .resend = 400 * CS_MSEC,
   .join_patience = 3 * CS_SEC,
+  .join_lonely = 1 * CS_SEC,
   .joins_per_s = 50,
 };
 
@@ -457,6 +458,15 @@
   return newest;
 }
 
+static bool
+has_mates (const cs_dist_t *dist)
+{
+  GPtrArray *mates = own_mates (dist);
+  bool any = mates->len > 0;
+  g_ptr_array_unref (mates);
+  return any;
+}
+
 static void
 check_join (cs_ctx_t *ctx, cs_dist_t *dist)
 {
@@ -464,9 +474,15 @@
   int64_t mates_newest;
   bool all = mates_answered (dist, &mate_ready, &mates_newest);
   int64_t newest = newest_elsewhere (dist, &any_ready);
-  bool patient = cs_now (ctx) - dist->started < dist->options.join_patience;
+  cs_usec_t waited = cs_now (ctx) - dist->started;
+  bool patient = waited < dist->options.join_patience;
+  /* The store tells the version, only the members tell the marks: they are
+     heard first, as far as there are any.  */
+  bool heard_members
+      = !patient
+        || (all && (has_mates (dist) || waited >= dist->options.join_lonely));
   if (dist->store_answered && dist->held >= dist->store_head
-      && dist->held >= newest)
+      && dist->held >= newest && heard_members)
     finish_join (ctx, dist);
   else if (all && mate_ready && dist->held >= newest)
     finish_join (ctx, dist);
--- a/source/node/control-internal.h
+++ b/source/node/control-internal.h
@@ -22,7 +22,7 @@
   moves_t *moves;
   cs_snapshot_t *snapshot; /* In force; NULL before the first.  */
   view_store_t view_store;
-  bool view_stale;
+  bool view_stale, view_urgent;
   cs_usec_t gossiped_at, expired_at, refilled_at;
   /* gossip.c */
   GPtrArray *hot;     /* Records to pass on in this data centre.  */
--- a/source/node/control.c
+++ b/source/node/control.c
@@ -175,7 +175,7 @@
                   backs, cs_dist_ready (control->dist));
   fresh->strikes = cs_strikes_collect (cs_members_records (control->members));
   view_t *old = RCU_EXCHANGE (control->node->view, fresh);
-  control->view_stale = false;
+  control->view_stale = control->view_urgent = false;
   RCU_WAIT ();
   view_free (old);
 }
@@ -404,6 +404,8 @@
       letter_t *letter = cs_queue_pop_until (&control->mailbox, next_tick);
       if (letter)
         open_letter (control, letter);
+      if (control->view_urgent)
+        rebuild_view (control);
     }
   return NULL;
 }
--- a/source/node/gossip.c
+++ b/source/node/gossip.c
@@ -102,6 +102,8 @@
 {
   control_t *control = user;
   control->view_stale = true;
+  if (record->kind == CS_RECORD_STRIKE || record->kind == CS_RECORD_BACK)
+    control->view_urgent = true;
   keeper_on_record (control, record);
   /* An urgent record was sent to every mate by whoever published it, so it
      is passed on only by its publisher and on arrival from elsewhere.  */
