--- a/include/cardamom/retry.h
+++ b/include/cardamom/retry.h
@@ -20,6 +20,7 @@
 typedef struct
 {
   cs_run_state_t run;
+  bool shed; /* The upstream was reached and refused for load.  */
   bool idempotent;
   bool first_layer;    /* The call did not come through another node.  */
   int attempts;        /* Made so far.  */
@@ -57,7 +58,8 @@
 /* A call has come in.  */
 void cs_retry_budget_call (cs_retry_budget_t *budget);
 
-/* Decide, and take from BUDGET on CS_RETRY_YES.  */
+/* Decide, and take from BUDGET on CS_RETRY_YES.  An attempt that put no load
+   on an upstream, as one whose node cannot be reached, takes nothing.  */
 cs_retry_verdict_t cs_retry_decide (cs_retry_budget_t *budget,
                                     const cs_retry_facts_t *facts);
 
--- a/source/node/call.c
+++ b/source/node/call.c
@@ -281,6 +281,7 @@
     return false;
   cs_retry_facts_t facts
       = { .run = result->run,
+          .shed = result->shed,
           .idempotent = plan->idempotent,
           .first_layer = call->depth == 0,
           .attempts = call->attempts,
--- a/source/node/gossip.c
+++ b/source/node/gossip.c
@@ -279,7 +279,9 @@
 static void
 heal (control_t *control)
 {
-  if (control->seeds->len)
+  bool joining = cs_members_self (control->members)->state == CS_NODE_JOINING;
+  guint count = joining ? control->seeds->len : MIN (control->seeds->len, 1);
+  for (guint i = 0; i < count; i++)
     send_digest (
         control,
         control->seeds->pdata[control->next_seed++ % control->seeds->len]);
--- a/source/platform/remote.c
+++ b/source/platform/remote.c
@@ -8,6 +8,7 @@
 #include "cardamom/registry.h"
 
 #define TIMEOUT_S 2
+#define READ_TRIES 3
 
 typedef struct
 {
@@ -112,6 +113,19 @@
   return status;
 }
 
+/* POST a read: it has no effect, so a broken one is sent again, and in the
+   end it is merely unavailable.  BODY is consumed.  */
+static cs_status_t
+post_read (cs_ctx_t *ctx, remote_t *remote, const char *path, json_t *body,
+           json_t **result)
+{
+  cs_status_t status = CS_UNKNOWN;
+  for (int try = 0; try < READ_TRIES && status == CS_UNKNOWN; try++)
+    status = post (ctx, remote, path, json_incref (body), result);
+  json_decref (body);
+  return status == CS_UNKNOWN ? CS_UNAVAILABLE : status;
+}
+
 static cs_status_t
 add_row (cs_ctx_t *ctx, const json_t *kv, GPtrArray *rows)
 {
@@ -148,9 +162,7 @@
     json_object_set_new (body, "limit", number (range->limit));
   json_t *result = NULL;
   cs_status_t status
-      = post (ctx, (remote_t *)platform, "/v3/kv/range", body, &result);
-  if (status == CS_UNKNOWN)
-    status = CS_UNAVAILABLE; /* A read has no effect.  */
+      = post_read (ctx, (remote_t *)platform, "/v3/kv/range", body, &result);
   if (status != CS_OK)
     return status;
   *revision = number_of (
--- a/source/route/retry.c
+++ b/source/route/retry.c
@@ -61,7 +61,8 @@
     return CS_RETRY_UNSAFE;
   if (facts->remaining <= facts->needed)
     return CS_RETRY_DEADLINE;
-  if (!take_token (budget))
+  bool loads = facts->run != CS_RUN_NOT || facts->shed;
+  if (loads && !take_token (budget))
     {
       cs_count (CS_C_RETRIES_REFUSED, 1);
       return CS_RETRY_BUDGET;
--- a/tests/mesh-once.t
+++ b/tests/mesh-once.t
@@ -72,7 +72,8 @@
 wait $loader
 is "none ran twice while nodes died" 0 "$(doubles)"
 done_count=$(field "$MESH_DIR/killed.json" "done")
-ok "most calls were done ($done_count of 1260)" test "$done_count" -gt 900
+sent=$((840 + $(field "$MESH_DIR/killed.json" resent)))
+ok "nine of ten calls were done ($done_count of $sent)" test $((done_count * 10)) -gt $((sent * 9))
 
 # Two nodes of a data centre die at once: what both kept must not run again.
 for n in $(seq 1 40); do post 0 "dc:a:pair$n" x >/dev/null; done
