--- a/source/dist/dist.c
+++ b/source/dist/dist.c
@@ -256,7 +256,8 @@
   GPtrArray *mates = own_mates (dist);
   unsigned needed = 0;
   for (guint i = 0; i < mates->len; i++)
-    needed += needed < HOLDERS_BEFORE_FORCE;
+    needed += needed < HOLDERS_BEFORE_FORCE
+              && ((cs_member_t *)mates->pdata[i])->health == CS_ALIVE;
   g_ptr_array_unref (mates);
   return needed;
 }
--- a/source/route/upstream.c
+++ b/source/route/upstream.c
@@ -195,10 +195,9 @@
 {
   cs_upstream_t *u = (cs_upstream_t *)upstream;
   int64_t latency = atomic_load (&u->latency_us);
-  if (latency == 0)
-    latency = LATENCY_UNKNOWN_US;
   /* The average holds the round trip, which is added back below.  */
-  latency = MAX (latency - round_trip_us[u->distance], 100);
+  latency = latency ? MAX (latency - round_trip_us[u->distance], 100)
+                    : LATENCY_UNKNOWN_US;
   int64_t capacity
       = MAX (u->slots * warm_percent (u, choice->now_ms) / 100, 1);
   int64_t load = expected_load (u, choice->now) + 1;
--- /dev/null
+++ b/tests/test-move.c
@@ -0,0 +1,164 @@
+/* Version moves: decisions, judges and the writer's lease.  */
+#include <string.h>
+
+#include "judge-cases.h"
+
+static void
+test_decide_table (void)
+{
+  static const struct
+  {
+    int64_t share, since_ms, now_ms;
+    cs_verdict_t verdict;
+    uint64_t calls;
+    bool upstreams;
+    cs_step_kind_t kind;
+    int64_t next;
+  } cases[] = {
+    /* The move runs from 0 to 90000; a step is planned to take 8000.  */
+    { 0, 0, 0, CS_VERDICT_OPEN, 0, true, CS_STEP_RAISE, 20 },
+    { 0, 0, 0, CS_VERDICT_OPEN, 0, false, CS_STEP_NONE, 0 },
+    { 20, 1000, 5000, CS_VERDICT_GOOD, 50, true, CS_STEP_NONE, 0 },
+    { 20, 1000, 9000, CS_VERDICT_OPEN, 50, true, CS_STEP_RAISE, 50 },
+    { 20, 1000, 1500, CS_VERDICT_BAD, 50, true, CS_STEP_TAKE_BACK, 0 },
+    { 500, 40000, 50000, CS_VERDICT_OPEN, 50, true, CS_STEP_NONE, 0 },
+    { 500, 40000, 50000, CS_VERDICT_GOOD, 50, true, CS_STEP_RAISE, 700 },
+    { 900, 60000, 80000, CS_VERDICT_GOOD, 500, true, CS_STEP_NONE, 0 },
+    { 900, 60000, 86500, CS_VERDICT_GOOD, 500, true, CS_STEP_FINISH, 0 },
+    { 900, 60000, 86500, CS_VERDICT_OPEN, 500, true, CS_STEP_TAKE_BACK, 0 },
+    { 900, 60000, 86500, CS_VERDICT_BAD, 500, true, CS_STEP_TAKE_BACK, 0 },
+    { 0, 0, 95000, CS_VERDICT_OPEN, 0, true, CS_STEP_TAKE_BACK, 0 },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      cs_move_t move = { .deadline_ms = 90000,
+                         .first_permille = 20,
+                         .share_permille = cases[i].share,
+                         .since_ms = cases[i].since_ms };
+      cs_move_facts_t facts = { .now_ms = cases[i].now_ms,
+                                .verdict = cases[i].verdict,
+                                .new_calls = cases[i].calls,
+                                .has_upstreams = cases[i].upstreams };
+      cs_step_t step = cs_move_decide (&move, &facts);
+      g_assert_cmpint (step.kind, ==, cases[i].kind);
+      g_assert_cmpint (step.share_permille, ==, cases[i].next);
+    }
+}
+
+/* The default judge on every kind of version: all bad ones are taken back,
+   and good ones but for the chance of a false alarm that is allowed.  */
+static void
+test_default_judge (void)
+{
+  cs_ctx_t *ctx = cs_ctx_new (NULL, cs_clock_system (), 1);
+  const void *vtable;
+  int good = 0, good_back = 0;
+  g_assert_cmpint (cs_plugin_find (ctx, CS_PLUGIN_JUDGE, "cusum", &vtable), ==,
+                   CS_OK);
+  for (size_t k = 0; k < G_N_ELEMENTS (kinds); k++)
+    {
+      tally_t t = { 0 };
+      for (guint32 seed = 1; seed <= CASE_SEEDS; seed++)
+        run_move (ctx, vtable, 0.01, &kinds[k], seed * 7919 + (guint)k, &t);
+      if (kinds[k].bad)
+        g_assert_cmpint (t.taken_back, ==, t.cases);
+      good += kinds[k].bad ? 0 : t.cases;
+      good_back += kinds[k].bad ? 0 : t.taken_back;
+    }
+  /* 60 cases at a chance of 1 in 100: more than 3 has a chance of 0.003.  */
+  g_assert_cmpint (good, ==, 60);
+  g_assert_cmpint (good_back, <=, 3);
+  cs_ctx_drop (ctx);
+}
+
+static void
+test_samples_travel (void)
+{
+  cs_ctx_t *ctx = cs_ctx_new (NULL, cs_clock_system (), 1);
+  cs_sample_t sample = { 0 }, back, zero = { 0 }, difference;
+  cs_pack_t pack;
+  cs_unpack_t unpack;
+  cs_cursor_t in;
+  for (int i = 0; i < 100; i++)
+    cs_arm_note (i % 2 ? &sample.old : &sample.new, i % 7 == 0, i * 997);
+  cs_pack_init (&pack);
+  cs_pack_array (&pack, 1);
+  cs_sample_pack (&pack, &sample);
+  g_assert_cmpint (cs_unpack_init (ctx, &unpack, cs_pack_payload (&pack), &in),
+                   ==, CS_OK);
+  cs_sample_take (&in, &back);
+  g_assert_false (in.bad);
+  g_assert_cmpmem (&sample, sizeof sample, &back, sizeof back);
+  cs_sample_subtract (&difference, &zero, &sample);
+  g_assert_cmpmem (&difference, sizeof difference, &zero, sizeof zero);
+  cs_unpack_clear (&unpack);
+  cs_pack_clear (&pack);
+  cs_ctx_drop (ctx);
+}
+
+/* Two candidates for a lease, on one clock.  Each row is a step: who tries
+   after how long, and what comes of it.  */
+static void
+test_lease (void)
+{
+  static const struct
+  {
+    int who;
+    int64_t after_ms;
+    cs_status_t status;
+    int64_t epoch;
+  } steps[] = {
+    { 0, 0, CS_OK, 1 },
+    { 1, 10, CS_CONFLICT, 0 },
+    { 0, 3000, CS_OK, 1 },
+    { 1, 4000, CS_CONFLICT, 0 },
+    { 1, 5900, CS_CONFLICT, 0 },
+    { 1, 200, CS_OK, 2 },
+    /* The first one was paused meanwhile.  */
+    { 0, 10, CS_CONFLICT, 1 },
+    { 1, 3000, CS_OK, 2 },
+  };
+  cs_manual_clock_t clock;
+  cs_manual_clock_init (&clock, 1700000000 * CS_SEC);
+  cs_ctx_t *ctx = cs_ctx_new (NULL, &clock.base, 1);
+  cs_platform_t *platform;
+  cs_lease_t leases[2];
+  cs_platform_open (ctx, "memory", "lease", &platform);
+  cs_lease_init (&leases[0], "l", "n0/1", 6 * CS_SEC);
+  cs_lease_init (&leases[1], "l", "n1/1", 6 * CS_SEC);
+  for (size_t i = 0; i < G_N_ELEMENTS (steps); i++)
+    {
+      cs_lease_t *lease = &leases[steps[i].who];
+      cs_manual_clock_advance (&clock, steps[i].after_ms * CS_MSEC);
+      g_assert_cmpint (cs_lease_try (ctx, platform, lease), ==,
+                       steps[i].status);
+      g_assert_cmpint (lease->epoch, ==, steps[i].epoch);
+      g_assert_cmpint (cs_lease_is_held (ctx, lease), ==,
+                       steps[i].status == CS_OK);
+    }
+  /* A write of the paused holder is fenced off.  */
+  cs_condition_t fence = { .key = "l", .revision = leases[0].revision };
+  cs_write_t write = { .key = "x", .value = CS_STR ("1") };
+  cs_txn_t txn = { &fence, 1, &write, 1 };
+  int64_t revision;
+  g_assert_cmpint (cs_platform_commit (ctx, platform, &txn, &revision), ==,
+                   CS_CONFLICT);
+  fence.revision = leases[1].revision;
+  g_assert_cmpint (cs_platform_commit (ctx, platform, &txn, &revision), ==,
+                   CS_OK);
+  cs_lease_clear (&leases[0]);
+  cs_lease_clear (&leases[1]);
+  cs_platform_drop (ctx, platform);
+  cs_ctx_drop (ctx);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/move/decide", test_decide_table);
+  g_test_add_func ("/move/default-judge", test_default_judge);
+  g_test_add_func ("/move/samples", test_samples_travel);
+  g_test_add_func ("/move/lease", test_lease);
+  return g_test_run ();
+}
