--- a/tests/mesh.sh
+++ b/tests/mesh.sh
@@ -79,7 +79,7 @@
     --node="$dc-n$i" --dc="$dc" --region="$region" \
     --port="$(mesh_port "$i" 0)" --peer-port="$(mesh_port "$i" 1)" \
     --admin-port="$(mesh_port "$i" 2)" --seeds="$seeds" \
-    --platform-address="$MESH_PLATFORM" --dcs="${MESH_DCS:-}" \
+    --platform-address="$MESH_PLATFORM" ${MESH_DCS:+--dcs=$MESH_DCS} \
     $MESH_NODE_FLAGS "$@"
 }
 
