--- a/tests/bench-judge.c
+++ b/tests/bench-judge.c
@@ -1,12 +1,15 @@
-/* Compares the judges on the same seeded moves; one line per judge and kind.
+/* Compares the judges on the same seeded moves, as many of each kind as the
+   argument says; one line per judge and kind.
  */
 #include <stdio.h>
+#include <stdlib.h>
 
 #include "judge-cases.h"
 
 int
-main (void)
+main (int argc, char **argv)
 {
+  guint32 seeds = argc > 1 ? (guint32)atoi (argv[1]) : CASE_SEEDS;
   static const char *const judges[] = { "cusum", "mixture", "threshold" };
   cs_ctx_t *ctx = cs_ctx_new (NULL, cs_clock_system (), 1);
   puts ("judge\tkind\tcases\ttaken_back\tfinished\texposed_percent");
@@ -19,7 +22,7 @@
         {
           tally_t t = { 0 };
           tally_t *sum = kinds[k].bad ? &bad : &good;
-          for (guint32 seed = 1; seed <= CASE_SEEDS; seed++)
+          for (guint32 seed = 1; seed <= seeds; seed++)
             run_move (ctx, vtable, 0.01, &kinds[k], seed * 7919 + (guint)k,
                       &t);
           printf ("%s\t%s\t%d\t%d\t%d\t%.2f\n", judges[j], kinds[k].name,
--- a/tests/judge-cases.h
+++ b/tests/judge-cases.h
@@ -9,9 +9,7 @@
 
 #define CASE_SECONDS 120
 #define CASE_TICK_MS 500
-#ifndef CASE_SEEDS
 #define CASE_SEEDS 10
-#endif
 #define CASE_ROUTES 3
 
 /* What a version does at time T_MS with SHARE permille on ROUTE.  */
--- a/tests/tap.sh
+++ b/tests/tap.sh
@@ -1,5 +1,5 @@
 # A little TAP for scripted runs.  Sourced by tests/*.t.
-here=$(cd "$(dirname "$0")" && pwd)
+here=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
 MESH_OUT=${MESH_OUT:-$here/../build/release}
 . "$here/mesh.sh"
 trap mesh_end EXIT
