Limit: measure the baseline anew, and take it anew at the lowest limit

Now the baseline is measured with half of the limit every 400 samples, and taken anew when the lowest limit (a quarter of the slots) does not help.

--- a/source/admit/limiter.c
+++ b/source/admit/limiter.c
@@ -1,19 +1,28 @@
 /* The limiters: "fixed" allows all slots, "gradient" fewer while latency
-   stands above what the upstream needs when it is not crowded.  */
+   stands above what the upstream needs when it is not crowded.  That baseline
+   is measured anew now and then with half of the limit, and taken anew when
+   the lowest limit does not help: slowness that does not go away with fewer
+   requests at a time is not due to them.  */
 #include "cardamom/limiter.h"
 #include "cardamom/registry.h"
 
-#define RECENT_WEIGHT 0.1     /* Of a sample in the recent average.  */
-#define BASE_DOWN_WEIGHT 0.05 /* In the baseline, when below it.  */
-#define BASE_UP_WEIGHT 0.0005 /* In the baseline, when above it.  */
-#define TOLERANCE 2.0         /* Recent over baseline that is still good.  */
-#define BACKOFF 0.95          /* Factor per sample beyond it.  */
-#define CROWDED 0.5           /* Share of the limit in use that counts.  */
+#define RECENT_WEIGHT 0.1 /* Of a sample in the recent average.  */
+#define BASE_LIFE 400     /* Samples until the baseline is measured anew. */
+#define PROBE_LENGTH 40   /* Samples with half of the limit for that.  */
+#define FLOOR_PATIENCE 25 /* Samples at the lowest limit without help.  */
+#define TOLERANCE 2.0     /* Recent over baseline that is still good.  */
+#define BACKOFF 0.95      /* Factor per sample beyond it.  */
+#define FLOOR_SHARE 0.25  /* Of the slots, that are always allowed.  */
+#define CROWDED 0.5       /* Share of the limit in use that counts.  */
 
 typedef struct
 {
   cs_limiter_t base;
   double slots, limit, recent, baseline;
+  int base_age;      /* Samples since the baseline was measured.  */
+  int at_floor;      /* Samples at the lowest limit without help.  */
+  int probing;       /* Samples left of a measurement; 0: none.  */
+  double kept_limit; /* To go back to after it.  */
 } state_t;
 
 static void
@@ -62,6 +71,36 @@
   return make_state (ctx, slots, &fixed_vtable);
 }
 
+static double
+lowest_limit (const state_t *s)
+{
+  return MAX (1.0, FLOOR_SHARE * s->slots);
+}
+
+static void
+set_baseline (state_t *s)
+{
+  s->baseline = s->recent;
+  s->base_age = s->at_floor = 0;
+}
+
+/* Take the baseline anew where that is due.  */
+static void
+follow_baseline (state_t *s, bool crowded, bool slow)
+{
+  s->base_age++;
+  if (s->recent <= s->baseline)
+    set_baseline (s);
+  s->at_floor = slow && s->limit <= lowest_limit (s) ? s->at_floor + 1 : 0;
+  if (s->at_floor >= FLOOR_PATIENCE)
+    set_baseline (s);
+  if (s->base_age < BASE_LIFE || !crowded)
+    return;
+  s->kept_limit = s->limit;
+  s->limit = MAX (s->limit / 2.0, lowest_limit (s));
+  s->probing = PROBE_LENGTH;
+}
+
 static void
 sample_gradient (cs_limiter_t *limiter, cs_usec_t latency, int64_t running,
                  bool failed)
@@ -70,17 +109,24 @@
   double sample = (double)MAX (latency, 1);
   if (failed)
     return;
-  if (s->baseline <= 0.0)
-    s->baseline = s->recent = sample;
+  if (s->recent <= 0.0)
+    s->recent = s->baseline = sample;
   s->recent += RECENT_WEIGHT * (sample - s->recent);
-  s->baseline += (sample < s->baseline ? BASE_DOWN_WEIGHT : BASE_UP_WEIGHT)
-                 * (sample - s->baseline);
+  if (s->probing)
+    {
+      if (--s->probing > 0)
+        return;
+      set_baseline (s);
+      s->limit = s->kept_limit;
+    }
   bool crowded = (double)running >= CROWDED * s->limit;
-  if (s->recent > TOLERANCE * s->baseline && crowded)
+  bool slow = s->recent > TOLERANCE * s->baseline;
+  if (slow && crowded)
     s->limit *= BACKOFF;
   else if (crowded)
     s->limit += 1.0 / s->limit;
-  s->limit = CLAMP (s->limit, 1.0, s->slots);
+  s->limit = CLAMP (s->limit, lowest_limit (s), s->slots);
+  follow_baseline (s, crowded, slow);
 }
 
 static cs_limiter_t *make_gradient (cs_ctx_t *ctx, int64_t slots);
--- a/source/node/gossip.c
+++ b/source/node/gossip.c
@@ -275,11 +275,14 @@
 }
 
 /* Talk to an address from the settings, and to a member held to be dead, so
-   that a mesh that fell apart finds together again.  */
+   that a mesh that fell apart finds together again.  One member of each part
+   is enough for that: the first of its data centre by its own view.  */
 static void
 heal (control_t *control)
 {
   bool joining = cs_members_self (control->members)->state == CS_NODE_JOINING;
+  if (!joining && cs_members_own_rank (control->members) != 0)
+    return;
   guint count = joining ? control->seeds->len : MIN (control->seeds->len, 1);
   for (guint i = 0; i < count; i++)
     send_digest (
