Refuse msgpack counts that the payload cannot hold

Cause, found by the sanitizer build: five bytes that announce 2^32 - 1 elements made the library allocate 137 GB before it looked for the elements. Heads are now walked first; counts beyond the bytes left are refused.

--- a/source/kernel/pack.c
+++ b/source/kernel/pack.c
@@ -68,14 +68,96 @@
                         .left = object->via.array.size };
 }
 
+/* How a value begins: the bytes of its head and body, and how many values are
+   nested right in it.  */
+typedef struct
+{
+  size_t bytes;
+  uint64_t nested;
+} shape_t;
+
+/* A big-endian number of SIZE bytes after the type byte at AT.  */
+static uint64_t
+length_after (const uint8_t *at, size_t left, size_t size)
+{
+  uint64_t length = 0;
+  if (left < 1 + size)
+    return UINT64_MAX;
+  for (size_t i = 1; i <= size; i++)
+    length = length << 8 | at[i];
+  return length;
+}
+
+static shape_t
+shape_of (const uint8_t *at, size_t left)
+{
+  /* By type from 0xc0; 0: refused, as extensions, which no frame holds.  */
+  static const uint8_t fixed[] = { 1, 0, 1, 1, 0, 0, 0, 0, 0, 0, 5, 9, 2,
+                                   3, 5, 9, 2, 3, 5, 9, 0, 0, 0, 0, 0 };
+  uint8_t type = *at;
+  if (type < 0x80 || type >= 0xe0)
+    return (shape_t){ .bytes = 1 };
+  if (type < 0x90)
+    return (shape_t){ .bytes = 1, .nested = 2 * (type & 0x0fu) };
+  if (type < 0xa0)
+    return (shape_t){ .bytes = 1, .nested = type & 0x0fu };
+  if (type < 0xc0)
+    return (shape_t){ .bytes = 1 + (type & 0x1fu) };
+  size_t size = 0;
+  if (type >= 0xc4 && type <= 0xc6)
+    size = (size_t)1 << (type - 0xc4);
+  else if (type >= 0xd9 && type <= 0xdb)
+    size = (size_t)1 << (type - 0xd9);
+  if (size)
+    {
+      uint64_t body = length_after (at, left, size);
+      return (shape_t){ .bytes = 1 + size + MIN (body, left + 1) };
+    }
+  if (type >= 0xdc)
+    {
+      size = type % 2 ? 4 : 2;
+      uint64_t count = length_after (at, left, size);
+      uint64_t each = type >= 0xde ? 2 : 1;
+      return (shape_t){ .bytes = 1 + size,
+                        .nested = each * MIN (count, UINT32_MAX) };
+    }
+  return (shape_t){ .bytes = fixed[type - 0xc0] };
+}
+
+/* Whether PAYLOAD is one value whose counts its bytes can hold: the library
+   allocates by the counts before it looks for the values.  */
+static bool
+is_sound (cs_str_t payload)
+{
+  const uint8_t *at = (const uint8_t *)payload.data;
+  size_t left = payload.len;
+  uint64_t pending = 1;
+  while (pending > 0)
+    {
+      if (left == 0)
+        return false;
+      shape_t shape = shape_of (at, left);
+      if (shape.bytes == 0 || shape.bytes > left)
+        return false;
+      at += shape.bytes;
+      left -= shape.bytes;
+      pending += shape.nested - 1;
+      if (pending > left)
+        return false;
+    }
+  return left == 0;
+}
+
 cs_status_t
 cs_unpack_init (cs_ctx_t *ctx, cs_unpack_t *unpack, cs_str_t payload,
                 cs_cursor_t *cursor)
 {
   size_t offset = 0;
   msgpack_unpacked_init (&unpack->unpacked);
-  msgpack_unpack_return code = msgpack_unpack_next (
-      &unpack->unpacked, payload.data, payload.len, &offset);
+  msgpack_unpack_return code
+      = is_sound (payload) ? msgpack_unpack_next (
+            &unpack->unpacked, payload.data, payload.len, &offset)
+                           : MSGPACK_UNPACK_PARSE_ERROR;
   if (code == MSGPACK_UNPACK_SUCCESS && offset == payload.len
       && unpack->unpacked.data.type == MSGPACK_OBJECT_ARRAY)
     {
--- a/source/node/main.c
+++ b/source/node/main.c
@@ -315,5 +315,7 @@
     code = run_node (&node);
   g_string_free (errors, TRUE);
   cs_settings_clear (node_setting_table, node_setting_count, &node.settings);
+  g_strfreev (node.home_dcs);
+  cs_ctx_drop (node.ctx);
   return code;
 }
--- a/tests/mesh.sh
+++ b/tests/mesh.sh
@@ -5,6 +5,7 @@
 # MESH_OUT   build directory with the programs
 # MESH_BASE  first port; node I uses BASE + 10 + 4 * I and the three after it
 # MESH_DIR   logs
+# MESH_DAEMON_OUT  build directory of the daemon, when it is another
 
 MESH_BASE=${MESH_BASE:-21000}
 MESH_DIR=${MESH_DIR:-$(mktemp -d)}
@@ -75,7 +76,7 @@
   for j in 0 1 2 3 ${MESH_SEEDS:-}; do
     seeds=$seeds${seeds:+,}$(mesh_peer "$j")
   done
-  CARDAMOM_CLUSTER_KEY=$MESH_KEY mesh_run "node$i" "$MESH_OUT/cardamomd" \
+  CARDAMOM_CLUSTER_KEY=$MESH_KEY mesh_run "node$i" "${MESH_DAEMON_OUT:-$MESH_OUT}/cardamomd" \
     --node="$dc-n$i" --dc="$dc" --region="$region" \
     --port="$(mesh_port "$i" 0)" --peer-port="$(mesh_port "$i" 1)" \
     --admin-port="$(mesh_port "$i" 2)" --seeds="$seeds" \
