--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 STANDINS = $(patsubst tests/standins/%.c,$(OUT)/%,$(STANDIN_SRC))
 TESTS = $(patsubst tests/%.c,$(OUT)/%,$(TEST_SRC) $(BENCH_SRC))
 
-.PHONY: all check check-run install clean deps run measure lint format tests
+.PHONY: all check check-sanitized install clean deps run measure lint format tests
 .SECONDARY:
 
 all: $(LIB) $(PROGRAMS)
@@ -100,3 +100,9 @@
 
 clean:
 	rm -rf build
+
+check-sanitized: deps
+	@$(MAKE) --no-print-directory tests
+	@$(MAKE) --no-print-directory BUILD=asan tests
+	@$(MAKE) --no-print-directory BUILD=tsan all
+	@CARDAMOM_SANITIZED=1 tests/run-checks $(OUT)
