--- a/source/node/admin.c
+++ b/source/node/admin.c
@@ -127,13 +127,21 @@
   admin_json (out, 200, json_pack ("{s:o}", "moves", list));
 }
 
+static void
+describe_routes (control_t *control, void *arg)
+{
+  moves_describe_routes (control, arg);
+}
+
 static void
 get_slo (node_t *node, const cs_httpd_request_t *in, cs_httpd_answer_t *out)
 {
+  json_t *routes = slo_report (node->slo);
   (void)in;
-  admin_json (out, 200,
-              json_pack ("{s:s,s:o}", "node", node->settings.node, "routes",
-                         slo_report (node->slo)));
+  control_call (node->control, describe_routes, routes);
+  admin_json (
+      out, 200,
+      json_pack ("{s:s,s:o}", "node", node->settings.node, "routes", routes));
 }
 
 /* {"service", "version", "port", "slots", "state": "up", "draining" or
--- a/source/node/moves.c
+++ b/source/node/moves.c
@@ -414,3 +414,56 @@
     }
   return list;
 }
+
+/* The move of SERVICE with the latest start, or NULL.  */
+static const cs_move_t *
+latest_move (const cs_snapshot_t *snapshot, const cs_service_t *service)
+{
+  GHashTableIter iter;
+  gpointer value;
+  const cs_move_t *latest = NULL;
+  g_hash_table_iter_init (&iter, snapshot->moves);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const cs_move_t *move = value;
+      if (move->service == service
+          && (!latest || move->start_ms > latest->start_ms))
+        latest = move;
+    }
+  return latest;
+}
+
+static void
+describe_route (control_t *control, json_t *object, const cs_route_t *route)
+{
+  const cs_service_t *service = route->service;
+  const cs_move_t *move = latest_move (control->snapshot, service);
+  json_object_set_new (object, "team", json_string (route->team));
+  json_object_set_new (object, "service", json_string (service->path));
+  json_object_set_new (object, "objective_permille",
+                       json_integer (service->objective_permille));
+  if (!move)
+    return;
+  char *name = moves_name (move);
+  const char *phase = moves_is_back (control, name)
+                          ? cs_move_phase_name (CS_MOVE_TAKEN_BACK)
+                          : cs_move_phase_name (move->phase);
+  json_object_set_new (
+      object, "beside",
+      json_sprintf ("%s to %s: %s", move->path, move->to, phase));
+  g_free (name);
+}
+
+void
+moves_describe_routes (control_t *control, json_t *routes)
+{
+  if (!control->snapshot)
+    return;
+  for (guint i = 0; i < control->snapshot->routes->len; i++)
+    {
+      const cs_route_t *route = control->snapshot->routes->pdata[i];
+      json_t *object = json_object_get (routes, route->path);
+      if (object)
+        describe_route (control, object, route);
+    }
+}
--- a/source/node/moves.h
+++ b/source/node/moves.h
@@ -24,6 +24,10 @@
    caller frees it.  */
 char *moves_name (const cs_move_t *move);
 
+/* Add to each route of the object ROUTES its team, service and objective, and
+   as "beside" the move of its service that runs or ended last.  */
+void moves_describe_routes (control_t *control, json_t *routes);
+
 /* The running moves as this node sees them; the caller owns the list.  */
 json_t *moves_report (control_t *control);
 
