--- a/source/dist/dist.c
+++ b/source/dist/dist.c
@@ -5,8 +5,9 @@
 #include "cardamom/log.h"
 
 #define HOLDERS_BEFORE_FORCE 2
-#define REFUSED_PAUSE (5 * CS_SEC) /* Until a refused version is read anew.   \
-                                    */
+#define REFUSED_PAUSE                                                         \
+  (5 * CS_SEC) /* Until a refused version is read anew.                       \
+                */
 
 const cs_dist_options_t cs_dist_defaults = {
   .lead_poll = 250 * CS_MSEC,
--- a/source/dist/join.c
+++ b/source/dist/join.c
@@ -6,8 +6,9 @@
 #include "dist-internal.h"
 
 #define ASK_INTERVAL (300 * CS_MSEC)
-#define ASKED_ELSEWHERE 4 /* Members of other data centres asked at a time.   \
-                           */
+#define ASKED_ELSEWHERE                                                       \
+  4 /* Members of other data centres asked at a time.                         \
+     */
 
 static void
 finish_join (cs_ctx_t *ctx, cs_dist_t *dist)
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -3,6 +3,7 @@
    CARDAMOM_TEST_PLATFORM; without it that row is skipped.  */
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "cardamom/cardamom.h"
 
@@ -10,7 +11,7 @@
 {
   cs_ctx_t *ctx;
   cs_platform_t *platform;
-  char prefix[32]; /* Own keys of this test case.  */
+  char prefix[64]; /* Own keys of this test case.  */
 } fixture_t;
 
 static char *
@@ -214,7 +215,8 @@
       return;
     }
   fixture_t f = { .ctx = cs_ctx_new (NULL, cs_clock_system (), 1) };
-  g_snprintf (f.prefix, sizeof f.prefix, "contract-%s/", contract[c].name);
+  g_snprintf (f.prefix, sizeof f.prefix, "contract-%ld-%s/", (long)getpid (),
+              contract[c].name);
   g_assert_cmpint (cs_platform_open (f.ctx, implementations[i].plugin,
                                      address_of (i), &f.platform),
                    ==, CS_OK);
@@ -267,7 +269,8 @@
       return;
     }
   fixture_t f = { .ctx = cs_ctx_new (NULL, cs_clock_system (), 1) };
-  g_snprintf (f.prefix, sizeof f.prefix, "fault-%s/", faults[i].mode);
+  g_snprintf (f.prefix, sizeof f.prefix, "fault-%ld-%s/", (long)getpid (),
+              faults[i].mode);
   cs_platform_open (f.ctx, "http", address, &f.platform);
   set_fault (f.ctx, faults[i].mode);
   g_assert_cmpint (put_if (&f, "w", "one", -1), ==, faults[i].status);
