--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 STANDINS = $(patsubst tests/standins/%.c,$(OUT)/%,$(STANDIN_SRC))
 TESTS = $(patsubst tests/%.c,$(OUT)/%,$(TEST_SRC) $(BENCH_SRC))
 
-.PHONY: all check check-sanitized install clean deps run measure lint format tests
+.PHONY: all check check-sanitized mutants install clean deps run measure lint format tests
 .SECONDARY:
 
 all: $(LIB) $(PROGRAMS)
@@ -106,3 +106,7 @@
 	@$(MAKE) --no-print-directory BUILD=asan tests
 	@$(MAKE) --no-print-directory BUILD=tsan all
 	@CARDAMOM_SANITIZED=1 tests/run-checks $(OUT)
+
+mutants: deps
+	@$(MAKE) --no-print-directory tests
+	@tests/try-mutants
