--- a/source/node/keeper-internal.h
+++ b/source/node/keeper-internal.h
@@ -61,6 +61,7 @@
   GPtrArray *losses;    /* cs_loss_t *.  */
   uint64_t generation;
   cs_usec_t alive_at, expired_at, asked_at;
+  bool warned; /* That --dcs is incomplete.  */
 };
 
 /* Send operation OP about RECORD (may be NULL) to the member TO.  */
--- a/source/node/keeper.c
+++ b/source/node/keeper.c
@@ -254,6 +254,35 @@
 
 /* The asker's side.  */
 
+static void
+answer_ask (control_t *control, uint64_t call_id, int verdict)
+{
+  result_t *result = result_new (CS_RUN_FAILED, NULL);
+  result->status = verdict + 1;
+  calls_complete (control->node->calls, call_id, result);
+}
+
+/* Whether --dcs names every data centre that there is.  A key's home depends
+   on that list, so with a wrong one nobody can vouch for any key.  */
+static bool
+knows_all_dcs (control_t *control)
+{
+  const char *const *known = (const char *const *)control->node->home_dcs;
+  const char *stranger = NULL;
+  GPtrArray *dcs = cs_members_other_dcs (control->members);
+  for (guint i = 0; i < dcs->len && !stranger; i++)
+    if (!g_strv_contains (known, dcs->pdata[i]))
+      stranger = dcs->pdata[i];
+  if (stranger && !control->keeper->warned)
+    cs_log (CS_LOG_WARNING, "dcs-incomplete",
+            "missing=%s why=\"keyed requests are refused; name every data "
+            "centre in --dcs, the same on every node\"",
+            stranger);
+  control->keeper->warned = stranger != NULL;
+  g_ptr_array_unref (dcs);
+  return control->keeper->warned == false;
+}
+
 void
 keeper_ask (control_t *control, uint64_t call_id,
             const cs_once_record_t *wanted)
@@ -261,15 +290,13 @@
   const char *home = cs_keepers_home (wanted->key, control->node->home_dcs);
   GPtrArray *keepers
       = home ? cs_keepers_of (control->members, home, wanted->key) : NULL;
-  if (keepers && keepers->len)
+  if (!knows_all_dcs (control))
+    answer_ask (control, call_id, VERDICT_UNVOUCHED);
+  else if (keepers && keepers->len)
     keeper_send_op (control, keeper_name (keepers, 0), OP_CLAIM, call_id,
                     wanted);
   else
-    {
-      result_t *result = result_new (CS_RUN_FAILED, NULL);
-      result->status = VERDICT_RETRY + 1;
-      calls_complete (control->node->calls, call_id, result);
-    }
+    answer_ask (control, call_id, VERDICT_RETRY);
   if (keepers)
     g_ptr_array_unref (keepers);
 }
--- a/source/node/settings.c
+++ b/source/node/settings.c
@@ -34,7 +34,7 @@
         "peer addresses IP:PORT of other nodes, separated by commas"),
   TEXT ("dcs", dcs, "",
         "all data centres of the mesh, separated by commas, the same on every "
-        "node; empty: this one alone"),
+        "node; empty: this one is the only one"),
   TEXT ("platform", platform, "http", "kind of platform service"),
   TEXT ("platform-address", platform_address, "127.0.0.1:7001",
         "address IP:PORT of the platform"),
--- a/tests/tool.t
+++ b/tests/tool.t
@@ -31,6 +31,13 @@
 echo '{"/t/services/s": {' >"$MESH_DIR/broken.json"
 matches "a file that is no JSON" "broken.json: line 2: .*; it must be JSON" "$($ctl check "$MESH_DIR/broken.json" 2>&1)"
 
+ok "the settings in OPERATING.md are those of the programs" \
+  grep -qF "$($daemon --reference | tail -n +3 | sed -n 8p)" "$here/../docs/OPERATING.md"
+missing=0
+while IFS= read -r line; do
+  grep -qF -- "$line" "$here/../docs/OPERATING.md" || missing=$((missing + 1))
+done < <($daemon --reference; $ctl --reference)
+is "no setting is missing there" 0 $missing
 start_mesh "a:east:3"
 new_team shop
 backends /shop/services/desk v1 0 1
