--- a/source/admit/limiter.c
+++ b/source/admit/limiter.c
@@ -7,8 +7,8 @@
 #include "cardamom/registry.h"
 
 #define RECENT_WEIGHT 0.1 /* Of a sample in the recent average.  */
-#define BASE_LIFE 400     /* Samples until the baseline is measured anew. */
-#define PROBE_LENGTH 40   /* Samples with half of the limit for that.  */
+#define BASE_LIFE 800     /* Samples until the baseline is measured anew. */
+#define PROBE_LENGTH 30   /* Samples with half of the limit for that.  */
 #define FLOOR_PATIENCE 25 /* Samples at the lowest limit without help.  */
 #define TOLERANCE 2.0     /* Recent over baseline that is still good.  */
 #define BACKOFF 0.95      /* Factor per sample beyond it.  */
@@ -93,7 +93,10 @@
     set_baseline (s);
   s->at_floor = slow && s->limit <= lowest_limit (s) ? s->at_floor + 1 : 0;
   if (s->at_floor >= FLOOR_PATIENCE)
-    set_baseline (s);
+    {
+      set_baseline (s);
+      s->limit = s->slots;
+    }
   if (s->base_age < BASE_LIFE || !crowded)
     return;
   s->kept_limit = s->limit;
