Count runs of keys that hold a colon

Cause, found by taking the memory of losses away: the script split ids at the first colon, so it saw no double run of keys of the form dc:NAME:REST, and 7 of 40 ran twice unseen in the mutant. With it mended the mutant is seen, and the tree as it is has none.

--- a/tests/mesh-once.t
+++ b/tests/mesh-once.t
@@ -20,7 +20,8 @@
   for i in 0 1 2 3 4 5 6 7; do
     mesh_get "$MESH_HOST:$(mesh_backend_port $i)/standin/stats" |
       sed 's/.*"ids":{\([^}]*\)}.*/\1/' | tr ',' '\n' | grep -F '":' | tr -d '"'
-  done | awk -F: '{ n[$1] += $2 } END { for (id in n) print id, n[id] }'
+  done | awk '{ at = match ($0, /:[0-9]+$/); n[substr ($0, 1, at - 1)] += substr ($0, at + 1) }
+    END { for (id in n) print id, n[id] }'
 }
 doubles () { all_runs | awk '$2 > 1' | wc -l; }
 
