--- a/source/kernel/pack.c
+++ b/source/kernel/pack.c
@@ -92,8 +92,8 @@
 shape_of (const uint8_t *at, size_t left)
 {
   /* By type from 0xc0; 0: refused, as extensions, which no frame holds.  */
-  static const uint8_t fixed[] = { 1, 0, 1, 1, 0, 0, 0, 0, 0, 0, 5, 9, 2,
-                                   3, 5, 9, 2, 3, 5, 9, 0, 0, 0, 0, 0 };
+  static const uint8_t fixed[32] = { 1, 0, 1, 1, 0, 0, 0, 0, 0, 0, 5, 9, 2,
+                                     3, 5, 9, 2, 3, 5, 9, 0, 0, 0, 0, 0 };
   uint8_t type = *at;
   if (type < 0x80 || type >= 0xe0)
     return (shape_t){ .bytes = 1 };
