Keep the keepers' verdicts in one place

The caller's side had the number of one of them written again, where a new verdict put before it would have changed its meaning unseen. Behaviour as it was: mesh-once.t passes its 19 checks, lint is clean.

--- a/source/node/claim.c
+++ b/source/node/claim.c
@@ -6,7 +6,6 @@
 #define ASK_PATIENCE (800 * CS_MSEC) /* For one answer of a keeper.  */
 #define PAUSE_FIRST_US 5000
 #define PAUSE_MAX_US 100000
-#define VERDICT_UNVOUCHED 101
 
 typedef struct
 {
--- a/source/node/keeper-internal.h
+++ b/source/node/keeper-internal.h
@@ -17,13 +17,6 @@
   OP_ASK_HANDED /* Please hand over (again).  */
 } op_t;
 
-/* Verdicts beyond cs_claim_t.  */
-enum
-{
-  VERDICT_RETRY = 100, /* Views disagree for now.  */
-  VERDICT_UNVOUCHED    /* The record may have been lost.  */
-};
-
 /* A claim that waits for the second keeper.  */
 typedef struct
 {
--- a/source/node/keeper.c
+++ b/source/node/keeper.c
@@ -280,7 +280,7 @@
             stranger);
   control->keeper->warned = stranger != NULL;
   g_ptr_array_unref (dcs);
-  return control->keeper->warned == false;
+  return !control->keeper->warned;
 }
 
 void
--- a/source/node/once-node.h
+++ b/source/node/once-node.h
@@ -5,6 +5,13 @@
 
 #include "control-internal.h"
 
+/* Verdicts beyond cs_claim_t.  */
+enum
+{
+  VERDICT_RETRY = 100, /* Views disagree for now.  */
+  VERDICT_UNVOUCHED    /* The record may have been lost.  */
+};
+
 /* The keeper, in the control thread.  */
 
 keeper_t *keeper_new (control_t *control);
