--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 PREFIX ?= /usr/local
 PACKAGES = libmsgpack-dev libneon27-gnutls-dev libmicrohttpd-dev \
   liburcu-dev libargtable2-dev libglib2.0-dev libjansson-dev \
-  libxxhash-dev libsodium-dev pkg-config curl
+  libxxhash-dev libsodium-dev libuv1-dev libhttp-parser-dev \
+  pkg-config curl
 PC = msgpack neon libmicrohttpd liburcu glib-2.0 jansson libxxhash \
   libsodium argtable2
 
@@ -20,6 +21,8 @@
   -D_GNU_SOURCE -DCS_VERSION='"$(VERSION)"' -Iinclude $(shell pkg-config --cflags $(PC))
 LDLIBS = $(shell pkg-config --libs $(PC)) -lm
 
+EVENT_SRC = $(wildcard source/http1/*.c source/stream/*.c source/call/*.c \
+  source/run/*.c source/mesh/*.c) source/kernel/event.c source/move/conduct.c
 LIB_SRC = $(wildcard source/kernel/*.c source/platform/*.c \
   source/config/*.c source/dist/*.c source/member/*.c source/route/*.c \
   source/admit/*.c source/once/*.c source/move/*.c)
@@ -110,3 +113,19 @@
 mutants: deps
 	@$(MAKE) --no-print-directory tests
 	@tests/try-mutants
+
+# The sidecar: event loop and platform adapter, without the blocking path.
+SIDECAR_SRC = source/sidecar/main.c source/sidecar/control.c \
+  source/sidecar/entry.c source/sidecar/rows.c source/sidecar/moves.c \
+  source/sidecar/settings.c $(EVENT_SRC) $(wildcard platform/*.c) \
+  source/kernel/str.c source/kernel/context.c source/kernel/clock.c \
+  source/kernel/counters.c source/kernel/pack.c source/kernel/registry.c \
+  source/kernel/status.c source/config/snapshot.c source/config/document.c \
+  source/config/docs.c source/move/judges.c source/move/jury.c \
+  source/move/sample.c source/move/move.c
+SIDECAR_PC = msgpack glib-2.0 jansson libxxhash libuv argtable2 liburcu-mb
+target/cardamom-sidecar: PC = $(SIDECAR_PC)
+target/cardamom-sidecar: $(call obj,$(SIDECAR_SRC))
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -o $@ $^ $(shell pkg-config --libs $(SIDECAR_PC)) \
+	  -lhttp_parser -lm
--- /dev/null
+++ b/include/cardamom/budget.h
@@ -0,0 +1,40 @@
+/* Second sends of a service's requests, bounded over a sliding window without
+   a store: every node keeps to its share of what all nodes may send.
+
+   The load pattern it answers: a part of the upstreams fails or sheds, and
+   repeats of all nodes together must not become a load of their own.  */
+#ifndef CARDAMOM_BUDGET_H
+#define CARDAMOM_BUDGET_H
+
+#include <stdbool.h>
+
+#include "cardamom/clock.h"
+
+#define CS_BUDGET_SLICES 20 /* Parts of the window.  */
+
+typedef struct
+{
+  double ratio;     /* Repeats for each request.  */
+  double slack;     /* Repeats of all nodes besides, in a window.  */
+  cs_usec_t window; /* Length of the window.  */
+} cs_budget_terms_t;
+
+typedef struct
+{
+  int64_t slice; /* Number of the newest slice.  */
+  unsigned requests[CS_BUDGET_SLICES], repeats[CS_BUDGET_SLICES];
+} cs_budget_t;
+
+/* A request for the service has come in.  */
+void cs_budget_request (cs_budget_t *budget, const cs_budget_terms_t *terms,
+                        cs_usec_t now);
+
+/* Whether one more repeat may be sent by one of NODES nodes; it is counted. */
+bool cs_budget_repeat (cs_budget_t *budget, const cs_budget_terms_t *terms,
+                       unsigned nodes, cs_usec_t now);
+
+/* A repeat that was sent without asking.  */
+void cs_budget_note (cs_budget_t *budget, const cs_budget_terms_t *terms,
+                     cs_usec_t now);
+
+#endif
--- a/include/cardamom/document.h
+++ b/include/cardamom/document.h
@@ -78,6 +78,14 @@
   int64_t weight;             /* Share of its team under contention.  */
 } cs_service_t;
 
+/* A service that takes a part of a route's requests.  */
+typedef struct
+{
+  char *service_path;
+  cs_service_t *service; /* Set when the snapshot is linked.  */
+  int64_t weight;
+} cs_part_t;
+
 typedef struct
 {
   char *path;
@@ -89,7 +97,11 @@
   cs_service_t *service; /* Set by cs_snapshot_build.  */
   bool idempotent;
   int64_t timeout_ms;
-  int64_t priority; /* 0 is shed last, 3 first.  */
+  int64_t priority;     /* 0 is shed last.  */
+  int64_t target_ms;    /* A later answer earns less; 0: the timeout.  */
+  int64_t max_attempts; /* Upstreams that a call may be sent to; 0: the
+                           service's.  */
+  GArray *parts;        /* cs_part_t, instead of SERVICE; or NULL.  */
 } cs_route_t;
 
 typedef enum
--- /dev/null
+++ b/include/cardamom/event.h
@@ -0,0 +1,54 @@
+/* Structured lines on standard output: one for each decision that touches a
+   request or changes what the process believes.  Lines are bounded by kind
+   and second, and written without ever waiting for the reader.  */
+#ifndef CARDAMOM_EVENT_H
+#define CARDAMOM_EVENT_H
+
+#include <glib.h>
+
+/* Every kind: identifier, name, lines a second at most, what it tells.  */
+#define CS_EVENT_TABLE(X)                                                     \
+  X (START, "start", 5, "The process runs with these settings.")              \
+  X (STOP, "stop", 20, "The process stops, by steps.")                        \
+  X (SETTINGS, "settings", 5, "The settings were read again.")                \
+  X (CONFIG, "config", 20, "A configuration version is in force.")            \
+  X (CONFIG_BAD, "config-refused", 5, "A row was kept out.")                  \
+  X (STORE, "store", 10, "The platform's table was lost or regained.")        \
+  X (READER, "reader", 10, "Who reads the table for this node.")              \
+  X (MEMBER, "member", 40, "A node was learnt of or has changed.")            \
+  X (PEER, "peer", 40, "A connection to a node was gained or lost.")          \
+  X (SERVER, "server", 20, "The backend server beside the node changed.")     \
+  X (REPORT, "report", 5, "A status report was kept out.")                    \
+  X (REFUSED, "refused", 10, "A request ended unserved, and has not run.")    \
+  X (FAILED, "failed", 10, "A request ended in failure.")                     \
+  X (REPEATED, "repeated", 10, "A request was sent once more.")               \
+  X (INPUT, "input", 5, "A caller's message was refused.")                    \
+  X (MOVE, "move", 20, "A version move took a step.")                         \
+  X (AWAKE, "awake", 5, "The host stood still for a while.")                  \
+  X (DROPPED, "dropped", 2, "Lines that the bounds held back.")
+
+typedef enum
+{
+#define CS_EVENT_ID(id, name, rate, help) CS_E_##id,
+  CS_EVENT_TABLE (CS_EVENT_ID)
+#undef CS_EVENT_ID
+      CS_EVENT_COUNT
+} cs_event_t;
+
+/* Name the node in every line.  */
+void cs_event_open (const char *node);
+
+/* Note "time=T node=N event=NAME key=value ...", of which FORMAT gives the
+   last part.  */
+void cs_event (cs_event_t event, const char *format, ...)
+    G_GNUC_PRINTF (2, 3);
+
+/* Write what was noted, as far as the reader takes it at once.  Call it a few
+   times a second.  */
+void cs_event_flush (void);
+
+/* The name and the help text of EVENT.  */
+const char *cs_event_name (cs_event_t event);
+const char *cs_event_help (cs_event_t event);
+
+#endif
--- /dev/null
+++ b/include/cardamom/feed.h
@@ -0,0 +1,25 @@
+/* Who reads the platform's table.
+
+   The load pattern it answers: hundreds of nodes that must all have a change
+   within seconds, a table whose calls are few and paid for, and readers that
+   die or are cut off from it.  In each region the node of the first name
+   reads and passes rows on; the others follow its signs of freshness and step
+   in one after another when those stop.  */
+#ifndef CARDAMOM_FEED_H
+#define CARDAMOM_FEED_H
+
+#include <stdbool.h>
+
+#include "cardamom/clock.h"
+
+/* How long one watch waits at the table: a reader that hears nothing for
+   longer has lost it.  */
+#define CS_FEED_WAIT (600 * CS_MSEC)
+/* Between a reader's signs to its followers.  */
+#define CS_FEED_SIGN (300 * CS_MSEC)
+
+/* Whether the node of RANK among those of its region that can read (0 is the
+   first) reads now, AGE after what it knows was last known to be fresh.  */
+bool cs_feed_reads (unsigned rank, cs_usec_t age);
+
+#endif
--- a/include/cardamom/registry.h
+++ b/include/cardamom/registry.h
@@ -12,6 +12,7 @@
   CS_PLUGIN_BALANCER,
   CS_PLUGIN_LIMITER,
   CS_PLUGIN_JUDGE,
+  CS_PLUGIN_ADAPTER,
   CS_PLUGIN_KIND_COUNT
 } cs_plugin_kind_t;
 
--- /dev/null
+++ b/include/cardamom/server.h
@@ -0,0 +1,67 @@
+/* The HTTP/1.1 server side of an event loop: callers, status reports,
+   readiness and metrics use it.  */
+#ifndef CARDAMOM_SERVER_H
+#define CARDAMOM_SERVER_H
+
+#include "cardamom/context.h"
+#include "cardamom/message.h"
+#include "cardamom/net.h"
+
+typedef struct cs_server cs_server_t;
+
+/* One request and its answer.  Requests of a connection are handed over as
+   they come, and answered on the wire in their order.  */
+typedef struct
+{
+  cs_message_t request;
+  void *user; /* The handler's.  */
+  /* The server's own.  */
+  void *conn;
+  GString *answer;
+  bool close, answered, handed;
+} cs_exchange_t;
+
+typedef struct
+{
+  /* A whole request was read.  Answer it now or later.  */
+  void (*request) (void *user, cs_exchange_t *exchange);
+  /* The caller left before the answer; EXCHANGE ends with this call.  NULL
+     when answers are never late.  */
+  void (*left) (void *user, cs_exchange_t *exchange);
+} cs_server_handler_t;
+
+/* What a caller may send, and how long it may take.  */
+typedef struct
+{
+  size_t head_max, body_max;    /* Bytes.  */
+  cs_usec_t head_timeout;       /* For a whole head once begun.  */
+  cs_usec_t idle_timeout;       /* Between requests, and between reads.  */
+} cs_server_limits_t;
+
+/* Listen on ADDRESS ("IP:PORT").  CS_UNAVAILABLE when it cannot be bound.  */
+cs_status_t cs_server_new (cs_ctx_t *ctx, uv_loop_t *loop, const char *address,
+                           const cs_server_handler_t *handler, void *user,
+                           cs_server_t **server);
+
+/* Put LIMITS in force for connections from now on and those open.  */
+void cs_server_limit (cs_server_t *server, const cs_server_limits_t *limits);
+
+/* Answer EXCHANGE, which ends with this call.  FIELDS are whole lines or NULL;
+   the framing is added.  CLOSE ends the connection after it.  */
+void cs_exchange_answer (cs_exchange_t *exchange, unsigned status,
+                         const char *fields, cs_str_t body, bool close);
+
+/* From now on every answer closes its connection, and idle connections are
+   closed.  */
+void cs_server_drain (cs_server_t *server);
+
+/* Stop listening.  */
+void cs_server_stop (cs_server_t *server);
+
+/* Connections open.  */
+unsigned cs_server_connections (const cs_server_t *server);
+
+/* The usual phrase for STATUS.  */
+const char *cs_status_phrase (unsigned status);
+
+#endif
--- a/include/cardamom/snapshot.h
+++ b/include/cardamom/snapshot.h
@@ -67,7 +67,14 @@
 cs_status_t cs_change_apply (cs_ctx_t *ctx, const cs_change_t *change,
                              cs_docs_t *docs);
 
-/* An immutable, fully linked configuration.  */
+/* What a caller may send, and how long it may take; 0: the daemon's own.  */
+typedef struct
+{
+  int64_t head_max, body_max; /* Bytes.  */
+  int64_t head_timeout_ms, idle_timeout_ms;
+} cs_limits_t;
+
+/* An immutable, fully linked configuration, counted by reference.  */
 typedef struct
 {
   int64_t version;
@@ -76,6 +83,9 @@
   GHashTable *services; /* path -> cs_service_t.  */
   GPtrArray *routes;    /* cs_route_t *, longest prefix first.  */
   GHashTable *moves;    /* path -> cs_move_t.  */
+  GHashTable *by_host;  /* host -> GPtrArray of cs_route_t, in that order.  */
+  cs_limits_t limits;
+  gatomicrefcount refs;
 } cs_snapshot_t;
 
 /* Check every document of DOCS and every reference between them, and link
@@ -84,6 +94,21 @@
 cs_status_t cs_snapshot_build (cs_ctx_t *ctx, int64_t version, cs_docs_t *docs,
                                cs_snapshot_t **snapshot, GString *errors);
 
+/* An empty configuration without documents, to be filled with services and
+   routes that are taken over, and then linked.  */
+cs_snapshot_t *cs_snapshot_new (cs_ctx_t *ctx, int64_t version);
+void cs_snapshot_add_service (cs_snapshot_t *snapshot, cs_service_t *service);
+void cs_snapshot_add_route (cs_snapshot_t *snapshot, cs_route_t *route);
+
+/* Link routes and services.  CS_BAD_INPUT appends all errors to ERRORS; the
+   snapshot then serves for nothing but being dropped.  */
+cs_status_t cs_snapshot_link (cs_ctx_t *ctx, cs_snapshot_t *snapshot,
+                              GString *errors);
+
+/* One more reference; any thread may take it.  */
+cs_snapshot_t *cs_snapshot_keep (cs_snapshot_t *snapshot);
+
+/* Give a reference back; NULL is allowed.  */
 void cs_snapshot_drop (cs_ctx_t *ctx, cs_snapshot_t *snapshot);
 
 /* The route for a request, or NULL: exact host before "*", then the longest
--- /dev/null
+++ b/include/cardamom/waiting.h
@@ -0,0 +1,64 @@
+/* The queue of the node beside a backend server.
+
+   The load pattern it answers: more requests than slots for seconds on end,
+   of kinds with different priority, target and limit.  A request is queued
+   only while it is expected to end in time, so that those that are served are
+   served within their target and the others learn at once when to come back;
+   the more urgent go first, and within a priority those that can still meet
+   their target.  */
+#ifndef CARDAMOM_WAITING_H
+#define CARDAMOM_WAITING_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "cardamom/clock.h"
+
+/* A request that waits; embedded by its owner.  */
+typedef struct
+{
+  GList link;       /* The queue's own.  */
+  int64_t priority; /* 0 goes first.  */
+  cs_usec_t target; /* Absolute end that earns full benefit.  */
+  cs_usec_t limit;  /* Absolute end of the request.  */
+  cs_usec_t work;   /* Expected run time.  */
+} cs_waiter_t;
+
+typedef struct
+{
+  GQueue waiters;
+} cs_waiting_t;
+
+/* The server's side of the decision.  */
+typedef struct
+{
+  int64_t slots, running;
+  cs_usec_t slot_time; /* Mean time that a run holds a slot.  */
+} cs_waiting_room_t;
+
+/* How long a request of PRIORITY would wait for a slot now.  */
+cs_usec_t cs_waiting_estimate (const cs_waiting_t *waiting,
+                               const cs_waiting_room_t *room,
+                               int64_t priority);
+
+/* Queue WAITER if it is expected to end in time.  *WAIT gets the expected
+   wait, also on refusal.  */
+bool cs_waiting_offer (cs_waiting_t *waiting, cs_waiter_t *waiter,
+                       const cs_waiting_room_t *room, cs_usec_t now,
+                       cs_usec_t *wait);
+
+/* Take out the waiter to run next, NULL when there is none.  */
+cs_waiter_t *cs_waiting_next (cs_waiting_t *waiting, cs_usec_t now);
+
+/* Take out a waiter that cannot end by its limit any more, NULL when there is
+   none.  */
+cs_waiter_t *cs_waiting_expired (cs_waiting_t *waiting, cs_usec_t now);
+
+/* Take out WAITER, or any one (NULL when there is none).  */
+void cs_waiting_remove (cs_waiting_t *waiting, cs_waiter_t *waiter);
+cs_waiter_t *cs_waiting_any (cs_waiting_t *waiting);
+
+unsigned cs_waiting_count (const cs_waiting_t *waiting);
+
+#endif
--- /dev/null
+++ b/source/call/budget.c
@@ -0,0 +1,56 @@
+#include <glib.h>
+
+#include "cardamom/budget.h"
+
+/* Part of the allowance that is used: calls made by a repeated run count as
+   repeats too, and no node sees them.  */
+#define USED_SHARE 0.6
+
+static void
+move_to (cs_budget_t *b, const cs_budget_terms_t *terms, cs_usec_t now)
+{
+  int64_t slice = now / MAX (terms->window / CS_BUDGET_SLICES, 1);
+  if (slice - b->slice > CS_BUDGET_SLICES)
+    b->slice = slice - CS_BUDGET_SLICES;
+  while (b->slice < slice)
+    {
+      b->slice++;
+      b->requests[b->slice % CS_BUDGET_SLICES] = 0;
+      b->repeats[b->slice % CS_BUDGET_SLICES] = 0;
+    }
+}
+
+void
+cs_budget_request (cs_budget_t *b, const cs_budget_terms_t *terms,
+                   cs_usec_t now)
+{
+  move_to (b, terms, now);
+  b->requests[b->slice % CS_BUDGET_SLICES]++;
+}
+
+void
+cs_budget_note (cs_budget_t *b, const cs_budget_terms_t *terms, cs_usec_t now)
+{
+  move_to (b, terms, now);
+  b->repeats[b->slice % CS_BUDGET_SLICES]++;
+}
+
+bool
+cs_budget_repeat (cs_budget_t *b, const cs_budget_terms_t *terms,
+                  unsigned nodes, cs_usec_t now)
+{
+  double requests = 0, repeats = 0;
+  move_to (b, terms, now);
+  for (int i = 0; i < CS_BUDGET_SLICES; i++)
+    {
+      requests += b->requests[i];
+      repeats += b->repeats[i];
+    }
+  double allowed = USED_SHARE
+                   * (terms->ratio * requests
+                      + terms->slack / MAX (nodes, 1));
+  if (repeats + 1 > allowed)
+    return false;
+  b->repeats[b->slice % CS_BUDGET_SLICES]++;
+  return true;
+}
--- /dev/null
+++ b/source/call/calls.c
@@ -0,0 +1,690 @@
+/* Requests of callers at the node that took them: route, placement, second
+   sends, the answer.  */
+#include <string.h>
+
+#include "cardamom/headers.h"
+#include "cardamom/rotation.h"
+#include "traffic.h"
+
+#define TRIED_MAX 6 /* Nodes that one call is sent to at most.  */
+#define LIMIT_DEFAULT (30 * CS_SEC) /* A caller that gives no deadline.  */
+/* Past its limit the outcome may still be on its way.  */
+#define LIMIT_GRACE (30 * CS_MSEC)
+#define WORK_WEIGHT 0.1
+#define WORK_GUESS (40 * CS_MSEC)    /* Before the first answer.  */
+#define SLOTS_GUESS 8                /* Before the first report.  */
+#define SLOT_TIME_GUESS (60 * CS_MSEC)
+#define LOAD_FRESH (400 * CS_MSEC)   /* Of a node's last report.  */
+#define LOAD_STALE_PERCENT 60        /* Of its slots, later.  */
+#define FAILING_FORGET (2 * CS_SEC)  /* A failing node is tried again.  */
+/* Without a configuration a caller is asked to come back after this.  */
+#define START_RETRY_AFTER (300 * CS_MSEC)
+/* Without a server, or with one that leaves, the next report may tell.  */
+#define GONE_RETRY_AFTER (150 * CS_MSEC)
+#define RETRY_AFTER_MIN (40 * CS_MSEC)
+#define RETRY_AFTER_MAX (2 * CS_SEC)
+#define RETRY_AFTER_STEP (30 * CS_MSEC) /* For each rank of priority.  */
+
+struct call
+{
+  cs_traffic_t *traffic;
+  cs_exchange_t *exchange;
+  cs_snapshot_t *snapshot;
+  const cs_route_t *route;
+  const char *service;
+  route_state_t *state;
+  GString *head; /* For the server, without deadline and instance.  */
+  cs_str_t id;
+  uint64_t number; /* Of the job under way.  */
+  uint64_t print;
+  int64_t boot; /* Life of the node that the job was sent to.  */
+  cs_usec_t arrived, target, limit;
+  uv_timer_t timer;
+  peer_t *peer;  /* That works on it; NULL between two.  */
+  cs_task_t *run; /* When that is this node.  */
+  peer_t *tried[TRIED_MAX];
+  unsigned tries;    /* Nodes tried.  */
+  unsigned arrivals; /* At servers.  */
+  cs_usec_t wait;    /* Shortest expected wait of those that refused.  */
+  cs_refused_t reason;
+  bool wants_trial, refused, timed;
+};
+
+static cs_str_t
+id_of (const call_t *call)
+{
+  return call->id;
+}
+
+static void
+end_timer (uv_handle_t *handle)
+{
+  call_t *call = handle->data;
+  g_string_free (call->head, TRUE);
+  cs_snapshot_drop (call->traffic->ctx, call->snapshot);
+  g_free (call);
+}
+
+static void
+free_call (call_t *call)
+{
+  call->traffic->calls--;
+  uv_close ((uv_handle_t *)&call->timer, end_timer);
+}
+
+/* Answer with a status of the node's own.  */
+static void
+refuse_exchange (cs_exchange_t *exchange, unsigned status,
+                 cs_usec_t retry_after)
+{
+  GString *fields = g_string_new (NULL);
+  cs_str_t id = cs_message_field (&exchange->request, cs_headers->attempt);
+  if (id.data)
+    g_string_append_printf (fields, "%s: %.*s\r\n", cs_headers->attempt,
+                            (int)id.len, id.data);
+  if (retry_after > 0)
+    g_string_append_printf (fields, "Retry-After: %.3f\r\n",
+                            (double)retry_after / (double)CS_SEC);
+  cs_exchange_answer (exchange, status, fields->str, CS_STR (""), false);
+  g_string_free (fields, TRUE);
+}
+
+/* When one that is turned away should come back: when a slot is expected to
+   be free, the more urgent first, and not all at the same moment.  */
+static cs_usec_t
+retry_after (call_t *call)
+{
+  cs_usec_t wait = call->wait + call->route->priority * RETRY_AFTER_STEP;
+  if (call->wait <= 0 && call->reason != CS_REFUSED_FULL)
+    wait += GONE_RETRY_AFTER;
+  double spread = g_rand_double_range (call->traffic->ctx->random, 0.7, 1.3);
+  return CLAMP ((cs_usec_t)((double)wait * spread), RETRY_AFTER_MIN,
+                RETRY_AFTER_MAX);
+}
+
+static void
+end_refused (call_t *call)
+{
+  cs_usec_t held = traffic_now (call->traffic) - call->arrived;
+  cs_usec_t after = retry_after (call);
+  cs_count (CS_C_CALLS_NOT_RUN, 1);
+  cs_event (CS_E_REFUSED,
+            "id=%.*s route=%s service=%s reason=%s tried=%u held_ms=%.1f "
+            "retry_after_ms=%.0f",
+            (int)call->id.len, call->id.data, call->route->path,
+            call->service, cs_refused_name (call->reason), call->tries,
+            (double)held / 1e3, (double)after / 1e3);
+  refuse_exchange (call->exchange, 503, after);
+  free_call (call);
+}
+
+static void
+end_failed (call_t *call, unsigned status, const char *why)
+{
+  cs_count (CS_C_CALLS_UNKNOWN, 1);
+  cs_event (CS_E_FAILED,
+            "id=%.*s route=%s service=%s status=%u why=\"%s\" node=%s "
+            "arrivals=%u held_ms=%.1f",
+            (int)call->id.len, call->id.data, call->route->path,
+            call->service, status, why,
+            call->peer ? call->peer->member.name : "-", call->arrivals,
+            (double)(traffic_now (call->traffic) - call->arrived) / 1e3);
+  refuse_exchange (call->exchange, status, 0);
+  free_call (call);
+}
+
+static void
+end_answered (call_t *call, const cs_outcome_t *outcome)
+{
+  char *fields = cs_str_dup (outcome->fields);
+  cs_count (CS_C_CALLS_DONE, 1);
+  cs_exchange_answer (call->exchange, outcome->status, fields, outcome->body,
+                      false);
+  g_free (fields);
+  free_call (call);
+}
+
+static average_t *
+work_at (peer_t *peer, const char *route)
+{
+  average_t *work = g_hash_table_lookup (peer->work, route);
+  if (!work)
+    {
+      work = g_new0 (average_t, 1);
+      g_hash_table_insert (peer->work, g_strdup (route), work);
+    }
+  return work;
+}
+
+static void
+note_average (average_t *average, cs_usec_t value)
+{
+  if (average->mean <= 0)
+    average->mean = (double)value;
+  else
+    average->mean += WORK_WEIGHT * ((double)value - average->mean);
+}
+
+static bool
+was_tried (const call_t *call, const peer_t *peer)
+{
+  for (unsigned i = 0; i < call->tries; i++)
+    if (call->tried[i] == peer)
+      return true;
+  return false;
+}
+
+static const char *
+version_for (const call_t *call, const pool_t *pool)
+{
+  const version_t *v = &pool->version;
+  return call->wants_trial ? v->trial : v->current;
+}
+
+/* PEER as a place for CALL.  */
+static cs_place_t
+place_of (const call_t *call, peer_t *peer, const char *version,
+          cs_usec_t now)
+{
+  const cs_member_t *m = &peer->member;
+  cs_load_t load = peer->load;
+  cs_usec_t age = now - peer->load_at;
+  int64_t mine = g_hash_table_size (peer->calls);
+  if (peer->self)
+    {
+      load = cs_runner_load (call->traffic->runner);
+      age = mine = 0;
+    }
+  int64_t slots = m->slots > 0 ? m->slots : SLOTS_GUESS;
+  int64_t others = load.running + load.waiting
+                   - (peer->self ? 0 : peer->mine_at_load);
+  if (!load.slots || age > LOAD_FRESH)
+    others = MIN (load.slots ? MAX (others, 0) : slots,
+                  slots * LOAD_STALE_PERCENT / 100);
+  const average_t *work = g_hash_table_lookup (peer->work, call->route->path);
+  double expected = work && work->mean > 0      ? work->mean
+                    : call->state->work.mean > 0 ? call->state->work.mean
+                                                 : (double)WORK_GUESS;
+  return (cs_place_t){
+    .distance = peer->distance,
+    .usable = m->state == CS_LIFE_READY && !m->stopping
+              && peer_is_reachable (peer) && strcmp (m->version, version) == 0
+              && !was_tried (call, peer),
+    .slots = slots,
+    .busy = MAX (others, 0) + mine,
+    .slot_time = load.slot_time > 0 ? load.slot_time : SLOT_TIME_GUESS,
+    .work = (cs_usec_t)expected,
+    .round_trip = peer->round_trip,
+    .failing_permille = age > FAILING_FORGET ? 0 : load.failing_permille,
+  };
+}
+
+static peer_t *
+choose_among (call_t *call, pool_t *pool, const char *version)
+{
+  cs_traffic_t *t = call->traffic;
+  cs_usec_t now = traffic_now (t);
+  guint count = pool->peers->len;
+  if (!count || !version[0])
+    return NULL;
+  cs_place_t *places = g_new (cs_place_t, count);
+  for (guint i = 0; i < count; i++)
+    places[i] = place_of (call, pool->peers->pdata[i], version, now);
+  cs_place_need_t need = { .target_left = call->target - now,
+                           .limit_left = call->limit - now };
+  cs_placement_t chosen
+      = cs_place_choose (places, count, &need, t->ctx->random);
+  g_free (places);
+  if (chosen.index >= 0)
+    return pool->peers->pdata[chosen.index];
+  if (chosen.finish >= 0)
+    {
+      /* All are too busy to end in time.  */
+      cs_usec_t over = chosen.finish - need.limit_left;
+      call->wait = call->refused ? MIN (call->wait, over) : over;
+      call->refused = true;
+      call->reason = CS_REFUSED_FULL;
+    }
+  return NULL;
+}
+
+static peer_t *
+choose_peer (call_t *call)
+{
+  pool_t *pool = pool_of (call->traffic, call->service);
+  peer_t *peer = choose_among (call, pool, version_for (call, pool));
+  if (!peer && call->wants_trial)
+    {
+      call->wants_trial = false;
+      peer = choose_among (call, pool, version_for (call, pool));
+    }
+  return peer;
+}
+
+static void
+on_local_done (void *user, const cs_outcome_t *outcome)
+{
+  call_t *call = user;
+  call->run = NULL;
+  call_outcome (call, call->peer, outcome);
+}
+
+static void
+send_job (call_t *call, peer_t *peer)
+{
+  cs_traffic_t *t = call->traffic;
+  cs_usec_t now = traffic_now (t);
+  const http_parser *parser = &call->exchange->request.parser;
+  cs_job_t job = { .id = id_of (call),
+                   .route = cs_str_of (call->route->path),
+                   .instance = cs_str_of (peer->member.instance),
+                   .head = cs_str_of_gstring (call->head),
+                   .body = cs_str_of_gstring (call->exchange->request.body),
+                   .priority = call->route->priority,
+                   .target_left = call->target - now,
+                   .limit_left = call->limit - now,
+                   .print = call->print,
+                   .idempotent = call->route->idempotent,
+                   .head_only = parser->method == HTTP_HEAD };
+  call->peer = peer;
+  call->boot = peer->greeted_boot;
+  call->number = ++t->numbers;
+  if (call->tries < TRIED_MAX)
+    call->tried[call->tries++] = peer;
+  if (peer->self)
+    {
+      cs_task_t *run = cs_runner_submit (t->runner, &job, on_local_done, call);
+      /* CALL is gone, or with another node, when it was refused at once.  */
+      if (run)
+        call->run = run;
+      return;
+    }
+  cs_pack_t pack;
+  cs_pack_init (&pack);
+  cs_job_pack (&pack, call->number, &job);
+  g_hash_table_insert (peer->calls, &call->number, call);
+  peer_send (peer, &pack);
+  cs_pack_clear (&pack);
+}
+
+/* Send CALL where it ends soonest, or refuse it: it has not run.  */
+static void
+dispatch (call_t *call)
+{
+  cs_usec_t now = traffic_now (call->traffic);
+  call->peer = NULL;
+  peer_t *peer = now < call->limit && call->tries < TRIED_MAX
+                     ? choose_peer (call)
+                     : NULL;
+  if (peer)
+    send_job (call, peer);
+  else
+    end_refused (call);
+}
+
+/* Whether one more arrival at a server is allowed for CALL.  */
+static bool
+may_repeat (call_t *call)
+{
+  cs_traffic_t *t = call->traffic;
+  pool_t *pool = pool_of (t, call->service);
+  cs_usec_t now = traffic_now (t);
+  int64_t most = MAX (call->route->max_attempts, 1);
+  double work = MAX (call->state->work.mean, (double)CS_MSEC);
+  if (call->arrivals >= most || now + (cs_usec_t)work > call->limit)
+    return false;
+  return cs_budget_repeat (&pool->budget, &t->budget,
+                           g_hash_table_size (t->peers), now);
+}
+
+static void
+repeat (call_t *call, const char *why)
+{
+  cs_count (CS_C_RETRIES, 1);
+  cs_event (CS_E_REPEATED, "id=%.*s route=%s why=%s node=%s arrivals=%u",
+            (int)call->id.len, call->id.data, call->route->path, why,
+            call->peer ? call->peer->member.name : "-", call->arrivals);
+  call->wants_trial = false;
+  dispatch (call);
+}
+
+static void
+take_refusal (call_t *call, const cs_outcome_t *outcome)
+{
+  call->wait = call->refused ? MIN (call->wait, outcome->wait)
+                             : outcome->wait;
+  call->refused = true;
+  call->reason = outcome->reason;
+  if (outcome->reason == CS_REFUSED_CRASHER)
+    {
+      end_refused (call);
+      return;
+    }
+  if (outcome->arrived && outcome->reason != CS_REFUSED_INSTANCE)
+    {
+      if (may_repeat (call))
+        repeat (call, "shed");
+      else
+        end_refused (call);
+      return;
+    }
+  dispatch (call);
+}
+
+static void
+take_answer (call_t *call, const cs_outcome_t *outcome)
+{
+  peer_t *peer = call->peer;
+  note_average (&call->state->work, outcome->ran);
+  note_average (work_at (peer, call->route->path), outcome->ran);
+  if (outcome->status >= 500 && call->route->idempotent
+      && may_repeat (call))
+    {
+      repeat (call, "failed");
+      return;
+    }
+  end_answered (call, outcome);
+}
+
+void
+call_outcome (call_t *call, peer_t *peer, const cs_outcome_t *outcome)
+{
+  call->arrivals += outcome->arrived;
+  (void)peer;
+  switch (outcome->kind)
+    {
+    case CS_OUTCOME_ANSWERED:
+      take_answer (call, outcome);
+      break;
+    case CS_OUTCOME_REFUSED:
+      take_refusal (call, outcome);
+      break;
+    case CS_OUTCOME_BROKEN:
+      if (call->route->idempotent && may_repeat (call))
+        repeat (call, "broken");
+      else if (traffic_now (call->traffic) >= call->limit)
+        end_failed (call, 504, "no answer by the limit");
+      else
+        end_failed (call, 502, "broken at the server");
+    }
+}
+
+void
+call_send_ask (call_t *call, peer_t *peer)
+{
+  cs_pack_t pack;
+  if (peer->greeted_boot != call->boot)
+    {
+      /* Who could tell is gone.  */
+      g_hash_table_remove (peer->asked, &call->number);
+      end_failed (call, 502, "the node beside the server ended");
+      return;
+    }
+  cs_pack_init (&pack);
+  cs_pack_array (&pack, 3);
+  cs_pack_number (&pack, CS_FRAME_ASK);
+  cs_pack_unsigned (&pack, call->number);
+  cs_pack_str (&pack, id_of (call));
+  peer_send (peer, &pack);
+  cs_pack_clear (&pack);
+}
+
+void
+call_stranded (call_t *call, peer_t *peer)
+{
+  if (!call->route->idempotent)
+    {
+      /* It may run: only that node can tell.  */
+      g_hash_table_insert (peer->asked, &call->number, call);
+      return;
+    }
+  call->arrivals++;
+  if (may_repeat (call))
+    repeat (call, "stream");
+  else
+    end_failed (call, 502, "stream lost");
+}
+
+/* Tell the node that works on CALL that nobody waits any more.  */
+static void
+call_off (call_t *call)
+{
+  peer_t *peer = call->peer;
+  cs_pack_t pack;
+  if (call->run)
+    {
+      cs_runner_cancel (call->traffic->runner, call->run);
+      call->run = NULL;
+    }
+  if (!peer || peer->self)
+    return;
+  g_hash_table_remove (peer->asked, &call->number);
+  if (!g_hash_table_remove (peer->calls, &call->number))
+    return;
+  cs_pack_init (&pack);
+  cs_pack_array (&pack, 2);
+  cs_pack_number (&pack, CS_FRAME_CANCEL);
+  cs_pack_unsigned (&pack, call->number);
+  peer_send (peer, &pack);
+  cs_pack_clear (&pack);
+}
+
+static void
+on_limit (uv_timer_t *timer)
+{
+  call_t *call = timer->data;
+  /* What still waits here is taken out of the queue and has not run.  */
+  bool waits = call->run && cs_task_is_waiting (call->run);
+  call_off (call);
+  if (waits)
+    {
+      call->reason = CS_REFUSED_EXPIRED;
+      end_refused (call);
+    }
+  else
+    end_failed (call, 504, "no answer by the limit");
+}
+
+void
+calls_left (void *user, cs_exchange_t *exchange)
+{
+  call_t *call = exchange->user;
+  (void)user;
+  if (!call)
+    return;
+  call_off (call);
+  free_call (call);
+}
+
+/* Whether NAME is set by the node itself, or concerns only one hop.  */
+static bool
+is_own_field (cs_str_t name)
+{
+  return cs_field_is_hop (name) || cs_str_is (name, "content-length")
+         || cs_str_is (name, cs_headers->deadline)
+         || cs_str_is (name, cs_headers->instance)
+         || cs_str_is (name, cs_headers->caller);
+}
+
+/* Whether the Connection field of REQUEST names NAME.  */
+static bool
+is_named_by_connection (const cs_message_t *request, cs_str_t name)
+{
+  cs_str_t value = cs_message_field (request, "connection");
+  if (!value.len)
+    return false;
+  char *text = g_strndup (value.data, value.len);
+  char **words = g_strsplit (text, ",", -1);
+  bool named = false;
+  for (char **word = words; *word; word++)
+    named |= cs_str_is (name, g_strstrip (*word));
+  g_strfreev (words);
+  g_free (text);
+  return named;
+}
+
+/* The request line and fields for the server.  */
+static GString *
+head_for_server (const cs_traffic_t *t, const cs_message_t *request)
+{
+  GString *out = g_string_sized_new (request->head->len + 64);
+  bool framed = request->parser.flags & F_CHUNKED || request->body->len;
+  g_string_append (out, http_method_str (request->parser.method));
+  g_string_append_c (out, ' ');
+  g_string_append_len (out, request->target.data,
+                       (gssize)request->target.len);
+  g_string_append (out, " HTTP/1.1\r\n");
+  for (guint i = 0; i < request->fields->len; i++)
+    {
+      const cs_field_t *f = &g_array_index (request->fields, cs_field_t, i);
+      if (is_own_field (f->name) || is_named_by_connection (request, f->name))
+        continue;
+      g_string_append_len (out, f->name.data, (gssize)f->name.len);
+      g_string_append (out, ": ");
+      g_string_append_len (out, f->value.data, (gssize)f->value.len);
+      g_string_append (out, "\r\n");
+    }
+  if (t->caller_service[0])
+    g_string_append_printf (out, "%s: %s\r\n", cs_headers->caller,
+                            t->caller_service);
+  if (framed || cs_message_field (request, "content-length").data)
+    g_string_append_printf (out, "Content-Length: %zu\r\n",
+                            request->body->len);
+  return out;
+}
+
+/* Host without its port, target without its query.  */
+static const cs_route_t *
+route_of (const cs_snapshot_t *snapshot, const cs_message_t *request)
+{
+  cs_str_t host = cs_message_field (request, "host");
+  cs_str_t path = request->target;
+  const char *port = host.len ? memchr (host.data, ':', host.len) : NULL;
+  const char *query = path.len ? memchr (path.data, '?', path.len) : NULL;
+  if (port)
+    host.len = (size_t)(port - host.data);
+  if (query)
+    path.len = (size_t)(query - path.data);
+  return cs_snapshot_route (snapshot, host, path, CS_METHODS_ALL);
+}
+
+static uint64_t
+print_of (const cs_message_t *request)
+{
+  uint64_t print = cs_hash (request->target.data, request->target.len,
+                            request->parser.method);
+  return cs_hash (request->body->str, request->body->len, print);
+}
+
+static route_state_t *
+state_of (cs_traffic_t *t, const cs_route_t *route)
+{
+  route_state_t *state = g_hash_table_lookup (t->routes, route->path);
+  if (!state)
+    {
+      state = g_new0 (route_state_t, 1);
+      g_hash_table_insert (t->routes, g_strdup (route->path), state);
+    }
+  return state;
+}
+
+/* The service for the next request of ROUTE.  */
+static const char *
+service_for (route_state_t *state, const cs_route_t *route)
+{
+  int64_t weights[G_N_ELEMENTS (state->credit)] = { 0 };
+  if (!route->parts)
+    return route->service_path;
+  guint count = MIN (route->parts->len, G_N_ELEMENTS (state->credit));
+  for (guint i = 0; i < count; i++)
+    weights[i] = g_array_index (route->parts, cs_part_t, i).weight;
+  int part = cs_rotation_next (weights, state->credit, count);
+  return g_array_index (route->parts, cs_part_t, MAX (part, 0)).service_path;
+}
+
+static void
+choose_version (call_t *call)
+{
+  pool_t *pool = pool_of (call->traffic, call->service);
+  version_t *v = &pool->version;
+  if (!v->trial[0] || v->share_permille <= 0)
+    return;
+  int64_t weights[2]
+      = { CS_SHARE_ONE - v->share_permille, v->share_permille };
+  call->wants_trial = cs_rotation_next (weights, v->credit, 2) == 1;
+}
+
+static cs_snapshot_t *
+take_snapshot (cs_traffic_t *t)
+{
+  rcu_read_lock ();
+  cs_snapshot_t *snapshot = rcu_dereference (*t->published);
+  if (snapshot)
+    cs_snapshot_keep (snapshot);
+  rcu_read_unlock ();
+  return snapshot;
+}
+
+static void
+set_times (call_t *call, const cs_message_t *request)
+{
+  const cs_route_t *route = call->route;
+  cs_usec_t limit
+      = cs_message_number (request, cs_headers->deadline,
+                           LIMIT_DEFAULT / CS_MSEC, LIMIT_DEFAULT / CS_MSEC)
+        * CS_MSEC;
+  if (route->timeout_ms > 0)
+    limit = MIN (limit, route->timeout_ms * CS_MSEC);
+  call->arrived = traffic_now (call->traffic);
+  call->limit = call->arrived + limit;
+  call->target = call->limit;
+  if (route->target_ms > 0)
+    call->target
+        = MIN (call->limit, call->arrived + route->target_ms * CS_MSEC);
+}
+
+void
+calls_request (void *user, cs_exchange_t *exchange)
+{
+  cs_traffic_t *t = user;
+  const cs_message_t *request = &exchange->request;
+  cs_count (CS_C_CALLS, 1);
+  cs_snapshot_t *snapshot = take_snapshot (t);
+  if (!snapshot)
+    {
+      refuse_exchange (exchange, 503, START_RETRY_AFTER);
+      return;
+    }
+  const cs_route_t *route = route_of (snapshot, request);
+  if (!route)
+    {
+      cs_count (CS_C_NO_ROUTE, 1);
+      refuse_exchange (exchange, 404, 0);
+      cs_snapshot_drop (t->ctx, snapshot);
+      return;
+    }
+  call_t *call = g_new0 (call_t, 1);
+  call->traffic = t;
+  call->exchange = exchange;
+  call->snapshot = snapshot;
+  call->route = route;
+  call->state = state_of (t, route);
+  call->service = service_for (call->state, route);
+  call->head = head_for_server (t, request);
+  call->id = cs_message_field (request, cs_headers->attempt);
+  call->print = print_of (request);
+  call->reason = CS_REFUSED_GONE;
+  exchange->user = call;
+  t->calls++;
+  set_times (call, request);
+  choose_version (call);
+  cs_budget_request (&pool_of (t, call->service)->budget, &t->budget,
+                     call->arrived);
+  uv_timer_init (&t->loop, &call->timer);
+  call->timer.data = call;
+  uv_timer_start (&call->timer, on_limit,
+                  (uint64_t)((call->limit - call->arrived + LIMIT_GRACE)
+                             / CS_MSEC),
+                  0);
+  dispatch (call);
+}
--- a/source/config/document.c
+++ b/source/config/document.c
@@ -364,6 +364,10 @@
   g_free (route->host);
   g_free (route->prefix);
   g_free (route->service_path);
+  for (guint i = 0; route->parts && i < route->parts->len; i++)
+    g_free (g_array_index (route->parts, cs_part_t, i).service_path);
+  if (route->parts)
+    g_array_free (route->parts, TRUE);
   g_free (route);
 }
 
--- a/source/config/snapshot.c
+++ b/source/config/snapshot.c
@@ -91,6 +91,30 @@
   return by_match ? by_match : strcmp (ra->path, rb->path);
 }
 
+static void
+link_parts (build_t *build, cs_route_t *route)
+{
+  for (guint i = 0; route->parts && i < route->parts->len; i++)
+    {
+      cs_part_t *part = &g_array_index (route->parts, cs_part_t, i);
+      part->service = link_service (build, route->path, part->service_path);
+    }
+}
+
+static void
+index_host (cs_snapshot_t *snapshot, cs_route_t *route)
+{
+  char *host = g_ascii_strdown (route->host, -1);
+  GPtrArray *routes = g_hash_table_lookup (snapshot->by_host, host);
+  if (!routes)
+    {
+      routes = g_ptr_array_new ();
+      g_hash_table_insert (snapshot->by_host, g_strdup (host), routes);
+    }
+  g_ptr_array_add (routes, route);
+  g_free (host);
+}
+
 static void
 link_routes (build_t *build)
 {
@@ -99,7 +123,12 @@
   for (guint i = 0; i < routes->len; i++)
     {
       cs_route_t *route = routes->pdata[i];
-      route->service = link_service (build, route->path, route->service_path);
+      if (route->parts)
+        link_parts (build, route);
+      else
+        route->service
+            = link_service (build, route->path, route->service_path);
+      index_host (build->snapshot, route);
       for (guint j = i; j-- > 0;)
         {
           const cs_route_t *other = routes->pdata[j];
@@ -176,20 +205,60 @@
   g_hash_table_unref (busy);
 }
 
-cs_status_t
-cs_snapshot_build (cs_ctx_t *ctx, int64_t version, cs_docs_t *docs,
-                   cs_snapshot_t **snapshot, GString *errors)
+cs_snapshot_t *
+cs_snapshot_new (cs_ctx_t *ctx, int64_t version)
 {
-  gsize before = errors->len;
   cs_snapshot_t *made = cs_calloc (ctx, sizeof *made);
+  g_atomic_ref_count_init (&made->refs);
   made->version = version;
-  made->digest = cs_docs_digest (docs);
-  made->docs = docs;
   made->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, cs_service_free);
   made->routes = g_ptr_array_new_with_free_func (cs_route_free);
   made->moves
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, cs_move_free);
+  made->by_host = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                         (GDestroyNotify)g_ptr_array_unref);
+  return made;
+}
+
+void
+cs_snapshot_add_service (cs_snapshot_t *snapshot, cs_service_t *service)
+{
+  g_hash_table_insert (snapshot->services, service->path, service);
+}
+
+void
+cs_snapshot_add_route (cs_snapshot_t *snapshot, cs_route_t *route)
+{
+  g_ptr_array_add (snapshot->routes, route);
+}
+
+cs_status_t
+cs_snapshot_link (cs_ctx_t *ctx, cs_snapshot_t *snapshot, GString *errors)
+{
+  gsize before = errors->len;
+  build_t build = { .ctx = ctx, .snapshot = snapshot, .errors = errors };
+  link_routes (&build);
+  if (errors->len != before)
+    return cs_fail (ctx, CS_BAD_INPUT, "%s", errors->str + before);
+  return CS_OK;
+}
+
+cs_snapshot_t *
+cs_snapshot_keep (cs_snapshot_t *snapshot)
+{
+  g_atomic_ref_count_inc (&snapshot->refs);
+  return snapshot;
+}
+
+cs_status_t
+cs_snapshot_build (cs_ctx_t *ctx, int64_t version, cs_docs_t *docs,
+                   cs_snapshot_t **snapshot, GString *errors)
+{
+  gsize before = errors->len;
+  cs_snapshot_t *made = cs_snapshot_new (ctx, version);
+  made->digest = cs_docs_digest (docs);
+  made->docs = docs;
   build_t build = { .ctx = ctx, .snapshot = made, .errors = errors };
   build.states
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, cs_move_free);
@@ -209,12 +278,14 @@
 void
 cs_snapshot_drop (cs_ctx_t *ctx, cs_snapshot_t *snapshot)
 {
-  if (!snapshot)
+  if (!snapshot || !g_atomic_ref_count_dec (&snapshot->refs))
     return;
+  g_hash_table_unref (snapshot->by_host);
   g_ptr_array_unref (snapshot->routes);
   g_hash_table_unref (snapshot->moves);
   g_hash_table_unref (snapshot->services);
-  cs_docs_drop (ctx, snapshot->docs);
+  if (snapshot->docs)
+    cs_docs_drop (ctx, snapshot->docs);
   cs_free (ctx, snapshot);
 }
 
@@ -229,27 +300,30 @@
   return path.data[p.len] == '/' || path.data[p.len] == '?';
 }
 
-static bool
-host_matches (const char *pattern, cs_str_t host)
+static const cs_route_t *
+route_among (const GPtrArray *routes, cs_str_t path, unsigned method)
 {
-  if (strcmp (pattern, "*") == 0)
-    return true;
-  return strlen (pattern) == host.len
-         && g_ascii_strncasecmp (pattern, host.data, host.len) == 0;
+  for (guint i = 0; routes && i < routes->len; i++)
+    {
+      const cs_route_t *route = routes->pdata[i];
+      if ((route->methods & method) && prefix_matches (route->prefix, path))
+        return route;
+    }
+  return NULL;
 }
 
 const cs_route_t *
 cs_snapshot_route (const cs_snapshot_t *snapshot, cs_str_t host, cs_str_t path,
                    unsigned method)
 {
-  for (guint i = 0; i < snapshot->routes->len; i++)
-    {
-      const cs_route_t *route = snapshot->routes->pdata[i];
-      if ((route->methods & method) && host_matches (route->host, host)
-          && prefix_matches (route->prefix, path))
-        return route;
-    }
-  return NULL;
+  char *name = g_ascii_strdown (host.data ? host.data : "",
+                                (gssize)host.len);
+  const cs_route_t *route = route_among (
+      g_hash_table_lookup (snapshot->by_host, name), path, method);
+  g_free (name);
+  return route ? route
+               : route_among (g_hash_table_lookup (snapshot->by_host, "*"),
+                              path, method);
 }
 
 const cs_move_t *
--- /dev/null
+++ b/source/http1/headers.c
@@ -0,0 +1,11 @@
+#include "cardamom/headers.h"
+
+static const cs_headers_t own = { .attempt = "Cardamom-Attempt",
+                                  .deadline = "Cardamom-Deadline-Ms",
+                                  .instance = "Cardamom-Instance",
+                                  .caller = "Cardamom-Caller",
+                                  .seal = "Cardamom-Seal",
+                                  .not_run = "Cardamom-Not-Run",
+                                  .load = "Cardamom-Load" };
+
+const cs_headers_t *cs_headers = &own;
--- /dev/null
+++ b/source/http1/message.c
@@ -0,0 +1,323 @@
+#include <string.h>
+
+#include "cardamom/message.h"
+
+#define HEAD_KEPT 4096 /* Bytes of a buffer kept between messages.  */
+#define BODY_KEPT 8192
+#define FIELDS_MAX 100 /* More fields than any proper client sends.  */
+
+static int
+refuse (cs_message_t *m, int status, const char *why)
+{
+  if (!m->fault)
+    {
+      m->fault = status;
+      m->why = why;
+    }
+  return 1;
+}
+
+static int
+on_url (http_parser *parser, const char *at, size_t len)
+{
+  cs_message_t *m = parser->data;
+  if (m->target.data && at == m->target.data + m->target.len)
+    m->target.len += len;
+  else
+    m->target = (cs_str_t){ .data = at, .len = len };
+  return 0;
+}
+
+static int
+on_name (http_parser *parser, const char *at, size_t len)
+{
+  cs_message_t *m = parser->data;
+  if (m->head_done)
+    return 0;
+  if (memchr (at, ' ', len) || memchr (at, '\t', len))
+    return refuse (m, 400, "white space in a field name");
+  if (m->fields->len >= FIELDS_MAX)
+    return refuse (m, 431, "too many fields");
+  cs_field_t field = { .name = { .data = at, .len = len } };
+  g_array_append_val (m->fields, field);
+  return 0;
+}
+
+static int
+on_value (http_parser *parser, const char *at, size_t len)
+{
+  cs_message_t *m = parser->data;
+  if (m->head_done || !m->fields->len)
+    return 0;
+  cs_field_t *field = &g_array_index (m->fields, cs_field_t,
+                                      m->fields->len - 1);
+  while (len && (at[len - 1] == ' ' || at[len - 1] == '\t'))
+    len--;
+  field->value = (cs_str_t){ .data = at, .len = len };
+  return 0;
+}
+
+static unsigned
+count_field (const cs_message_t *m, const char *name)
+{
+  unsigned count = 0;
+  for (guint i = 0; i < m->fields->len; i++)
+    count += cs_str_is (g_array_index (m->fields, cs_field_t, i).name, name);
+  return count;
+}
+
+static int
+on_head (http_parser *parser)
+{
+  cs_message_t *m = parser->data;
+  bool request = parser->type == HTTP_REQUEST;
+  m->head_done = true;
+  parser->upgrade = 0;
+  if (count_field (m, "content-length") > 1)
+    return refuse (m, 400, "repeated Content-Length"), -1;
+  if (count_field (m, "transfer-encoding") && count_field (m, "content-length"))
+    return refuse (m, 400, "two framings"), -1;
+  if (request
+      && (count_field (m, "host") > 1
+          || (!count_field (m, "host")
+              && (parser->http_major > 1 || parser->http_minor > 0))))
+    return refuse (m, 400, "not exactly one Host"), -1;
+  if (request && parser->method == HTTP_CONNECT)
+    return refuse (m, 400, "CONNECT"), -1;
+  if (parser->content_length != UINT64_MAX
+      && parser->content_length > m->body_max)
+    return refuse (m, 413, "body over the limit"), -1;
+  if (!request && !m->skip_body && parser->status_code >= 200
+      && parser->status_code != 204 && parser->status_code != 304
+      && !(parser->flags & F_CHUNKED) && parser->content_length == UINT64_MAX)
+    m->to_eof = true;
+  return m->skip_body ? 1 : 0;
+}
+
+static int
+on_body (http_parser *parser, const char *at, size_t len)
+{
+  cs_message_t *m = parser->data;
+  if (m->body->len + len > m->body_max)
+    return refuse (m, 413, "body over the limit");
+  g_string_append_len (m->body, at, (gssize)len);
+  return 0;
+}
+
+static int
+on_complete (http_parser *parser)
+{
+  cs_message_t *m = parser->data;
+  m->done = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings settings = {
+  .on_url = on_url,
+  .on_header_field = on_name,
+  .on_header_value = on_value,
+  .on_headers_complete = on_head,
+  .on_body = on_body,
+  .on_message_complete = on_complete,
+};
+
+void
+cs_message_init (cs_message_t *m, enum http_parser_type type, size_t head_max,
+                 size_t body_max)
+{
+  *m = (cs_message_t){ .head = g_string_new (NULL),
+                       .body = g_string_new (NULL),
+                       .fields
+                       = g_array_sized_new (FALSE, FALSE, sizeof (cs_field_t),
+                                            12),
+                       .head_max = head_max,
+                       .body_max = body_max };
+  http_parser_init (&m->parser, type);
+  m->parser.data = m;
+}
+
+void
+cs_message_clear (cs_message_t *m)
+{
+  if (!m->head)
+    return;
+  g_string_free (m->head, TRUE);
+  g_string_free (m->body, TRUE);
+  g_array_free (m->fields, TRUE);
+  m->head = m->body = NULL;
+  m->fields = NULL;
+}
+
+static void
+empty (GString **text, gsize kept)
+{
+  if ((*text)->allocated_len > kept)
+    {
+      g_string_free (*text, TRUE);
+      *text = g_string_new (NULL);
+    }
+  else
+    g_string_truncate (*text, 0);
+}
+
+void
+cs_message_reset (cs_message_t *m)
+{
+  empty (&m->head, HEAD_KEPT);
+  empty (&m->body, BODY_KEPT);
+  g_array_set_size (m->fields, 0);
+  m->target = (cs_str_t){ 0 };
+  m->head_done = m->done = m->skip_body = m->to_eof = false;
+  m->fault = 0;
+  m->why = NULL;
+  http_parser_init (&m->parser, m->parser.type);
+}
+
+/* Append to the head up to its blank line; the bytes taken.  WHOLE tells
+   whether the blank line was there.  */
+static size_t
+gather_head (cs_message_t *m, const char *data, size_t len, bool *whole)
+{
+  size_t used = 0;
+  *whole = false;
+  if (!m->head->len)
+    while (used < len && (data[used] == '\r' || data[used] == '\n'))
+      used++;
+  while (used < len && !*whole)
+    {
+      const char *end = memchr (data + used, '\n', len - used);
+      size_t take = end ? (size_t)(end - (data + used)) + 1 : len - used;
+      if (m->head->len + take > m->head_max)
+        {
+          refuse (m, 431, "head over the limit");
+          return len;
+        }
+      g_string_append_len (m->head, data + used, (gssize)take);
+      used += take;
+      *whole = end && m->head->len >= 4
+               && memcmp (m->head->str + m->head->len - 4, "\r\n\r\n", 4) == 0;
+    }
+  return used;
+}
+
+/* What http-parser lets through and RFC 9112 does not.  */
+static void
+check_lines (cs_message_t *m)
+{
+  const char *text = m->head->str;
+  for (gsize i = 0; i < m->head->len; i++)
+    if (text[i] == '\n' && (i == 0 || text[i - 1] != '\r'))
+      refuse (m, 400, "bare line feed");
+    else if (text[i] == '\n' && (text[i + 1] == ' ' || text[i + 1] == '\t'))
+      refuse (m, 400, "folded line");
+    else if (text[i] == '\0')
+      refuse (m, 400, "NUL in the head");
+}
+
+static size_t
+parse (cs_message_t *m, const char *data, size_t len)
+{
+  size_t used = http_parser_execute (&m->parser, &settings, data, len);
+  enum http_errno error = HTTP_PARSER_ERRNO (&m->parser);
+  if (error != HPE_OK && error != HPE_PAUSED)
+    refuse (m, 400, http_errno_description (error));
+  return used;
+}
+
+size_t
+cs_message_feed (cs_message_t *m, const char *data, size_t len)
+{
+  size_t used = 0;
+  if (m->fault || m->done)
+    return 0;
+  if (!m->head_done)
+    {
+      bool whole;
+      used = gather_head (m, data, len, &whole);
+      if (whole && !m->fault)
+        check_lines (m);
+      if (!whole || m->fault)
+        return used;
+      parse (m, m->head->str, m->head->len);
+      if (!m->head_done)
+        refuse (m, 400, "head not understood");
+      if (m->fault)
+        return used;
+    }
+  if (!m->done && used < len)
+    used += parse (m, data + used, len - used);
+  return used;
+}
+
+bool
+cs_message_end (cs_message_t *m)
+{
+  if (!m->head_done || m->done || m->fault)
+    return m->done;
+  if (!m->to_eof)
+    return false;
+  m->done = true;
+  return true;
+}
+
+bool
+cs_message_begun (const cs_message_t *m)
+{
+  return m->head->len > 0;
+}
+
+cs_str_t
+cs_message_field (const cs_message_t *m, const char *name)
+{
+  for (guint i = 0; i < m->fields->len; i++)
+    {
+      const cs_field_t *field = &g_array_index (m->fields, cs_field_t, i);
+      if (cs_str_is (field->name, name))
+        return field->value;
+    }
+  return (cs_str_t){ 0 };
+}
+
+int64_t
+cs_message_number (const cs_message_t *m, const char *name, int64_t max,
+                   int64_t missing)
+{
+  cs_str_t value = cs_message_field (m, name);
+  int64_t number = 0;
+  if (!value.len || value.len > 18)
+    return missing;
+  for (size_t i = 0; i < value.len; i++)
+    {
+      if (!g_ascii_isdigit (value.data[i]))
+        return missing;
+      number = number * 10 + (value.data[i] - '0');
+    }
+  return number > max ? missing : number;
+}
+
+bool
+cs_message_keeps (const cs_message_t *m)
+{
+  return !m->to_eof && http_should_keep_alive (&m->parser);
+}
+
+bool
+cs_field_is_hop (cs_str_t name)
+{
+  static const char *const hop[]
+      = { "connection", "keep-alive",        "proxy-connection", "te",
+          "trailer",    "transfer-encoding", "upgrade",          "expect",
+          "proxy-authenticate", "proxy-authorization" };
+  for (size_t i = 0; i < G_N_ELEMENTS (hop); i++)
+    if (cs_str_is (name, hop[i]))
+      return true;
+  return false;
+}
+
+bool
+cs_str_is (cs_str_t s, const char *text)
+{
+  return s.len == strlen (text)
+         && g_ascii_strncasecmp (s.data, text, s.len) == 0;
+}
--- a/source/kernel/registry.c
+++ b/source/kernel/registry.c
@@ -12,6 +12,7 @@
     [CS_PLUGIN_BALANCER] = "balancer",
     [CS_PLUGIN_LIMITER] = "limiter",
     [CS_PLUGIN_JUDGE] = "judge",
+    [CS_PLUGIN_ADAPTER] = "adapter",
   };
   return names[kind];
 }
--- /dev/null
+++ b/source/sidecar/control.h
@@ -0,0 +1,87 @@
+/* The control thread: what the node believes, and the platform's table.  */
+#ifndef SIDECAR_CONTROL_H
+#define SIDECAR_CONTROL_H
+
+#define RCU_MB /* No membarrier call: it is not to be had everywhere.  */
+#include <urcu.h>
+
+#include "cardamom/adapter.h"
+#include "cardamom/counters.h"
+#include "cardamom/event.h"
+#include "cardamom/feed.h"
+#include "cardamom/judge.h"
+#include "cardamom/server.h"
+#include "cardamom/traffic.h"
+
+#include "settings.h"
+
+/* What is known of a node.  */
+typedef struct
+{
+  cs_member_t member;
+  bool reachable;
+} known_t;
+
+typedef struct control control_t;
+
+struct control
+{
+  cs_ctx_t *ctx;
+  uv_loop_t loop;
+  uv_timer_t tick;
+  uv_signal_t term, interrupt, hangup;
+  cs_mailbox_t box;
+  const char *settings_path;
+  node_settings_t settings;
+  const cs_adapter_vtable_t *adapter;
+  cs_table_t *table;
+  cs_traffic_t *traffic;
+  cs_server_t *ready, *reports, *metrics;
+  int64_t boot; /* Wall milliseconds of the start.  */
+  cs_life_t life;
+  GHashTable *members; /* name -> known_t *.  */
+  /* Rows.  */
+  GHashTable *rows;   /* key -> cs_entry_t * of CS_SPACE_ORDERS.  */
+  int64_t seen;       /* Revision up to which ROWS is whole.  */
+  cs_usec_t fresh_at; /* When ROWS was last known to be whole.  */
+  cs_usec_t signed_at, wanted_at, retry_at;
+  cs_usec_t walls_apart; /* BOOTTIME less MONOTONIC.  */
+  cs_usec_t ticked_at;
+  unsigned start_step;
+  bool busy;     /* A read or watch is under way.  */
+  bool table_up; /* The last call was answered.  */
+  cs_snapshot_t *snapshot; /* Published to the traffic thread.  */
+  GHashTable *moves;       /* service -> move_t *.  */
+  cs_usec_t moved_at;
+  bool stopping;
+};
+
+static inline cs_usec_t
+control_now (const control_t *c)
+{
+  return c->ctx->clock->monotonic (c->ctx->clock);
+}
+
+/* control.c */
+void control_run (cs_ctx_t *ctx, const char *settings_path);
+
+/* rows.c */
+void rows_tick (control_t *c, cs_usec_t now);
+void rows_take_row (control_t *c, const char *from, cs_cursor_t *in);
+void rows_take_sync (control_t *c, const char *from, cs_cursor_t *in);
+void rows_give (control_t *c, const char *node);
+/* The place of this node among those of its region that read.  */
+unsigned rows_rank (const control_t *c);
+void control_note_table (control_t *c, cs_status_t status);
+
+/* moves.c */
+void moves_order (control_t *c, const cs_entry_t *entry);
+void moves_row (control_t *c, const cs_entry_t *entry);
+void moves_take_move (control_t *c, const char *from, cs_cursor_t *in);
+void moves_take_evidence (control_t *c, const char *from, cs_cursor_t *in);
+void moves_tick (control_t *c, cs_usec_t now);
+
+/* entry.c */
+cs_status_t entry_listen (control_t *c);
+
+#endif
--- /dev/null
+++ b/source/sidecar/rows.c
@@ -0,0 +1,437 @@
+/* Rows of the platform's table: read here or by another node of the region,
+   and put in force.  */
+#include <string.h>
+
+#include "control.h"
+
+#define RETRY_PAUSE (150 * CS_MSEC) /* After a call that failed.  */
+#define WANT_PAUSE (400 * CS_MSEC)  /* Between questions to other nodes.  */
+#define SIGN_MAX_AGE (3600 * CS_SEC)
+
+unsigned
+rows_rank (const control_t *c)
+{
+  GHashTableIter iter;
+  gpointer value;
+  unsigned rank = 0;
+  g_hash_table_iter_init (&iter, c->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const known_t *known = value;
+      const cs_member_t *m = &known->member;
+      rank += known->reachable && !m->stopping
+              && strcmp (m->region, c->settings.region) == 0
+              && strcmp (m->name, c->settings.node) < 0;
+    }
+  return rank;
+}
+
+static void
+set_limits (control_t *c, const cs_limits_t *l)
+{
+  cs_server_limits_t limits
+      = { .head_max = l->head_max > 0 ? (size_t)l->head_max : 16384,
+          .body_max = l->body_max > 0 ? (size_t)l->body_max : 64u << 20,
+          .head_timeout
+          = (l->head_timeout_ms > 0 ? l->head_timeout_ms : 3000) * CS_MSEC,
+          .idle_timeout
+          = (l->idle_timeout_ms > 0 ? l->idle_timeout_ms : 15000) * CS_MSEC };
+  cs_traffic_set_limits (c->traffic, &limits);
+}
+
+static void
+publish (control_t *c, cs_snapshot_t *snapshot)
+{
+  cs_snapshot_t *before = c->snapshot;
+  rcu_set_pointer (&c->snapshot, snapshot);
+  set_limits (c, &snapshot->limits);
+  if (before)
+    {
+      synchronize_rcu ();
+      cs_snapshot_drop (c->ctx, before);
+    }
+  cs_count (CS_C_CONFIG_APPLIED, 1);
+  cs_gauge (CS_C_G_CONFIG_VERSION, (uint64_t)snapshot->version);
+  cs_event (CS_E_CONFIG, "version=%" G_GINT64_FORMAT " routes=%u services=%u",
+            snapshot->version, snapshot->routes->len,
+            g_hash_table_size (snapshot->services));
+}
+
+static void
+take_config (control_t *c, const cs_entry_t *entry)
+{
+  cs_snapshot_t *snapshot;
+  if (c->adapter->config (c->ctx, cs_str_of_gstring (entry->value), &snapshot)
+      != CS_OK)
+    {
+      cs_count (CS_C_CONFIG_REFUSED, 1);
+      cs_event (CS_E_CONFIG_BAD, "row=%s revision=%" G_GINT64_FORMAT
+                                 " why=\"%s\"",
+                entry->key, entry->revision, cs_message (c->ctx));
+      return;
+    }
+  if (c->snapshot && snapshot->version <= c->snapshot->version)
+    {
+      cs_count (CS_C_CONFIG_STALE, 1);
+      cs_snapshot_drop (c->ctx, snapshot);
+      return;
+    }
+  publish (c, snapshot);
+}
+
+/* Put ENTRY, which is taken over, in force unless it is known.  Returns
+   whether it is new.  */
+static bool
+take_entry (control_t *c, cs_entry_t *entry)
+{
+  const cs_entry_t *known = g_hash_table_lookup (c->rows, entry->key);
+  if (known && known->revision >= entry->revision)
+    {
+      cs_entry_free (entry);
+      return false;
+    }
+  g_hash_table_replace (c->rows, entry->key, entry);
+  if (!entry->value)
+    return true;
+  switch (c->adapter->order_kind (entry->key))
+    {
+    case CS_ORDER_CONFIG:
+      take_config (c, entry);
+      break;
+    case CS_ORDER_MOVE:
+      moves_order (c, entry);
+      break;
+    case CS_ORDER_OTHER:
+      break;
+    }
+  return true;
+}
+
+static void
+pack_row (cs_pack_t *pack, const cs_entry_t *entry)
+{
+  cs_pack_init (pack);
+  cs_pack_array (pack, 5);
+  cs_pack_number (pack, CS_FRAME_ROW);
+  cs_pack_text (pack, entry->key);
+  cs_pack_number (pack, entry->revision);
+  cs_pack_number (pack, entry->value != NULL);
+  cs_pack_bytes (pack, entry->value ? cs_str_of_gstring (entry->value)
+                                    : CS_STR (""));
+}
+
+static void
+pass_on (control_t *c, const cs_entry_t *entry, const char *node)
+{
+  cs_pack_t pack;
+  pack_row (&pack, entry);
+  cs_traffic_send (c->traffic, node, c->settings.region,
+                   cs_pack_payload (&pack));
+  cs_pack_clear (&pack);
+}
+
+void
+rows_give (control_t *c, const char *node)
+{
+  GHashTableIter iter;
+  gpointer entry;
+  g_hash_table_iter_init (&iter, c->rows);
+  while (g_hash_table_iter_next (&iter, NULL, &entry))
+    pass_on (c, entry, node);
+}
+
+/* What two nodes with the same rows have in common.  */
+static int64_t
+digest_of (const control_t *c)
+{
+  GHashTableIter iter;
+  gpointer entry;
+  int64_t digest = 0;
+  g_hash_table_iter_init (&iter, c->rows);
+  while (g_hash_table_iter_next (&iter, NULL, &entry))
+    digest += ((const cs_entry_t *)entry)->revision;
+  return digest;
+}
+
+/* Tell the region how fresh the rows are.  */
+static void
+send_sign (control_t *c, cs_usec_t now)
+{
+  cs_pack_t pack;
+  c->signed_at = now;
+  cs_pack_init (&pack);
+  cs_pack_array (&pack, 4);
+  cs_pack_number (&pack, CS_FRAME_SYNC);
+  cs_pack_number (&pack, c->seen);
+  cs_pack_number (&pack, digest_of (c));
+  cs_pack_number (&pack, now - c->fresh_at);
+  cs_traffic_send (c->traffic, NULL, c->settings.region,
+                   cs_pack_payload (&pack));
+  cs_pack_clear (&pack);
+}
+
+static void
+ask_rows (control_t *c, const char *node)
+{
+  cs_pack_t pack;
+  cs_usec_t now = control_now (c);
+  if (now - c->wanted_at < WANT_PAUSE)
+    return;
+  c->wanted_at = now;
+  cs_pack_init (&pack);
+  cs_pack_array (&pack, 1);
+  cs_pack_number (&pack, CS_FRAME_WANT);
+  cs_traffic_send (c->traffic, node, NULL, cs_pack_payload (&pack));
+  cs_pack_clear (&pack);
+}
+
+void
+rows_take_row (control_t *c, const char *from, cs_cursor_t *in)
+{
+  cs_entry_t *entry = g_new0 (cs_entry_t, 1);
+  entry->space = CS_SPACE_ORDERS;
+  entry->key = cs_take_text (in);
+  entry->revision = cs_take_number (in);
+  bool exists = cs_take_number (in) != 0;
+  cs_str_t value = cs_take_str (in);
+  if (exists)
+    entry->value = g_string_new_len (value.data, (gssize)value.len);
+  (void)from;
+  if (in->bad)
+    cs_entry_free (entry);
+  else
+    take_entry (c, entry);
+}
+
+void
+rows_take_sync (control_t *c, const char *from, cs_cursor_t *in)
+{
+  int64_t seen = cs_take_number (in);
+  int64_t digest = cs_take_number (in);
+  cs_usec_t age = cs_take_number (in);
+  if (in->bad || age < 0 || age > SIGN_MAX_AGE || !c->seen)
+    return;
+  if (seen > c->seen && digest != digest_of (c))
+    {
+      /* A row was passed on before the stream from that node stood.  */
+      ask_rows (c, from);
+      return;
+    }
+  c->seen = MAX (c->seen, seen);
+  c->fresh_at = MAX (c->fresh_at, control_now (c) - age);
+}
+
+void
+control_note_table (control_t *c, cs_status_t status)
+{
+  bool up = status == CS_OK || status == CS_CONFLICT
+            || status == CS_NOT_FOUND;
+  if (up != c->table_up)
+    cs_event (CS_E_STORE, "state=%s status=%s seen=%" G_GINT64_FORMAT,
+              up ? "regained" : "lost", cs_status_name (status), c->seen);
+  c->table_up = up;
+}
+
+/* The end of a read (the rows of a space) or a watch.  */
+static void
+take_rows (control_t *c, cs_status_t status, GPtrArray *entries,
+           int64_t revision, bool pass)
+{
+  cs_usec_t now = control_now (c);
+  c->busy = false;
+  control_note_table (c, status);
+  if (status == CS_NOT_FOUND)
+    {
+      c->seen = 0; /* Read the whole space anew.  */
+      return;
+    }
+  if (status != CS_OK)
+    {
+      c->retry_at = now + RETRY_PAUSE;
+      return;
+    }
+  bool news = false;
+  for (guint i = 0; i < entries->len; i++)
+    {
+      cs_entry_t *entry = entries->pdata[i];
+      if (entry->space != CS_SPACE_ORDERS)
+        continue;
+      cs_entry_t *copy = g_new0 (cs_entry_t, 1);
+      *copy = (cs_entry_t){ .space = entry->space,
+                            .key = g_strdup (entry->key),
+                            .value = entry->value,
+                            .revision = entry->revision };
+      entry->value = NULL;
+      if (take_entry (c, copy) && pass)
+        {
+          pass_on (c, g_hash_table_lookup (c->rows, entry->key), NULL);
+          news = true;
+        }
+    }
+  c->seen = MAX (c->seen, revision);
+  c->fresh_at = now;
+  if (news)
+    send_sign (c, now);
+  rows_tick (c, now);
+}
+
+static void
+on_orders (void *user, cs_status_t status, GPtrArray *entries,
+           int64_t revision)
+{
+  take_rows (user, status, entries, revision, false);
+}
+
+static void
+on_changes (void *user, cs_status_t status, GPtrArray *entries,
+            int64_t revision)
+{
+  take_rows (user, status, entries, revision, true);
+}
+
+/* The first steps, each repeated until it succeeds: be found, find the
+   others, learn where moves stand, read the orders.  */
+enum
+{
+  STEP_REGISTER,
+  STEP_NODES,
+  STEP_MOVES,
+  STEP_ORDERS
+};
+
+static void
+end_step (control_t *c, cs_status_t status)
+{
+  c->busy = false;
+  control_note_table (c, status);
+  if (status == CS_OK)
+    c->start_step++;
+  else
+    c->retry_at = control_now (c) + RETRY_PAUSE;
+}
+
+static void
+on_registered (void *user, cs_status_t status, GPtrArray *entries,
+               int64_t revision)
+{
+  (void)entries, (void)revision;
+  end_step (user, status);
+}
+
+static void
+on_nodes (void *user, cs_status_t status, GPtrArray *entries,
+          int64_t revision)
+{
+  control_t *c = user;
+  (void)revision;
+  for (guint i = 0; status == CS_OK && i < entries->len; i++)
+    {
+      const cs_entry_t *entry = entries->pdata[i];
+      cs_unpack_t unpack;
+      cs_cursor_t in;
+      cs_member_t member;
+      if (!entry->value
+          || cs_unpack_init (c->ctx, &unpack,
+                             cs_str_of_gstring (entry->value), &in)
+                 != CS_OK)
+        continue;
+      cs_member_take (&in, &member);
+      if (!in.bad && strcmp (member.name, c->settings.node) != 0)
+        cs_traffic_learn (c->traffic, &member);
+      cs_unpack_clear (&unpack);
+    }
+  end_step (c, status);
+}
+
+static void
+on_moves (void *user, cs_status_t status, GPtrArray *entries,
+          int64_t revision)
+{
+  control_t *c = user;
+  (void)revision;
+  for (guint i = 0; status == CS_OK && i < entries->len; i++)
+    moves_row (c, entries->pdata[i]);
+  end_step (c, status);
+}
+
+static void
+register_node (control_t *c)
+{
+  cs_pack_t pack;
+  cs_member_t self = { .boot = c->boot };
+  g_strlcpy (self.name, c->settings.node, sizeof self.name);
+  g_strlcpy (self.dc, c->settings.dc, sizeof self.dc);
+  g_strlcpy (self.region, c->settings.region, sizeof self.region);
+  g_strlcpy (self.address, c->settings.peers, sizeof self.address);
+  cs_pack_init (&pack);
+  cs_pack_array (&pack, 1);
+  cs_member_pack (&pack, &self);
+  cs_put_t put = { .space = CS_SPACE_NODES,
+                   .key = c->settings.node,
+                   .value = cs_pack_payload (&pack) };
+  c->table->vtable->commit (c->table, NULL, 0, &put, 1, on_registered, c);
+  cs_pack_clear (&pack);
+}
+
+static void
+take_step (control_t *c)
+{
+  const cs_table_vtable_t *table = c->table->vtable;
+  c->busy = true;
+  switch (c->start_step)
+    {
+    case STEP_REGISTER:
+      register_node (c);
+      break;
+    case STEP_NODES:
+      table->read (c->table, CS_SPACE_NODES, on_nodes, c);
+      break;
+    case STEP_MOVES:
+      table->read (c->table, CS_SPACE_MOVES, on_moves, c);
+      break;
+    default:
+      table->read (c->table, CS_SPACE_ORDERS, on_orders, c);
+    }
+}
+
+/* Without the table, a node of the region is asked, another one each time.  */
+static void
+want_rows (control_t *c)
+{
+  GHashTableIter iter;
+  gpointer value;
+  const char *node = NULL;
+  int count = 0;
+  g_hash_table_iter_init (&iter, c->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const known_t *known = value;
+      if (known->reachable
+          && strcmp (known->member.name, c->settings.node) != 0
+          && g_rand_int_range (c->ctx->random, 0, ++count) == 0)
+        node = known->member.name;
+    }
+  if (node)
+    ask_rows (c, node);
+}
+
+void
+rows_tick (control_t *c, cs_usec_t now)
+{
+  unsigned rank = rows_rank (c);
+  bool reads = cs_feed_reads (rank, now - c->fresh_at);
+  if (!c->table_up && !c->snapshot)
+    want_rows (c);
+  if (reads && c->seen && now - c->signed_at >= CS_FEED_SIGN)
+    send_sign (c, now);
+  if (c->busy || now < c->retry_at)
+    return;
+  if (c->start_step < STEP_ORDERS || !c->seen)
+    take_step (c);
+  else if (reads)
+    {
+      c->busy = true;
+      c->table->vtable->watch (c->table, CS_SPACE_ORDERS, c->seen,
+                               CS_FEED_WAIT, on_changes, c);
+    }
+}
--- /dev/null
+++ b/source/sidecar/settings.c
@@ -0,0 +1,148 @@
+#include <jansson.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "settings.h"
+
+#define DURATION_MAX_S 86400.0
+
+typedef enum
+{
+  TEXT,
+  DURATION,
+  NUMBER, /* double.  */
+  COUNT   /* int64_t.  */
+} kind_t;
+
+static const struct
+{
+  const char *key;
+  kind_t kind;
+  size_t offset;
+  const char *fallback; /* NULL: the key is required.  */
+  const char *help;
+} keys[] = {
+#define AT(member) offsetof (node_settings_t, member)
+  { "node", TEXT, AT (node), NULL, "name of the node" },
+  { "data_centre", TEXT, AT (dc), NULL, "its data centre" },
+  { "region", TEXT, AT (region), NULL, "region of the data centre" },
+  { "callers", TEXT, AT (callers), NULL, "IP:PORT for callers" },
+  { "ready", TEXT, AT (ready), NULL, "IP:PORT of the readiness check" },
+  { "reports", TEXT, AT (reports), NULL,
+    "IP:PORT for reports of the backend server" },
+  { "peers", TEXT, AT (peers), NULL, "IP:PORT for other nodes" },
+  { "metrics", TEXT, AT (metrics), "", "IP:PORT of counters; empty: none" },
+  { "service", TEXT, AT (service), "", "service of the backend server" },
+  { "table", TEXT, AT (table), NULL, "IP:PORT of the platform's table" },
+  { "heartbeat", DURATION, AT (heartbeat), "1500ms",
+    "time between reports of the backend server" },
+  { "drain", DURATION, AT (drain), "2500ms",
+    "time from a server's leave to its last new request" },
+  { "grace", DURATION, AT (grace), "6s",
+    "time from a stop signal to the end of the process" },
+  { "contact", DURATION, AT (contact), "4s",
+    "silence after which a node counts as apart" },
+  { "retry_ratio", NUMBER, AT (budget.ratio), "0.2",
+    "second sends for each request of a service" },
+  { "retry_slack", NUMBER, AT (budget.slack), "50",
+    "second sends of all nodes besides, in a window" },
+  { "retry_window", DURATION, AT (budget.window), "10s",
+    "window of the two above" },
+  { "exposure_share", NUMBER, AT (exposure), "0.1",
+    "part of a service's requests that a bad version may get" },
+  { "exposure_slack", COUNT, AT (exposure_slack), "50",
+    "requests that it may get besides" },
+};
+
+cs_usec_t
+node_duration_parse (const char *text)
+{
+  char *end;
+  double value = g_ascii_strtod (text, &end);
+  if (end == text || !(value >= 0))
+    return -1;
+  double unit = strcmp (end, "s") == 0                      ? 1e6
+                : strcmp (end, "ms") == 0 || *end == '\0' ? 1e3
+                                                            : -1;
+  if (unit < 0 || value * unit > DURATION_MAX_S * 1e6)
+    return -1;
+  return (cs_usec_t)(value * unit);
+}
+
+/* Store TEXT as KIND at AT; false when it is none.  */
+static bool
+store (kind_t kind, const char *text, void *at)
+{
+  char *end;
+  switch (kind)
+    {
+    case TEXT:
+      return g_strlcpy (at, text, CS_LIFE_TEXT) < CS_LIFE_TEXT;
+    case DURATION:
+      *(cs_usec_t *)at = node_duration_parse (text);
+      return *(cs_usec_t *)at >= 0;
+    case NUMBER:
+      *(double *)at = g_ascii_strtod (text, &end);
+      return end != text && !*end && *(double *)at >= 0;
+    case COUNT:
+      *(int64_t *)at = g_ascii_strtoll (text, &end, 10);
+      return end != text && !*end && *(int64_t *)at >= 0;
+    }
+  return false;
+}
+
+/* VALUE as text in BUFFER, NULL when it is neither text nor number.  */
+static const char *
+text_of (const json_t *value, char buffer[G_ASCII_DTOSTR_BUF_SIZE])
+{
+  if (json_is_string (value))
+    return json_string_value (value);
+  if (json_is_number (value))
+    return g_ascii_dtostr (buffer, G_ASCII_DTOSTR_BUF_SIZE,
+                           json_number_value (value));
+  return NULL;
+}
+
+cs_status_t
+node_settings_read (cs_ctx_t *ctx, const char *path, node_settings_t *out)
+{
+  json_error_t error;
+  node_settings_t made = { 0 };
+  json_t *root = json_load_file (path, 0, &error);
+  if (!json_is_object (root))
+    {
+      json_decref (root);
+      return cs_fail (ctx, CS_BAD_INPUT,
+                      "%s is no JSON object (line %d: %s); write one", path,
+                      error.line, error.text);
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (keys); i++)
+    {
+      char number[G_ASCII_DTOSTR_BUF_SIZE];
+      const json_t *value = json_object_get (root, keys[i].key);
+      const char *text = text_of (value, number);
+      if (!value || json_is_null (value) || (text && !*text))
+        text = keys[i].fallback;
+      if (!text || !store (keys[i].kind, text, (char *)&made + keys[i].offset))
+        {
+          json_decref (root);
+          return cs_fail (ctx, CS_BAD_INPUT, "%s: %s: %s; give its %s", path,
+                          keys[i].key, value ? "wrong value" : "missing",
+                          keys[i].help);
+        }
+    }
+  json_decref (root);
+  *out = made;
+  return CS_OK;
+}
+
+void
+node_settings_reference (GString *out)
+{
+  g_string_append (out, "| key | default | meaning |\n|---|---|---|\n");
+  for (size_t i = 0; i < G_N_ELEMENTS (keys); i++)
+    g_string_append_printf (out, "| `%s` | %s | %s |\n", keys[i].key,
+                            keys[i].fallback ? keys[i].fallback : "required",
+                            keys[i].help);
+}
--- /dev/null
+++ b/source/stream/frames.c
@@ -0,0 +1,164 @@
+#include <string.h>
+
+#include "cardamom/frames.h"
+
+#define MEMBER_FIELDS 13
+#define JOB_FIELDS 12
+#define OUTCOME_FIELDS 15
+#define JOB_TIME_MAX (3600 * CS_SEC) /* No route allows as much.  */
+#define JOB_IDEMPOTENT 1
+#define JOB_HEAD_ONLY 2
+
+bool
+cs_member_newer (const cs_member_t *a, const cs_member_t *b)
+{
+  return a->boot != b->boot ? a->boot > b->boot : a->change > b->change;
+}
+
+void
+cs_member_pack (cs_pack_t *pack, const cs_member_t *m)
+{
+  cs_pack_array (pack, MEMBER_FIELDS);
+  cs_pack_text (pack, m->name);
+  cs_pack_text (pack, m->dc);
+  cs_pack_text (pack, m->region);
+  cs_pack_text (pack, m->address);
+  cs_pack_number (pack, m->boot);
+  cs_pack_number (pack, m->change);
+  cs_pack_number (pack, m->stopping);
+  cs_pack_number (pack, m->state);
+  cs_pack_text (pack, m->service);
+  cs_pack_text (pack, m->version);
+  cs_pack_text (pack, m->instance);
+  cs_pack_number (pack, m->slots);
+  cs_pack_number (pack, m->born_ms);
+}
+
+static void
+take_name (cs_cursor_t *cursor, char name[CS_LIFE_TEXT])
+{
+  cs_str_t text = cs_take_str (cursor);
+  if (text.len >= CS_LIFE_TEXT || memchr (text.data ? text.data : "", 0,
+                                          text.len))
+    {
+      cursor->bad = true;
+      return;
+    }
+  if (text.len)
+    memcpy (name, text.data, text.len);
+  name[text.len] = '\0';
+}
+
+void
+cs_member_take (cs_cursor_t *cursor, cs_member_t *m)
+{
+  cs_cursor_t in = cs_take_array (cursor);
+  *m = (cs_member_t){ 0 };
+  take_name (&in, m->name);
+  take_name (&in, m->dc);
+  take_name (&in, m->region);
+  take_name (&in, m->address);
+  m->boot = cs_take_number (&in);
+  m->change = cs_take_number (&in);
+  m->stopping = cs_take_number (&in) != 0;
+  int64_t state = cs_take_number (&in);
+  take_name (&in, m->service);
+  take_name (&in, m->version);
+  take_name (&in, m->instance);
+  m->slots = cs_take_number (&in);
+  m->born_ms = cs_take_number (&in);
+  if (in.bad || state < CS_LIFE_NONE || state > CS_LIFE_LOST || !m->name[0]
+      || m->slots < 0)
+    cursor->bad = true;
+  else
+    m->state = (cs_life_state_t)state;
+}
+
+void
+cs_job_pack (cs_pack_t *pack, uint64_t number, const cs_job_t *job)
+{
+  cs_pack_array (pack, JOB_FIELDS);
+  cs_pack_number (pack, CS_FRAME_JOB);
+  cs_pack_unsigned (pack, number);
+  cs_pack_number (pack, (job->idempotent ? JOB_IDEMPOTENT : 0)
+                            | (job->head_only ? JOB_HEAD_ONLY : 0));
+  cs_pack_number (pack, job->priority);
+  cs_pack_number (pack, job->target_left / CS_MSEC);
+  cs_pack_number (pack, job->limit_left / CS_MSEC);
+  cs_pack_unsigned (pack, job->print);
+  cs_pack_str (pack, job->id);
+  cs_pack_str (pack, job->route);
+  cs_pack_str (pack, job->instance);
+  cs_pack_bytes (pack, job->head);
+  cs_pack_bytes (pack, job->body);
+}
+
+void
+cs_job_take (cs_cursor_t *in, uint64_t *number, cs_job_t *job)
+{
+  *job = (cs_job_t){ 0 };
+  *number = cs_take_unsigned (in);
+  int64_t flags = cs_take_number (in);
+  job->idempotent = flags & JOB_IDEMPOTENT;
+  job->head_only = flags & JOB_HEAD_ONLY;
+  job->priority = cs_take_number (in);
+  job->target_left = cs_take_number (in) * CS_MSEC;
+  job->limit_left = cs_take_number (in) * CS_MSEC;
+  if (job->limit_left < 0 || job->limit_left > JOB_TIME_MAX
+      || job->target_left > JOB_TIME_MAX || job->target_left < -JOB_TIME_MAX)
+    in->bad = true;
+  job->print = cs_take_unsigned (in);
+  job->id = cs_take_str (in);
+  job->route = cs_take_str (in);
+  job->instance = cs_take_str (in);
+  job->head = cs_take_str (in);
+  job->body = cs_take_str (in);
+}
+
+void
+cs_outcome_pack (cs_pack_t *pack, uint64_t number, const cs_outcome_t *o)
+{
+  cs_pack_array (pack, OUTCOME_FIELDS);
+  cs_pack_number (pack, CS_FRAME_OUTCOME);
+  cs_pack_unsigned (pack, number);
+  cs_pack_number (pack, o->kind);
+  cs_pack_number (pack, o->reason);
+  cs_pack_number (pack, o->arrived);
+  cs_pack_number (pack, o->status);
+  cs_pack_number (pack, o->wait);
+  cs_pack_number (pack, o->ran);
+  cs_pack_number (pack, o->load.running);
+  cs_pack_number (pack, o->load.waiting);
+  cs_pack_number (pack, o->load.slots);
+  cs_pack_number (pack, o->load.slot_time);
+  cs_pack_number (pack, o->load.failing_permille);
+  cs_pack_bytes (pack, o->fields);
+  cs_pack_bytes (pack, o->body);
+}
+
+void
+cs_outcome_take (cs_cursor_t *in, uint64_t *number, cs_outcome_t *o)
+{
+  *o = (cs_outcome_t){ 0 };
+  *number = cs_take_unsigned (in);
+  int64_t kind = cs_take_number (in), reason = cs_take_number (in);
+  o->arrived = cs_take_number (in) != 0;
+  o->status = (unsigned)cs_take_number (in);
+  o->wait = cs_take_number (in);
+  o->ran = cs_take_number (in);
+  o->load.running = cs_take_number (in);
+  o->load.waiting = cs_take_number (in);
+  o->load.slots = cs_take_number (in);
+  o->load.slot_time = cs_take_number (in);
+  o->load.failing_permille = cs_take_number (in);
+  o->fields = cs_take_str (in);
+  o->body = cs_take_str (in);
+  if (kind < CS_OUTCOME_ANSWERED || kind > CS_OUTCOME_BROKEN || reason < 0
+      || reason >= CS_REFUSED_COUNT || o->status > 999)
+    in->bad = true;
+  else
+    {
+      o->kind = (cs_outcome_kind_t)kind;
+      o->reason = (cs_refused_t)reason;
+    }
+}
