--- a/include/cardamom/run.h
+++ b/include/cardamom/run.h
@@ -66,6 +66,8 @@
   unsigned status;
   cs_str_t fields; /* Whole lines for the caller.  */
   cs_str_t body;
+  bool unframed;  /* BODY ended with the server's connection: nobody can tell
+                     whether it is whole.  */
   cs_usec_t wait; /* Expected wait of one refused as full.  */
   cs_usec_t ran;  /* Time at the server.  */
   cs_load_t load;
--- a/include/cardamom/server.h
+++ b/include/cardamom/server.h
@@ -19,6 +19,10 @@
   void *conn;
   GString *answer;
   bool close, answered, handed;
+  bool unframed;  /* Set before the answer: its body ends with the
+                     connection, for nobody knows whether it is whole.  */
+  bool wants_turn; /* Set by the handler: call TURN when all requests before
+                      this one have been answered.  */
 } cs_exchange_t;
 
 typedef struct
@@ -28,6 +32,8 @@
   /* The caller left before the answer; EXCHANGE ends with this call.  NULL
      when answers are never late.  */
   void (*left) (void *user, cs_exchange_t *exchange);
+  /* See WANTS_TURN.  NULL when no request asks for it.  */
+  void (*turn) (void *user, cs_exchange_t *exchange);
 } cs_server_handler_t;
 
 /* What a caller may send, and how long it may take.  */
@@ -55,6 +61,9 @@
    closed.  */
 void cs_server_drain (cs_server_t *server);
 
+/* Whether requests before EXCHANGE on its connection wait for answers.  */
+bool cs_exchange_is_behind (const cs_exchange_t *exchange);
+
 /* Stop listening.  */
 void cs_server_stop (cs_server_t *server);
 
--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -138,6 +138,7 @@
 {
   char *fields = cs_str_dup (outcome->fields);
   cs_count (CS_C_CALLS_DONE, 1);
+  call->exchange->unframed = outcome->unframed;
   cs_exchange_answer (call->exchange, outcome->status, fields, outcome->body,
                       false);
   g_free (fields);
@@ -686,5 +687,17 @@
                   (uint64_t)((call->limit - call->arrived + LIMIT_GRACE)
                              / CS_MSEC),
                   0);
-  dispatch (call);
+  if (!route->idempotent && cs_exchange_is_behind (exchange))
+    exchange->wants_turn = true;
+  else
+    dispatch (call);
+}
+
+/* A request that must run once starts only when nothing before it on its
+   connection can close that: the caller would send it again.  */
+void
+calls_turn (void *user, cs_exchange_t *exchange)
+{
+  (void)user;
+  dispatch (exchange->user);
 }
--- a/source/call/traffic.c
+++ b/source/call/traffic.c
@@ -8,8 +8,10 @@
 #define STACK_BYTES (256u << 10)
 /* Checks of readiness come once a second, and two that fail take the node out:
    until then callers still come.  */
-#define STOP_LISTEN_ON (2300 * CS_MSEC)
-#define STOP_MARGIN (700 * CS_MSEC) /* Before the platform's kill.  */
+#define STOP_DRAIN_AFTER (2300 * CS_MSEC)
+/* Callers that come even then are turned away before they are read.  */
+#define STOP_LISTEN_UNTIL (3000 * CS_MSEC)
+#define STOP_MARGIN (300 * CS_MSEC) /* Before the platform's kill.  */
 
 static void
 on_tick (uv_timer_t *timer)
@@ -24,11 +26,13 @@
   inbound_tick (t, now);
   if (!t->stopping)
     return;
-  if (!t->draining && now - t->stop_since > STOP_LISTEN_ON)
+  if (!t->draining && now - t->stop_since > STOP_DRAIN_AFTER)
     {
       t->draining = true;
       cs_server_drain (t->callers);
     }
+  if (now - t->stop_since > STOP_LISTEN_UNTIL)
+    cs_server_stop (t->callers);
   bool idle = t->calls == 0 && t->jobs == 0
               && cs_runner_running (t->runner) == 0
               && cs_server_connections (t->callers) == 0;
@@ -64,7 +68,7 @@
                 const cs_traffic_handler_t *handler, void *user)
 {
   static const cs_server_handler_t callers
-      = { .request = calls_request, .left = calls_left };
+      = { .request = calls_request, .left = calls_left, .turn = calls_turn };
   static const cs_runner_handler_t runner
       = { .lost = on_lost, .crashed = on_crashed };
   cs_traffic_t *t = g_new0 (cs_traffic_t, 1);
--- a/source/call/traffic.h
+++ b/source/call/traffic.h
@@ -127,6 +127,7 @@
 /* calls.c */
 void calls_request (void *user, cs_exchange_t *exchange);
 void calls_left (void *user, cs_exchange_t *exchange);
+void calls_turn (void *user, cs_exchange_t *exchange);
 void call_outcome (call_t *call, peer_t *peer, const cs_outcome_t *outcome);
 /* The stream to PEER has ended under CALL.  */
 void call_stranded (call_t *call, peer_t *peer);
--- a/source/http1/server.c
+++ b/source/http1/server.c
@@ -130,6 +130,19 @@
   cs_write ((uv_stream_t *)&conn->tcp, out);
   if (close)
     linger (conn);
+  else if ((exchange = g_queue_peek_head (&conn->exchanges))
+           && exchange->wants_turn)
+    {
+      exchange->wants_turn = false;
+      conn->server->handler.turn (conn->server->user, exchange);
+    }
+}
+
+bool
+cs_exchange_is_behind (const cs_exchange_t *exchange)
+{
+  conn_t *conn = exchange->conn;
+  return g_queue_peek_head (&conn->exchanges) != exchange;
 }
 
 void
@@ -142,13 +155,13 @@
   bool head = exchange->request.head_done && parser->method == HTTP_HEAD;
   GString *out = g_string_sized_new (body.len + FIELD_BYTES_GUESS
                                      + (fields ? strlen (fields) : 0));
-  exchange->close = close || conn->server->draining
+  exchange->close = close || exchange->unframed || conn->server->draining
                     || !cs_message_keeps (&exchange->request);
   g_string_append_printf (out, "HTTP/1.1 %u %s\r\n", status,
                           cs_status_phrase (status));
   if (fields)
     g_string_append (out, fields);
-  if (!bare)
+  if (!bare && !exchange->unframed)
     g_string_append_printf (out, "Content-Length: %zu\r\n", body.len);
   if (exchange->close)
     g_string_append (out, "Connection: close\r\n");
--- a/source/run/run.c
+++ b/source/run/run.c
@@ -284,6 +284,7 @@
       fields = fields_for_caller (answer);
       outcome.fields = cs_str_of_gstring (fields);
       outcome.body = cs_str_of_gstring (answer->body);
+      outcome.unframed = answer->to_eof;
       note_failing (r, status >= 500);
       note_arm (r, run, status >= 500, ran);
       note_time (r, run, ran);
--- a/source/stream/frames.c
+++ b/source/stream/frames.c
@@ -4,7 +4,7 @@
 
 #define MEMBER_FIELDS 13
 #define JOB_FIELDS 12
-#define OUTCOME_FIELDS 15
+#define OUTCOME_FIELDS 16
 #define JOB_TIME_MAX (3600 * CS_SEC) /* No route allows as much.  */
 #define JOB_IDEMPOTENT 1
 #define JOB_HEAD_ONLY 2
@@ -124,6 +124,7 @@
   cs_pack_number (pack, o->kind);
   cs_pack_number (pack, o->reason);
   cs_pack_number (pack, o->arrived);
+  cs_pack_number (pack, o->unframed);
   cs_pack_number (pack, o->status);
   cs_pack_number (pack, o->wait);
   cs_pack_number (pack, o->ran);
@@ -143,6 +144,7 @@
   *number = cs_take_unsigned (in);
   int64_t kind = cs_take_number (in), reason = cs_take_number (in);
   o->arrived = cs_take_number (in) != 0;
+  o->unframed = cs_take_number (in) != 0;
   o->status = (unsigned)cs_take_number (in);
   o->wait = cs_take_number (in);
   o->ran = cs_take_number (in);
