--- a/include/cardamom/place.h
+++ b/include/cardamom/place.h
@@ -28,14 +28,12 @@
 typedef struct
 {
   cs_usec_t target_left; /* To the end that still earns full benefit.  */
-  cs_usec_t limit_left;  /* To the end of the request.  */
 } cs_place_need_t;
 
 typedef struct
 {
-  int index;        /* Of the place; -1 when none will do.  */
-  cs_usec_t finish; /* Expected, from now; of the best place also when none
-                       will do, -1 when none is usable.  */
+  int index;        /* Of the place; -1 when none is usable.  */
+  cs_usec_t finish; /* Expected, from now.  */
 } cs_placement_t;
 
 /* Choose one of the COUNT places.  */
--- a/include/cardamom/waiting.h
+++ b/include/cardamom/waiting.h
@@ -5,7 +5,9 @@
    only while it is expected to end in time, so that those that are served are
    served within their target and the others learn at once when to come back;
    the more urgent go first, and within a priority those that can still meet
-   their target.  */
+   their target, the nearest target before the others: calls that a running
+   request makes have near targets, and their failure would throw away a
+   slot's work.  */
 #ifndef CARDAMOM_WAITING_H
 #define CARDAMOM_WAITING_H
 
@@ -37,10 +39,11 @@
   cs_usec_t slot_time; /* Mean time that a run holds a slot.  */
 } cs_waiting_room_t;
 
-/* How long a request of PRIORITY would wait for a slot now.  */
+/* How long WAITER, in the queue or not, has to wait for a slot behind those
+   that go before it.  */
 cs_usec_t cs_waiting_estimate (const cs_waiting_t *waiting,
                                const cs_waiting_room_t *room,
-                               int64_t priority);
+                               const cs_waiter_t *waiter, cs_usec_t now);
 
 /* Queue WAITER if it is expected to end in time.  *WAIT gets the expected
    wait, also on refusal.  */
--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -7,6 +7,7 @@
 #include "traffic.h"
 
 #define TRIED_MAX 6 /* Nodes that one call is sent to at most.  */
+#define FULL_MAX 3  /* Nodes without room after which a call is refused.  */
 #define LIMIT_DEFAULT (30 * CS_SEC) /* A caller that gives no deadline.  */
 /* Past its limit the outcome may still be on its way.  */
 #define LIMIT_GRACE (30 * CS_MSEC)
@@ -45,6 +46,7 @@
   peer_t *tried[TRIED_MAX];
   unsigned tries;    /* Nodes tried.  */
   unsigned arrivals; /* At servers.  */
+  unsigned fulls;    /* Refusals for want of room.  */
   cs_usec_t wait;    /* Shortest expected wait of those that refused.  */
   cs_refused_t reason;
   bool wants_trial, refused, timed;
@@ -231,22 +233,11 @@
   cs_place_t *places = g_new (cs_place_t, count);
   for (guint i = 0; i < count; i++)
     places[i] = place_of (call, pool->peers->pdata[i], version, now);
-  cs_place_need_t need = { .target_left = call->target - now,
-                           .limit_left = call->limit - now };
+  cs_place_need_t need = { .target_left = call->target - now };
   cs_placement_t chosen
       = cs_place_choose (places, count, &need, t->ctx->random);
   g_free (places);
-  if (chosen.index >= 0)
-    return pool->peers->pdata[chosen.index];
-  if (chosen.finish >= 0)
-    {
-      /* All are too busy to end in time.  */
-      cs_usec_t over = chosen.finish - need.limit_left;
-      call->wait = call->refused ? MIN (call->wait, over) : over;
-      call->refused = true;
-      call->reason = CS_REFUSED_FULL;
-    }
-  return NULL;
+  return chosen.index >= 0 ? pool->peers->pdata[chosen.index] : NULL;
 }
 
 static peer_t *
@@ -315,6 +306,7 @@
   cs_usec_t now = traffic_now (call->traffic);
   call->peer = NULL;
   peer_t *peer = now < call->limit && call->tries < TRIED_MAX
+                         && call->fulls < FULL_MAX
                      ? choose_peer (call)
                      : NULL;
   if (peer)
@@ -356,6 +348,7 @@
                              : outcome->wait;
   call->refused = true;
   call->reason = outcome->reason;
+  call->fulls += outcome->reason == CS_REFUSED_FULL;
   if (outcome->reason == CS_REFUSED_CRASHER)
     {
       end_refused (call);
--- a/source/call/place.c
+++ b/source/call/place.c
@@ -63,15 +63,9 @@
       if (i >= 0 && finish_at (&places[i]) <= near)
         return (cs_placement_t){ i, finish_at (&places[i]) };
     }
+  /* Only the node beside a server knows its queue, and may refuse.  */
   int i = soonest (places, count, -1, false, random);
-  if (i < 0 || finish_at (&places[i]) > need->limit_left)
-    {
-      int any = soonest (places, count, -1, true, random);
-      if (i < 0)
-        i = any;
-    }
   if (i < 0)
-    return (cs_placement_t){ -1, -1 };
-  cs_usec_t finish = finish_at (&places[i]);
-  return (cs_placement_t){ finish <= need->limit_left ? i : -1, finish };
+    i = soonest (places, count, -1, true, random);
+  return (cs_placement_t){ i, i < 0 ? -1 : finish_at (&places[i]) };
 }
--- a/source/run/waiting.c
+++ b/source/run/waiting.c
@@ -20,14 +20,15 @@
 
 cs_usec_t
 cs_waiting_estimate (const cs_waiting_t *waiting,
-                     const cs_waiting_room_t *room, int64_t priority)
+                     const cs_waiting_room_t *room,
+                     const cs_waiter_t *waiter, cs_usec_t now)
 {
   cs_usec_t ahead = 0;
   int64_t free = room->slots - room->running;
   for (const GList *at = waiting->waiters.head; at; at = at->next)
     {
       const cs_waiter_t *w = at->data;
-      if (w->priority <= priority)
+      if (w != waiter && !goes_first (waiter, w, now))
         {
           ahead += w->work;
           free--;
@@ -55,7 +56,7 @@
                   const cs_waiting_room_t *room, cs_usec_t now,
                   cs_usec_t *wait)
 {
-  *wait = cs_waiting_estimate (waiting, room, w->priority);
+  *wait = cs_waiting_estimate (waiting, room, w, now);
   cs_usec_t end = now + *wait + w->work;
   bool admit = *wait == 0 ? now + w->work * WORK_LEFT_PERCENT / 100 <= w->limit
                : end <= w->target ? true
