--- a/include/cardamom/event.h
+++ b/include/cardamom/event.h
@@ -40,8 +40,7 @@
 
 /* Note "time=T node=N event=NAME key=value ...", of which FORMAT gives the
    last part.  */
-void cs_event (cs_event_t event, const char *format, ...)
-    G_GNUC_PRINTF (2, 3);
+void cs_event (cs_event_t event, const char *format, ...) G_GNUC_PRINTF (2, 3);
 
 /* Write what was noted, as far as the reader takes it at once.  Call it a few
    times a second.  */
--- a/include/cardamom/frames.h
+++ b/include/cardamom/frames.h
@@ -16,9 +16,9 @@
   CS_FRAME_ASK,     /* What became of a job sent on a broken stream?  */
   CS_FRAME_PING,
   CS_FRAME_PONG,
-  CS_FRAME_MEMBER,  /* A node's description has changed.  */
-  CS_FRAME_STRIKE,  /* A request has crashed a server.  */
-  CS_FRAME_CONTROL  /* From here on: for the control thread.  */
+  CS_FRAME_MEMBER, /* A node's description has changed.  */
+  CS_FRAME_STRIKE, /* A request has crashed a server.  */
+  CS_FRAME_CONTROL /* From here on: for the control thread.  */
 } cs_frame_t;
 
 typedef enum
--- a/include/cardamom/message.h
+++ b/include/cardamom/message.h
@@ -22,13 +22,13 @@
   http_parser parser;
   GString *head;
   GString *body;
-  GArray *fields;  /* cs_field_t; trailers are left out.  */
-  cs_str_t target; /* Of a request.  */
+  GArray *fields;            /* cs_field_t; trailers are left out.  */
+  cs_str_t target;           /* Of a request.  */
   size_t head_max, body_max; /* Bytes.  */
   bool head_done, done;
-  bool skip_body; /* Set before the head for an answer to HEAD.  */
-  bool to_eof;    /* The body ends with the connection.  */
-  int fault;      /* 0, or the status that refuses the message.  */
+  bool skip_body;  /* Set before the head for an answer to HEAD.  */
+  bool to_eof;     /* The body ends with the connection.  */
+  int fault;       /* 0, or the status that refuses the message.  */
   const char *why; /* Static text beside FAULT.  */
 } cs_message_t;
 
--- a/include/cardamom/net.h
+++ b/include/cardamom/net.h
@@ -11,7 +11,7 @@
 #include "cardamom/str.h"
 
 /* Parse "IP:PORT"; false for anything else.  */
-bool cs_address_parse (const char *text, struct sockaddr_in *address);
+bool cs_endpoint_parse (const char *text, struct sockaddr_in *address);
 
 /* The clock of deadlines: it also counts the time in which the host was
    suspended, so that a deadline is not taken for open after a wake-up.  */
--- a/include/cardamom/run.h
+++ b/include/cardamom/run.h
@@ -62,7 +62,7 @@
 {
   cs_outcome_kind_t kind;
   cs_refused_t reason;
-  bool arrived;   /* It reached the server.  */
+  bool arrived; /* It reached the server.  */
   unsigned status;
   cs_str_t fields; /* Whole lines for the caller.  */
   cs_str_t body;
@@ -104,7 +104,7 @@
 /* Run JOB, whose bytes are copied, and call DONE.  Returns NULL when DONE has
    been called already.  */
 cs_task_t *cs_runner_submit (cs_runner_t *runner, const cs_job_t *job,
-                            cs_task_done_t done, void *user);
+                             cs_task_done_t done, void *user);
 
 /* The caller has left: forget RUN without a call.  One that runs is broken
    off when that is harmless.  */
--- a/include/cardamom/server.h
+++ b/include/cardamom/server.h
@@ -19,8 +19,8 @@
   void *conn;
   GString *answer;
   bool close, answered, handed;
-  bool unframed;  /* Set before the answer: its body ends with the
-                     connection, for nobody knows whether it is whole.  */
+  bool unframed;   /* Set before the answer: its body ends with the
+                      connection, for nobody knows whether it is whole.  */
   bool wants_turn; /* Set by the handler: call TURN when all requests before
                       this one have been answered.  */
 } cs_exchange_t;
@@ -39,9 +39,9 @@
 /* What a caller may send, and how long it may take.  */
 typedef struct
 {
-  size_t head_max, body_max;    /* Bytes.  */
-  cs_usec_t head_timeout;       /* For a whole head once begun.  */
-  cs_usec_t idle_timeout;       /* Between requests, and between reads.  */
+  size_t head_max, body_max; /* Bytes.  */
+  cs_usec_t head_timeout;    /* For a whole head once begun.  */
+  cs_usec_t idle_timeout;    /* Between requests, and between reads.  */
 } cs_server_limits_t;
 
 /* Listen on ADDRESS ("IP:PORT").  CS_UNAVAILABLE when it cannot be bound.  */
--- a/include/cardamom/traffic.h
+++ b/include/cardamom/traffic.h
@@ -25,7 +25,8 @@
 typedef struct
 {
   const char *callers;        /* IP:PORT.  */
-  cs_member_t self;           /* This node.  */
+  const char *peers;          /* IP:PORT where other nodes connect.  */
+  cs_member_t self;           /* This node, as others are to see it.  */
   const char *caller_service; /* Of requests that begin here.  */
   cs_budget_terms_t budget;
   cs_usec_t grace; /* From a stop signal to the end of the process.  */
--- a/source/call/budget.c
+++ b/source/call/budget.c
@@ -46,9 +46,8 @@
       requests += b->requests[i];
       repeats += b->repeats[i];
     }
-  double allowed = USED_SHARE
-                   * (terms->ratio * requests
-                      + terms->slack / MAX (nodes, 1));
+  double allowed
+      = USED_SHARE * (terms->ratio * requests + terms->slack / MAX (nodes, 1));
   if (repeats + 1 > allowed)
     return false;
   b->repeats[b->slice % CS_BUDGET_SLICES]++;
--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -12,12 +12,12 @@
 /* Past its limit the outcome may still be on its way.  */
 #define LIMIT_GRACE (30 * CS_MSEC)
 #define WORK_WEIGHT 0.1
-#define WORK_GUESS (40 * CS_MSEC)    /* Before the first answer.  */
-#define SLOTS_GUESS 8                /* Before the first report.  */
+#define WORK_GUESS (40 * CS_MSEC) /* Before the first answer.  */
+#define SLOTS_GUESS 8             /* Before the first report.  */
 #define SLOT_TIME_GUESS (60 * CS_MSEC)
-#define LOAD_FRESH (400 * CS_MSEC)   /* Of a node's last report.  */
-#define LOAD_STALE_PERCENT 60        /* Of its slots, later.  */
-#define FAILING_FORGET (2 * CS_SEC)  /* A failing node is tried again.  */
+#define LOAD_FRESH (400 * CS_MSEC)  /* Of a node's last report.  */
+#define LOAD_STALE_PERCENT 60       /* Of its slots, later.  */
+#define FAILING_FORGET (2 * CS_SEC) /* A failing node is tried again.  */
 /* Without a configuration a caller is asked to come back after this.  */
 #define START_RETRY_AFTER (300 * CS_MSEC)
 /* Without a server, or with one that leaves, the next report may tell.  */
@@ -41,7 +41,7 @@
   int64_t boot; /* Life of the node that the job was sent to.  */
   cs_usec_t arrived, target, limit;
   uv_timer_t timer;
-  peer_t *peer;  /* That works on it; NULL between two.  */
+  peer_t *peer;   /* That works on it; NULL between two.  */
   cs_task_t *run; /* When that is this node.  */
   peer_t *tried[TRIED_MAX];
   unsigned tries;    /* Nodes tried.  */
@@ -113,9 +113,9 @@
   cs_event (CS_E_REFUSED,
             "id=%.*s route=%s service=%s reason=%s tried=%u held_ms=%.1f "
             "retry_after_ms=%.0f",
-            (int)call->id.len, call->id.data, call->route->path,
-            call->service, cs_refused_name (call->reason), call->tries,
-            (double)held / 1e3, (double)after / 1e3);
+            (int)call->id.len, call->id.data, call->route->path, call->service,
+            cs_refused_name (call->reason), call->tries, (double)held / 1e3,
+            (double)after / 1e3);
   refuse_exchange (call->exchange, 503, after);
   free_call (call);
 }
@@ -127,9 +127,9 @@
   cs_event (CS_E_FAILED,
             "id=%.*s route=%s service=%s status=%u why=\"%s\" node=%s "
             "arrivals=%u held_ms=%.1f",
-            (int)call->id.len, call->id.data, call->route->path,
-            call->service, status, why,
-            call->peer ? call->peer->member.name : "-", call->arrivals,
+            (int)call->id.len, call->id.data, call->route->path, call->service,
+            status, why, call->peer ? call->peer->member.name : "-",
+            call->arrivals,
             (double)(traffic_now (call->traffic) - call->arrived) / 1e3);
   refuse_exchange (call->exchange, status, 0);
   free_call (call);
@@ -186,8 +186,7 @@
 
 /* PEER as a place for CALL.  */
 static cs_place_t
-place_of (const call_t *call, peer_t *peer, const char *version,
-          cs_usec_t now)
+place_of (const call_t *call, peer_t *peer, const char *version, cs_usec_t now)
 {
   const cs_member_t *m = &peer->member;
   cs_load_t load = peer->load;
@@ -199,13 +198,13 @@
       age = mine = 0;
     }
   int64_t slots = m->slots > 0 ? m->slots : SLOTS_GUESS;
-  int64_t others = load.running + load.waiting
-                   - (peer->self ? 0 : peer->mine_at_load);
+  int64_t others
+      = load.running + load.waiting - (peer->self ? 0 : peer->mine_at_load);
   if (!load.slots || age > LOAD_FRESH)
     others = MIN (load.slots ? MAX (others, 0) : slots,
                   slots * LOAD_STALE_PERCENT / 100);
   const average_t *work = g_hash_table_lookup (peer->work, call->route->path);
-  double expected = work && work->mean > 0      ? work->mean
+  double expected = work && work->mean > 0       ? work->mean
                     : call->state->work.mean > 0 ? call->state->work.mean
                                                  : (double)WORK_GUESS;
   return (cs_place_t){
@@ -305,10 +304,10 @@
 {
   cs_usec_t now = traffic_now (call->traffic);
   call->peer = NULL;
-  peer_t *peer = now < call->limit && call->tries < TRIED_MAX
-                         && call->fulls < FULL_MAX
-                     ? choose_peer (call)
-                     : NULL;
+  peer_t *peer
+      = now < call->limit && call->tries < TRIED_MAX && call->fulls < FULL_MAX
+            ? choose_peer (call)
+            : NULL;
   if (peer)
     send_job (call, peer);
   else
@@ -344,8 +343,7 @@
 static void
 take_refusal (call_t *call, const cs_outcome_t *outcome)
 {
-  call->wait = call->refused ? MIN (call->wait, outcome->wait)
-                             : outcome->wait;
+  call->wait = call->refused ? MIN (call->wait, outcome->wait) : outcome->wait;
   call->refused = true;
   call->reason = outcome->reason;
   call->fulls += outcome->reason == CS_REFUSED_FULL;
@@ -371,8 +369,7 @@
   peer_t *peer = call->peer;
   note_average (&call->state->work, outcome->ran);
   note_average (work_at (peer, call->route->path), outcome->ran);
-  if (outcome->status >= 500 && call->route->idempotent
-      && may_repeat (call))
+  if (outcome->status >= 500 && call->route->idempotent && may_repeat (call))
     {
       repeat (call, "failed");
       return;
@@ -525,8 +522,7 @@
   bool framed = request->parser.flags & F_CHUNKED || request->body->len;
   g_string_append (out, http_method_str (request->parser.method));
   g_string_append_c (out, ' ');
-  g_string_append_len (out, request->target.data,
-                       (gssize)request->target.len);
+  g_string_append_len (out, request->target.data, (gssize)request->target.len);
   g_string_append (out, " HTTP/1.1\r\n");
   for (guint i = 0; i < request->fields->len; i++)
     {
@@ -603,8 +599,7 @@
   version_t *v = &pool->version;
   if (!v->trial[0] || v->share_permille <= 0)
     return;
-  int64_t weights[2]
-      = { CS_SHARE_ONE - v->share_permille, v->share_permille };
+  int64_t weights[2] = { CS_SHARE_ONE - v->share_permille, v->share_permille };
   call->wants_trial = cs_rotation_next (weights, v->credit, 2) == 1;
 }
 
@@ -676,10 +671,9 @@
                      call->arrived);
   uv_timer_init (&t->loop, &call->timer);
   call->timer.data = call;
-  uv_timer_start (&call->timer, on_limit,
-                  (uint64_t)((call->limit - call->arrived + LIMIT_GRACE)
-                             / CS_MSEC),
-                  0);
+  uv_timer_start (
+      &call->timer, on_limit,
+      (uint64_t)((call->limit - call->arrived + LIMIT_GRACE) / CS_MSEC), 0);
   if (!route->idempotent && cs_exchange_is_behind (exchange))
     exchange->wants_turn = true;
   else
--- a/source/call/inbound.c
+++ b/source/call/inbound.c
@@ -22,9 +22,9 @@
   cs_traffic_t *traffic;
   inbound_t *inbound; /* NULL while its stream is gone.  */
   uint64_t number;
-  cs_task_t *run;     /* NULL when it has ended.  */
-  char *id;          /* Set for a job that must run once.  */
-  GString *result;   /* Packed outcome kept for a later question.  */
+  cs_task_t *run;  /* NULL when it has ended.  */
+  char *id;        /* Set for a job that must run once.  */
+  GString *result; /* Packed outcome kept for a later question.  */
   cs_usec_t ended;
   bool idempotent;
   bool barred; /* It has not run, and never will.  */
@@ -52,10 +52,9 @@
 static void
 send_refusal (inbound_t *inbound, uint64_t number, cs_outcome_kind_t kind)
 {
-  cs_outcome_t outcome
-      = { .kind = kind,
-          .reason = CS_REFUSED_EXPIRED,
-          .load = cs_runner_load (inbound->traffic->runner) };
+  cs_outcome_t outcome = { .kind = kind,
+                           .reason = CS_REFUSED_EXPIRED,
+                           .load = cs_runner_load (inbound->traffic->runner) };
   send_outcome (inbound, number, &outcome);
 }
 
@@ -308,9 +307,9 @@
       break;
     default:
       if (kind >= CS_FRAME_CONTROL && inbound->name[0])
-        t->handler.control (t->user, inbound->name,
-                            g_string_new_len (payload.data,
-                                              (gssize)payload.len));
+        t->handler.control (
+            t->user, inbound->name,
+            g_string_new_len (payload.data, (gssize)payload.len));
     }
   if (in.bad)
     {
--- a/source/call/peers.c
+++ b/source/call/peers.c
@@ -105,10 +105,10 @@
   peer->distance = strcmp (own->dc, m->dc) == 0           ? CS_NEAR
                    : strcmp (own->region, m->region) == 0 ? CS_SAME_REGION
                                                           : CS_FAR;
-  peer->round_trip = peer->self                     ? 0
-                     : peer->distance == CS_NEAR    ? ROUND_TRIP_NEAR
-                     : peer->distance == CS_FAR     ? ROUND_TRIP_FAR
-                                                    : ROUND_TRIP_REGION;
+  peer->round_trip = peer->self                  ? 0
+                     : peer->distance == CS_NEAR ? ROUND_TRIP_NEAR
+                     : peer->distance == CS_FAR  ? ROUND_TRIP_FAR
+                                                 : ROUND_TRIP_REGION;
 }
 
 peer_t *
@@ -122,8 +122,8 @@
     t->self = peer;
   peer->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
   peer->asked = g_hash_table_new (g_int64_hash, g_int64_equal);
-  peer->work = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                      free_average);
+  peer->work
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_average);
   peer->retry_pause = RETRY_FIRST;
   set_distance (t, peer);
   g_hash_table_insert (t->peers, peer->member.name, peer);
@@ -162,9 +162,9 @@
   peer->stream = NULL;
   peer->greeted = false;
   peer->pinged = 0;
-  peer->retry_at = traffic_now (t)
-                   + (peer->member.stopping ? RETRY_STOPPED
-                                            : peer->retry_pause);
+  peer->retry_at
+      = traffic_now (t)
+        + (peer->member.stopping ? RETRY_STOPPED : peer->retry_pause);
   peer->retry_pause = MIN (2 * peer->retry_pause, RETRY_MAX);
   if (was)
     {
@@ -300,7 +300,7 @@
 {
   cs_traffic_t *t = peer->traffic;
   struct sockaddr_in address;
-  if (!cs_address_parse (peer->member.address, &address))
+  if (!cs_endpoint_parse (peer->member.address, &address))
     return;
   peer->retry_at = now + CONNECT_TIMEOUT;
   peer->stream = cs_stream_connect (&t->loop, t->ctx->clock, &address,
@@ -399,13 +399,12 @@
 static void
 watch_stream (peer_t *peer, cs_usec_t now)
 {
-  bool busy = g_hash_table_size (peer->calls)
-              || g_hash_table_size (peer->asked);
+  bool busy
+      = g_hash_table_size (peer->calls) || g_hash_table_size (peer->asked);
   cs_usec_t heard = cs_stream_heard (peer->stream);
   if (peer->pinged && heard > peer->pinged)
     peer->pinged = 0;
-  if (!peer->pinged
-      && now - heard > (busy ? PING_AFTER : IDLE_PING_AFTER))
+  if (!peer->pinged && now - heard > (busy ? PING_AFTER : IDLE_PING_AFTER))
     ping (peer, now);
   else if (peer->pinged
            && now - peer->pinged > (busy ? GONE_AFTER - PING_AFTER
--- a/source/call/traffic.c
+++ b/source/call/traffic.c
@@ -84,8 +84,7 @@
   cs_mailbox_init (&t->box, &t->loop);
   t->peers = g_hash_table_new (g_str_hash, g_str_equal);
   t->pools = g_hash_table_new (g_str_hash, g_str_equal);
-  t->routes
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  t->routes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   t->inbound_by_id = g_hash_table_new (g_str_hash, g_str_equal);
   g_queue_init (&t->inbound_kept);
   peer_add (t, &terms->self);
@@ -93,7 +92,7 @@
   if (cs_server_new (t->ctx, &t->loop, terms->callers, &callers, t,
                      &t->callers)
           != CS_OK
-      || inbound_listen (t, terms->self.address) != CS_OK)
+      || inbound_listen (t, terms->peers) != CS_OK)
     {
       cs_fail (ctx, CS_UNAVAILABLE, "%s", cs_message (t->ctx));
       return NULL;
@@ -174,12 +173,10 @@
   g_strlcpy (v->trial, set->trial, sizeof v->trial);
   v->share_permille = set->share_permille;
   if (strcmp (self->service, set->service) == 0)
-    cs_runner_set_trial (t->runner, set->trial[0]
-                                            && strcmp (self->version,
-                                                       set->trial)
-                                                   == 0
-                                        ? set->order
-                                        : 0);
+    cs_runner_set_trial (
+        t->runner, set->trial[0] && strcmp (self->version, set->trial) == 0
+                       ? set->order
+                       : 0);
   g_free (set);
 }
 
@@ -222,8 +219,7 @@
     peers_broadcast (t, payload, out->region);
   else if (peer && peer->self)
     t->handler.control (t->user, peer->member.name,
-                        g_string_new_len (payload.data,
-                                          (gssize)payload.len));
+                        g_string_new_len (payload.data, (gssize)payload.len));
   else if (peer && peer->stream && peer->greeted)
     cs_stream_send (peer->stream, payload);
   g_string_free (out->payload, TRUE);
--- a/source/call/traffic.h
+++ b/source/call/traffic.h
@@ -40,10 +40,10 @@
   bool greeted;         /* It has said who it is on STREAM.  */
   int64_t greeted_boot; /* Life of the process that greeted.  */
   cs_usec_t retry_at, retry_pause;
-  cs_usec_t pinged; /* When, while the answer is due; 0: none is.  */
-  GHashTable *calls;    /* number -> call_t * that it works on.  */
-  GHashTable *asked;    /* number -> call_t * whose fate is asked for.  */
-  cs_load_t load;       /* Newest, with its time and own part in it.  */
+  cs_usec_t pinged;  /* When, while the answer is due; 0: none is.  */
+  GHashTable *calls; /* number -> call_t * that it works on.  */
+  GHashTable *asked; /* number -> call_t * whose fate is asked for.  */
+  cs_load_t load;    /* Newest, with its time and own part in it.  */
   cs_usec_t load_at;
   int64_t mine_at_load;
   GHashTable *work; /* route -> average_t *.  */
@@ -87,9 +87,9 @@
   cs_budget_terms_t budget;
   char caller_service[CS_LIFE_TEXT];
   peer_t *self;
-  GHashTable *peers;  /* name -> peer_t *, this node among them.  */
-  GHashTable *pools;  /* service -> pool_t *.  */
-  GHashTable *routes; /* route path -> route_state_t *.  */
+  GHashTable *peers;         /* name -> peer_t *, this node among them.  */
+  GHashTable *pools;         /* service -> pool_t *.  */
+  GHashTable *routes;        /* route path -> route_state_t *.  */
   cs_snapshot_t **published; /* RCU pointer of the control thread.  */
   GHashTable *inbound_by_id; /* Attempt -> inbound job that must run once.  */
   GQueue inbound_kept;       /* The ended ones, oldest first.  */
--- a/source/config/snapshot.c
+++ b/source/config/snapshot.c
@@ -316,8 +316,7 @@
 cs_snapshot_route (const cs_snapshot_t *snapshot, cs_str_t host, cs_str_t path,
                    unsigned method)
 {
-  char *name = g_ascii_strdown (host.data ? host.data : "",
-                                (gssize)host.len);
+  char *name = g_ascii_strdown (host.data ? host.data : "", (gssize)host.len);
   const cs_route_t *route = route_among (
       g_hash_table_lookup (snapshot->by_host, name), path, method);
   g_free (name);
--- a/source/http1/client.c
+++ b/source/http1/client.c
@@ -2,9 +2,11 @@
 
 #include "cardamom/client.h"
 
-#define ANSWER_HEAD_MAX 65536           /* Bytes.  */
-#define ANSWER_BODY_MAX (64u << 20)     /* The most that a caller may get.  */
-#define KEEP_ALIVE_MARGIN (200 * CS_MSEC) /* Before the server's own close.  */
+#define ANSWER_HEAD_MAX 65536       /* Bytes.  */
+#define ANSWER_BODY_MAX (64u << 20) /* The most that a caller may get.  */
+#define KEEP_ALIVE_MARGIN                                                     \
+  (200 * CS_MSEC) /* Before the server's own close.                           \
+                   */
 #define KEEP_ALIVE_MAX_S 3600
 
 struct cs_client
@@ -124,8 +126,7 @@
         continue;
       if (c->answer.parser.status_code < 200)
         next_answer (c);
-      else if (c->handler.belongs
-               && !c->handler.belongs (c->user, &c->answer))
+      else if (c->handler.belongs && !c->handler.belongs (c->user, &c->answer))
         {
           c->spoiled = true;
           next_answer (c);
--- a/source/http1/message.c
+++ b/source/http1/message.c
@@ -49,8 +49,8 @@
   cs_message_t *m = parser->data;
   if (m->head_done || !m->fields->len)
     return 0;
-  cs_field_t *field = &g_array_index (m->fields, cs_field_t,
-                                      m->fields->len - 1);
+  cs_field_t *field
+      = &g_array_index (m->fields, cs_field_t, m->fields->len - 1);
   while (len && (at[len - 1] == ' ' || at[len - 1] == '\t'))
     len--;
   field->value = (cs_str_t){ .data = at, .len = len };
@@ -75,7 +75,8 @@
   parser->upgrade = 0;
   if (count_field (m, "content-length") > 1)
     return refuse (m, 400, "repeated Content-Length"), -1;
-  if (count_field (m, "transfer-encoding") && count_field (m, "content-length"))
+  if (count_field (m, "transfer-encoding")
+      && count_field (m, "content-length"))
     return refuse (m, 400, "two framings"), -1;
   if (request
       && (count_field (m, "host") > 1
@@ -128,9 +129,8 @@
 {
   *m = (cs_message_t){ .head = g_string_new (NULL),
                        .body = g_string_new (NULL),
-                       .fields
-                       = g_array_sized_new (FALSE, FALSE, sizeof (cs_field_t),
-                                            12),
+                       .fields = g_array_sized_new (FALSE, FALSE,
+                                                    sizeof (cs_field_t), 12),
                        .head_max = head_max,
                        .body_max = body_max };
   http_parser_init (&m->parser, type);
@@ -305,10 +305,16 @@
 bool
 cs_field_is_hop (cs_str_t name)
 {
-  static const char *const hop[]
-      = { "connection", "keep-alive",        "proxy-connection", "te",
-          "trailer",    "transfer-encoding", "upgrade",          "expect",
-          "proxy-authenticate", "proxy-authorization" };
+  static const char *const hop[] = { "connection",
+                                     "keep-alive",
+                                     "proxy-connection",
+                                     "te",
+                                     "trailer",
+                                     "transfer-encoding",
+                                     "upgrade",
+                                     "expect",
+                                     "proxy-authenticate",
+                                     "proxy-authorization" };
   for (size_t i = 0; i < G_N_ELEMENTS (hop); i++)
     if (cs_str_is (name, hop[i]))
       return true;
--- a/source/http1/net.c
+++ b/source/http1/net.c
@@ -9,7 +9,7 @@
 #define READ_BYTES 65536 /* One read; larger ones only cost memory.  */
 
 bool
-cs_address_parse (const char *text, struct sockaddr_in *address)
+cs_endpoint_parse (const char *text, struct sockaddr_in *address)
 {
   char ip[INET_ADDRSTRLEN];
   const char *colon = text ? strrchr (text, ':') : NULL;
@@ -86,8 +86,8 @@
     }
   pending_t *pending = g_new0 (pending_t, 1);
   pending->bytes = bytes;
-  uv_buf_t buf = uv_buf_init (bytes->str + written,
-                              (unsigned)(bytes->len - written));
+  uv_buf_t buf
+      = uv_buf_init (bytes->str + written, (unsigned)(bytes->len - written));
   if (uv_write (&pending->request, stream, &buf, 1, end_write) != 0)
     end_write (&pending->request, -1);
 }
--- a/source/http1/server.c
+++ b/source/http1/server.c
@@ -3,8 +3,8 @@
 #include "cardamom/server.h"
 
 #define BACKLOG 511
-#define SWEEP_MS 500            /* Between looks at connections' ages.  */
-#define LINGER (1 * CS_SEC)     /* Reading on after a refusal and the close. */
+#define SWEEP_MS 500        /* Between looks at connections' ages.  */
+#define LINGER (1 * CS_SEC) /* Reading on after a refusal and the close. */
 #define FIELD_BYTES_GUESS 192
 
 struct cs_server
@@ -28,7 +28,7 @@
   cs_exchange_t *reading; /* Not yet whole; also in no queue.  */
   cs_usec_t since;        /* Of the last progress.  */
   cs_usec_t head_since;   /* Of the first byte of the head under reading.  */
-  bool paused; /* Nothing more is read from it.  */
+  bool paused;            /* Nothing more is read from it.  */
   bool closing, lingering;
 } conn_t;
 
@@ -336,7 +336,7 @@
                cs_server_t **server)
 {
   struct sockaddr_in where;
-  if (!cs_address_parse (address, &where))
+  if (!cs_endpoint_parse (address, &where))
     return cs_fail (ctx, CS_BAD_INPUT, "%s is no IP:PORT; write one",
                     address ? address : "(none)");
   cs_server_t *made = g_new0 (cs_server_t, 1);
--- a/source/kernel/event.c
+++ b/source/kernel/event.c
@@ -55,8 +55,8 @@
   gmtime_r (&now->tv_sec, &utc);
   strftime (when, sizeof when, "%Y-%m-%dT%H:%M:%S", &utc);
   g_string_append_printf (buffer, "time=%s.%03ldZ node=%s event=%s %s\n", when,
-                          now->tv_nsec / 1000000, identity,
-                          table[event].name, text);
+                          now->tv_nsec / 1000000, identity, table[event].name,
+                          text);
 }
 
 /* Start the next second of the bounds, and tell what the last one dropped. */
--- a/source/kernel/registry.c
+++ b/source/kernel/registry.c
@@ -8,10 +8,8 @@
 cs_plugin_kind_name (cs_plugin_kind_t kind)
 {
   static const char *const names[CS_PLUGIN_KIND_COUNT] = {
-    [CS_PLUGIN_PLATFORM] = "platform",
-    [CS_PLUGIN_BALANCER] = "balancer",
-    [CS_PLUGIN_LIMITER] = "limiter",
-    [CS_PLUGIN_JUDGE] = "judge",
+    [CS_PLUGIN_PLATFORM] = "platform", [CS_PLUGIN_BALANCER] = "balancer",
+    [CS_PLUGIN_LIMITER] = "limiter",   [CS_PLUGIN_JUDGE] = "judge",
     [CS_PLUGIN_ADAPTER] = "adapter",
   };
   return names[kind];
--- a/source/move/conduct.c
+++ b/source/move/conduct.c
@@ -17,8 +17,8 @@
 bool
 cs_conduct_takes (unsigned rank, bool begun, cs_usec_t silence)
 {
-  return silence >= (begun ? SILENCE_MAX : 0)
-                        + (cs_usec_t)rank * CANDIDATE_STEP;
+  return silence
+         >= (begun ? SILENCE_MAX : 0) + (cs_usec_t)rank * CANDIDATE_STEP;
 }
 
 uint64_t
--- a/source/run/run.c
+++ b/source/run/run.c
@@ -31,7 +31,7 @@
 {
   cs_waiter_t waiter;
   cs_runner_t *runner;
-  conn_t *conn; /* NULL while it waits.  */
+  conn_t *conn;                           /* NULL while it waits.  */
   GString *id, *route, *instance, *bytes; /* BYTES: head, then body.  */
   size_t head_len;
   uint64_t print;
@@ -51,8 +51,8 @@
   cs_life_t life;
   struct sockaddr_in address;
   cs_waiting_t waiting;
-  GQueue idle;    /* conn_t, the last used first.  */
-  GQueue active;  /* cs_task_t that the server works on.  */
+  GQueue idle;   /* conn_t, the last used first.  */
+  GQueue active; /* cs_task_t that the server works on.  */
   double slot_time, failing;
   cs_usec_t failing_at;
   GHashTable *work; /* route -> double *, mean run time.  */
@@ -141,9 +141,8 @@
 static void
 refuse_run (cs_task_t *run, cs_refused_t reason, cs_usec_t wait)
 {
-  cs_outcome_t outcome = { .kind = CS_OUTCOME_REFUSED,
-                           .reason = reason,
-                           .wait = wait };
+  cs_outcome_t outcome
+      = { .kind = CS_OUTCOME_REFUSED, .reason = reason, .wait = wait };
   end_run (run, &outcome);
 }
 
@@ -260,15 +259,15 @@
   cs_runner_t *r = run->runner;
   unsigned status = answer->parser.status_code;
   cs_usec_t ran = now_of (r) - run->sent;
-  bool not_run = cs_message_field (answer, cs_headers->not_run).data || status == 421;
+  bool not_run
+      = cs_message_field (answer, cs_headers->not_run).data || status == 421;
   cs_outcome_t outcome = { .arrived = true, .ran = ran, .status = status };
   GString *fields = NULL;
   leave_conn (run);
   if (not_run)
     {
       outcome.kind = CS_OUTCOME_REFUSED;
-      outcome.reason
-          = status == 421 ? CS_REFUSED_INSTANCE : CS_REFUSED_SHED;
+      outcome.reason = status == 421 ? CS_REFUSED_INSTANCE : CS_REFUSED_SHED;
       outcome.wait = (cs_usec_t)r->slot_time;
       note_failing (r, true);
     }
@@ -392,8 +391,7 @@
 {
   GString *out = g_string_sized_new (run->bytes->len + 128);
   g_string_append_len (out, run->bytes->str, (gssize)run->head_len);
-  g_string_append_printf (out,
-                          "%s: %" G_GINT64_FORMAT "\r\n%s: %s\r\n\r\n",
+  g_string_append_printf (out, "%s: %" G_GINT64_FORMAT "\r\n%s: %s\r\n\r\n",
                           cs_headers->deadline,
                           MAX ((run->limit - now) / CS_MSEC, 1),
                           cs_headers->instance, r->life.report.instance);
@@ -502,7 +500,7 @@
       r->slot_time = (double)SLOT_TIME_GUESS;
     }
   if (life->state == CS_LIFE_READY
-      && cs_address_parse (life->report.address, &r->address))
+      && cs_endpoint_parse (life->report.address, &r->address))
     {
       schedule_pump (r);
       return;
--- a/source/run/waiting.c
+++ b/source/run/waiting.c
@@ -7,12 +7,24 @@
    comes free, not enough to hold callers for long.  */
 #define LATE_PER_SLOT_PERCENT 50
 
+/* Part of the expected run time that must fit before the target: half of all
+   runs take longer than expected, and when the queue is full every run starts
+   as late as it may.  */
+#define WORK_SURE_PERCENT 150
+
+/* Whether W, started at START, is expected to end within its target.  */
+static bool
+makes_target (const cs_waiter_t *w, cs_usec_t start)
+{
+  return start + w->work * WORK_SURE_PERCENT / 100 <= w->target;
+}
+
 static bool
 goes_first (const cs_waiter_t *a, const cs_waiter_t *b, cs_usec_t now)
 {
   if (a->priority != b->priority)
     return a->priority < b->priority;
-  bool late_a = now + a->work > a->target, late_b = now + b->work > b->target;
+  bool late_a = !makes_target (a, now), late_b = !makes_target (b, now);
   if (late_a != late_b)
     return !late_a;
   return late_a ? a->limit < b->limit : a->target < b->target;
@@ -20,8 +32,8 @@
 
 cs_usec_t
 cs_waiting_estimate (const cs_waiting_t *waiting,
-                     const cs_waiting_room_t *room,
-                     const cs_waiter_t *waiter, cs_usec_t now)
+                     const cs_waiting_room_t *room, const cs_waiter_t *waiter,
+                     cs_usec_t now)
 {
   cs_usec_t ahead = 0;
   int64_t free = room->slots - room->running;
@@ -46,7 +58,7 @@
   for (const GList *at = waiting->waiters.head; at; at = at->next)
     {
       const cs_waiter_t *w = at->data;
-      late += now + w->work > w->target;
+      late += !makes_target (w, now);
     }
   return late;
 }
@@ -57,13 +69,15 @@
                   cs_usec_t *wait)
 {
   *wait = cs_waiting_estimate (waiting, room, w, now);
-  cs_usec_t end = now + *wait + w->work;
-  bool admit = *wait == 0 ? now + w->work * WORK_LEFT_PERCENT / 100 <= w->limit
-               : end <= w->target ? true
-                              : end <= w->limit
-                                    && count_late (waiting, now) * 100
-                                           < room->slots
-                                                 * LATE_PER_SLOT_PERCENT;
+  bool admit;
+  if (*wait == 0)
+    admit = now + w->work * WORK_LEFT_PERCENT / 100 <= w->limit;
+  else if (makes_target (w, now + *wait))
+    admit = true;
+  else
+    admit = now + *wait + w->work <= w->limit
+            && count_late (waiting, now) * 100
+                   < room->slots * LATE_PER_SLOT_PERCENT;
   if (!admit)
     return false;
   w->link = (GList){ .data = w };
--- a/source/sidecar/control.c
+++ b/source/sidecar/control.c
@@ -211,6 +211,7 @@
                                                 .stopped = on_stopped };
   const node_settings_t *s = &c->settings;
   cs_traffic_terms_t terms = { .callers = s->callers,
+                               .peers = s->peers,
                                .caller_service = s->service,
                                .budget = s->budget,
                                .grace = s->grace,
@@ -235,8 +236,8 @@
   c->settings_path = settings_path;
   c->boot = cs_wall (ctx) / CS_MSEC;
   c->members = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
-  c->rows = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
-                                   cs_entry_free);
+  c->rows
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, cs_entry_free);
   c->moves = g_hash_table_new (g_str_hash, g_str_equal);
   uv_loop_init (&c->loop);
   cs_mailbox_init (&c->box, &c->loop);
--- a/source/sidecar/control.h
+++ b/source/sidecar/control.h
@@ -48,8 +48,8 @@
   cs_usec_t walls_apart; /* BOOTTIME less MONOTONIC.  */
   cs_usec_t ticked_at;
   unsigned start_step;
-  bool busy;     /* A read or watch is under way.  */
-  bool table_up; /* The last call was answered.  */
+  bool busy;               /* A read or watch is under way.  */
+  bool table_up;           /* The last call was answered.  */
   cs_snapshot_t *snapshot; /* Published to the traffic thread.  */
   GHashTable *moves;       /* service -> move_t *.  */
   cs_usec_t moved_at;
--- a/source/sidecar/entry.c
+++ b/source/sidecar/entry.c
@@ -17,11 +17,12 @@
 life_changed (control_t *c)
 {
   const cs_report_t *r = &c->life.report;
-  cs_event (CS_E_SERVER,
-            "state=%s instance=%s service=%s version=%s slots=%"
-            G_GINT64_FORMAT " sequence=%" G_GINT64_FORMAT,
-            cs_life_state_name (c->life.state), r->instance, r->service,
-            r->version, r->slots, r->sequence);
+  cs_event (
+      CS_E_SERVER,
+      "state=%s instance=%s service=%s version=%s slots=%" G_GINT64_FORMAT
+      " sequence=%" G_GINT64_FORMAT,
+      cs_life_state_name (c->life.state), r->instance, r->service, r->version,
+      r->slots, r->sequence);
   cs_traffic_set_life (c->traffic, &c->life);
 }
 
@@ -41,8 +42,9 @@
   cs_life_verdict_t verdict
       = cs_life_report (&c->life, &report, control_now (c));
   if (verdict == CS_LIFE_LATE)
-    cs_event (CS_E_REPORT, "instance=%s sequence=%" G_GINT64_FORMAT
-                           " why=\"older than what is known\"",
+    cs_event (CS_E_REPORT,
+              "instance=%s sequence=%" G_GINT64_FORMAT
+              " why=\"older than what is known\"",
               instance, report.sequence);
   if (c->life.changes != before)
     life_changed (c);
@@ -67,9 +69,8 @@
   switch (c->adapter->entry (&exchange->request, &instance))
     {
     case CS_ENTRY_READY:
-      cs_exchange_answer (exchange,
-                          c->snapshot && !c->stopping ? 200 : 503, NULL,
-                          CS_STR (""), false);
+      cs_exchange_answer (exchange, c->snapshot && !c->stopping ? 200 : 503,
+                          NULL, CS_STR (""), false);
       break;
     case CS_ENTRY_REPORT:
       take_report (c, exchange, instance);
@@ -99,11 +100,11 @@
   static const cs_server_handler_t entry = { .request = on_entry };
   static const cs_server_handler_t metrics = { .request = on_metrics };
   const node_settings_t *s = &c->settings;
-  cs_status_t status = cs_server_new (c->ctx, &c->loop, s->ready, &entry, c,
-                                      &c->ready);
+  cs_status_t status
+      = cs_server_new (c->ctx, &c->loop, s->ready, &entry, c, &c->ready);
   if (status == CS_OK && strcmp (s->ready, s->reports) != 0)
-    status = cs_server_new (c->ctx, &c->loop, s->reports, &entry, c,
-                            &c->reports);
+    status
+        = cs_server_new (c->ctx, &c->loop, s->reports, &entry, c, &c->reports);
   if (status == CS_OK && s->metrics[0])
     status = cs_server_new (c->ctx, &c->loop, s->metrics, &metrics, c,
                             &c->metrics);
--- a/source/sidecar/main.c
+++ b/source/sidecar/main.c
@@ -40,9 +40,8 @@
 int
 main (int argc, char **argv)
 {
-  struct arg_file *settings
-      = arg_file0 ("s", "settings", "FILE",
-                   "settings (or the variable CARDAMOM_SETTINGS)");
+  struct arg_file *settings = arg_file0 (
+      "s", "settings", "FILE", "settings (or the variable CARDAMOM_SETTINGS)");
   struct arg_lit *check
       = arg_lit0 (NULL, "check", "check the settings and exit");
   struct arg_lit *reference = arg_lit0 (
@@ -77,8 +76,8 @@
   if (check->count)
     return check_settings (path);
   signal (SIGPIPE, SIG_IGN);
-  cs_ctx_t *ctx = cs_ctx_new (NULL, cs_clock_deadline (),
-                              (guint32)g_random_int ());
+  cs_ctx_t *ctx
+      = cs_ctx_new (NULL, cs_clock_deadline (), (guint32)g_random_int ());
   control_run (ctx, path);
   return 1;
 }
--- a/source/sidecar/moves.c
+++ b/source/sidecar/moves.c
@@ -156,8 +156,7 @@
 apply_state (move_t *m)
 {
   const state_t *s = &m->state;
-  cs_version_t v = { .order = s->order,
-                     .share_permille = s->share_permille };
+  cs_version_t v = { .order = s->order, .share_permille = s->share_permille };
   g_strlcpy (v.service, m->service, sizeof v.service);
   g_strlcpy (v.current, s->phase == CS_MOVE_DONE ? s->to : s->current,
              sizeof v.current);
@@ -186,8 +185,8 @@
   m->has_state = true;
   if (m->mine && strcmp (state->owner, m->control->settings.node) != 0)
     {
-      cs_event (CS_E_MOVE, "service=%s step=lost owner=%s epoch=%"
-                           G_GINT64_FORMAT,
+      cs_event (CS_E_MOVE,
+                "service=%s step=lost owner=%s epoch=%" G_GINT64_FORMAT,
                 m->service, state->owner, state->epoch);
       stop_conducting (m);
     }
@@ -201,9 +200,9 @@
   if (c->adapter->order (c->ctx, cs_str_of_gstring (entry->value), &order)
       != CS_OK)
     {
-      cs_event (CS_E_CONFIG_BAD, "row=%s revision=%" G_GINT64_FORMAT
-                                 " why=\"%s\"",
-                entry->key, entry->revision, cs_message (c->ctx));
+      cs_event (CS_E_CONFIG_BAD,
+                "row=%s revision=%" G_GINT64_FORMAT " why=\"%s\"", entry->key,
+                entry->revision, cs_message (c->ctx));
       return;
     }
   move_t *m = move_of (c, order.service);
@@ -215,8 +214,8 @@
   m->ordered_ms = wall_ms (c);
   if (m->mine)
     stop_conducting (m);
-  cs_event (CS_E_MOVE, "service=%s step=ordered to=%s over_ms=%"
-                       G_GINT64_FORMAT,
+  cs_event (CS_E_MOVE,
+            "service=%s step=ordered to=%s over_ms=%" G_GINT64_FORMAT,
             m->service, order.to, order.over / CS_MSEC);
 }
 
@@ -265,8 +264,7 @@
 /* The growth of ARM since the last report of the same server goes to the
    jury.  */
 static void
-add_evidence (move_t *m, evidence_t *e, const char *route,
-              const cs_arm_t *arm)
+add_evidence (move_t *m, evidence_t *e, const char *route, const cs_arm_t *arm)
 {
   cs_sample_t now = { 0 }, before = { 0 }, growth;
   const cs_arm_t *known = g_hash_table_lookup (e->arms, route);
@@ -370,12 +368,12 @@
   cs_expect_t expect = { .space = CS_SPACE_MOVES,
                          .key = m->service,
                          .revision = m->row_revision };
-  cs_put_t puts[] = { { .space = CS_SPACE_MOVES,
-                        .key = m->service,
-                        .value = cs_pack_payload (&pack) },
-                      { .space = CS_SPACE_STATES,
-                        .key = key,
-                        .value = cs_str_of (text) } };
+  cs_put_t puts[] = {
+    { .space = CS_SPACE_MOVES,
+      .key = m->service,
+      .value = cs_pack_payload (&pack) },
+    { .space = CS_SPACE_STATES, .key = key, .value = cs_str_of (text) }
+  };
   bool tell = !m->has_state || m->state.order != wanted->order
               || m->state.phase != wanted->phase;
   c->table->vtable->commit (c->table, &expect, 1, puts, tell ? 2 : 1,
@@ -419,9 +417,9 @@
 {
   const state_t *s = &m->state;
   cs_event (CS_E_MOVE,
-            "service=%s step=%s from=%s to=%s share_permille=%"
-            G_GINT64_FORMAT " epoch=%" G_GINT64_FORMAT " owner=%s calls=%"
-            G_GUINT64_FORMAT " reason=\"%s\"",
+            "service=%s step=%s from=%s to=%s share_permille=%" G_GINT64_FORMAT
+            " epoch=%" G_GINT64_FORMAT " owner=%s calls=%" G_GUINT64_FORMAT
+            " reason=\"%s\"",
             m->service, cs_move_phase_name (s->phase), s->current, s->to,
             s->share_permille, s->epoch, s->owner,
             m->jury ? cs_jury_new_calls (m->jury) : 0, m->reason->str);
@@ -500,8 +498,7 @@
   state_t wanted = { .order = m->order_revision,
                      .epoch = m->state.epoch + 1,
                      .start_ms = m->ordered_ms,
-                     .deadline_ms
-                     = m->ordered_ms + m->order.over / CS_MSEC };
+                     .deadline_ms = m->ordered_ms + m->order.over / CS_MSEC };
   if (same)
     {
       wanted.share_permille = m->state.share_permille;
@@ -511,8 +508,7 @@
     }
   else if (m->has_state)
     g_strlcpy (wanted.current,
-               m->state.phase == CS_MOVE_DONE ? m->state.to
-                                              : m->state.current,
+               m->state.phase == CS_MOVE_DONE ? m->state.to : m->state.current,
                sizeof wanted.current);
   else
     find_current (m, wanted.current);
@@ -569,15 +565,15 @@
 as_document (const move_t *m)
 {
   const state_t *s = &m->state;
-  return (cs_move_t){ .start_ms = s->start_ms,
-                      .deadline_ms = cs_conduct_verdict_by (s->start_ms,
-                                                            s->deadline_ms),
-                      .first_permille = FIRST_PERMILLE,
-                      .phase = s->phase,
-                      .share_permille = s->share_permille,
-                      .since_ms = wall_ms (m->control)
-                                  - (control_now (m->control) - m->settled_at)
-                                        / CS_MSEC };
+  return (cs_move_t){
+    .start_ms = s->start_ms,
+    .deadline_ms = cs_conduct_verdict_by (s->start_ms, s->deadline_ms),
+    .first_permille = FIRST_PERMILLE,
+    .phase = s->phase,
+    .share_permille = s->share_permille,
+    .since_ms = wall_ms (m->control)
+                - (control_now (m->control) - m->settled_at) / CS_MSEC
+  };
 }
 
 /* The version is bad, or cannot be shown to be good in time: it gets nothing
--- a/source/sidecar/rows.c
+++ b/source/sidecar/rows.c
@@ -65,9 +65,9 @@
       != CS_OK)
     {
       cs_count (CS_C_CONFIG_REFUSED, 1);
-      cs_event (CS_E_CONFIG_BAD, "row=%s revision=%" G_GINT64_FORMAT
-                                 " why=\"%s\"",
-                entry->key, entry->revision, cs_message (c->ctx));
+      cs_event (CS_E_CONFIG_BAD,
+                "row=%s revision=%" G_GINT64_FORMAT " why=\"%s\"", entry->key,
+                entry->revision, cs_message (c->ctx));
       return;
     }
   if (c->snapshot && snapshot->version <= c->snapshot->version)
@@ -224,8 +224,7 @@
 void
 control_note_table (control_t *c, cs_status_t status)
 {
-  bool up = status == CS_OK || status == CS_CONFLICT
-            || status == CS_NOT_FOUND;
+  bool up = status == CS_OK || status == CS_CONFLICT || status == CS_NOT_FOUND;
   if (up != c->table_up)
     cs_event (CS_E_STORE, "state=%s status=%s seen=%" G_GINT64_FORMAT,
               up ? "regained" : "lost", cs_status_name (status), c->seen);
@@ -319,8 +318,7 @@
 }
 
 static void
-on_nodes (void *user, cs_status_t status, GPtrArray *entries,
-          int64_t revision)
+on_nodes (void *user, cs_status_t status, GPtrArray *entries, int64_t revision)
 {
   control_t *c = user;
   (void)revision;
@@ -331,8 +329,8 @@
       cs_cursor_t in;
       cs_member_t member;
       if (!entry->value
-          || cs_unpack_init (c->ctx, &unpack,
-                             cs_str_of_gstring (entry->value), &in)
+          || cs_unpack_init (c->ctx, &unpack, cs_str_of_gstring (entry->value),
+                             &in)
                  != CS_OK)
         continue;
       cs_member_take (&in, &member);
@@ -344,8 +342,7 @@
 }
 
 static void
-on_moves (void *user, cs_status_t status, GPtrArray *entries,
-          int64_t revision)
+on_moves (void *user, cs_status_t status, GPtrArray *entries, int64_t revision)
 {
   control_t *c = user;
   (void)revision;
--- a/source/sidecar/settings.c
+++ b/source/sidecar/settings.c
@@ -62,9 +62,9 @@
   double value = g_ascii_strtod (text, &end);
   if (end == text || !(value >= 0))
     return -1;
-  double unit = strcmp (end, "s") == 0                      ? 1e6
+  double unit = strcmp (end, "s") == 0                    ? 1e6
                 : strcmp (end, "ms") == 0 || *end == '\0' ? 1e3
-                                                            : -1;
+                                                          : -1;
   if (unit < 0 || value * unit > DURATION_MAX_S * 1e6)
     return -1;
   return (cs_usec_t)(value * unit);
--- a/source/stream/frames.c
+++ b/source/stream/frames.c
@@ -38,8 +38,8 @@
 take_name (cs_cursor_t *cursor, char name[CS_LIFE_TEXT])
 {
   cs_str_t text = cs_take_str (cursor);
-  if (text.len >= CS_LIFE_TEXT || memchr (text.data ? text.data : "", 0,
-                                          text.len))
+  if (text.len >= CS_LIFE_TEXT
+      || memchr (text.data ? text.data : "", 0, text.len))
     {
       cursor->bad = true;
       return;
--- a/source/stream/stream.c
+++ b/source/stream/stream.c
@@ -103,8 +103,7 @@
         }
       if (len - used - LENGTH_BYTES < length)
         break;
-      cs_str_t payload
-          = { .data = data + used + LENGTH_BYTES, .len = length };
+      cs_str_t payload = { .data = data + used + LENGTH_BYTES, .len = length };
       s->handler.payload (s->user, s, payload);
       if (s->closing)
         return -1;
@@ -235,7 +234,7 @@
                   void *(*taken) (void *user, cs_stream_t *stream), void *user)
 {
   struct sockaddr_in where;
-  if (!cs_address_parse (address, &where))
+  if (!cs_endpoint_parse (address, &where))
     return cs_fail (ctx, CS_BAD_INPUT, "%s is no IP:PORT; write one", address);
   listener_t *listener = g_new0 (listener_t, 1);
   *listener = (listener_t){ .clock = ctx->clock,
@@ -245,11 +244,9 @@
                             .user = user };
   uv_tcp_init (loop, &listener->tcp);
   listener->tcp.data = listener;
-  int error
-      = uv_tcp_bind (&listener->tcp, (const struct sockaddr *)&where, 0);
+  int error = uv_tcp_bind (&listener->tcp, (const struct sockaddr *)&where, 0);
   if (error == 0)
-    error
-        = uv_listen ((uv_stream_t *)&listener->tcp, BACKLOG, on_connection);
+    error = uv_listen ((uv_stream_t *)&listener->tcp, BACKLOG, on_connection);
   if (error)
     return cs_fail (ctx, CS_UNAVAILABLE,
                     "cannot listen on %s: %s; free the port or set another",
--- /dev/null
+++ b/tests/sockets.h
@@ -0,0 +1,146 @@
+/* Blocking sockets on loopback for tests of programs that do not block.  */
+#ifndef TESTS_SOCKETS_H
+#define TESTS_SOCKETS_H
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <glib.h>
+#include <poll.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* A test that hangs fails after this, far above what any step takes.  */
+#define SOCKET_PATIENCE_MS 20000
+/* What must not come is awaited for so long.  */
+#define SOCKET_QUIET_MS 250
+
+static inline struct sockaddr_in
+loopback (unsigned port)
+{
+  return (struct sockaddr_in){ .sin_family = AF_INET,
+                               .sin_port = htons ((uint16_t)port),
+                               .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+}
+
+/* A listener at a free port, which goes to *PORT.  */
+static inline int
+listen_any (unsigned *port)
+{
+  struct sockaddr_in a = loopback (0);
+  socklen_t len = sizeof a;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  g_assert_cmpint (bind (fd, (struct sockaddr *)&a, sizeof a), ==, 0);
+  g_assert_cmpint (listen (fd, 64), ==, 0);
+  getsockname (fd, (struct sockaddr *)&a, &len);
+  *port = ntohs (a.sin_port);
+  return fd;
+}
+
+static inline unsigned
+free_port (void)
+{
+  unsigned port;
+  close (listen_any (&port));
+  return port;
+}
+
+static inline int
+connect_to (unsigned port)
+{
+  struct sockaddr_in a = loopback (port);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  g_assert_cmpint (connect (fd, (struct sockaddr *)&a, sizeof a), ==, 0);
+  return fd;
+}
+
+/* Whether FD has something to read (or has ended) within MS.  */
+static inline bool
+readable (int fd, int ms)
+{
+  struct pollfd p = { .fd = fd, .events = POLLIN };
+  return poll (&p, 1, ms) == 1;
+}
+
+static inline int
+accept_one (int listener)
+{
+  g_assert_true (readable (listener, SOCKET_PATIENCE_MS));
+  return accept (listener, NULL, NULL);
+}
+
+static inline void
+send_text (int fd, const char *text)
+{
+  size_t len = strlen (text);
+  while (len > 0)
+    {
+      ssize_t n = send (fd, text, len, MSG_NOSIGNAL);
+      g_assert_cmpint (n, >, 0);
+      text += n;
+      len -= (size_t)n;
+    }
+}
+
+/* Append what is there to TEXT; false at the end of the connection.  */
+static inline bool
+receive_some (int fd, GString *text)
+{
+  char bytes[4096];
+  g_assert_true (readable (fd, SOCKET_PATIENCE_MS));
+  ssize_t n = recv (fd, bytes, sizeof bytes, 0);
+  if (n <= 0)
+    return false;
+  g_string_append_len (text, bytes, n);
+  return true;
+}
+
+/* One message with Content-Length or without a body.  The caller frees it;
+   what comes behind is left unread.  */
+static inline char *
+receive_message (int fd)
+{
+  GString *text = g_string_new (NULL);
+  char c;
+  while (!strstr (text->str, "\r\n\r\n"))
+    {
+      g_assert_true (readable (fd, SOCKET_PATIENCE_MS));
+      if (recv (fd, &c, 1, 0) != 1)
+        return g_string_free (text, FALSE);
+      g_string_append_c (text, c);
+    }
+  const char *field = strstr (text->str, "Content-Length: ");
+  size_t body = field ? strtoul (field + 16, NULL, 10) : 0;
+  size_t whole = text->len + body;
+  while (text->len < whole)
+    {
+      g_assert_true (readable (fd, SOCKET_PATIENCE_MS));
+      if (recv (fd, &c, 1, 0) != 1)
+        break;
+      g_string_append_c (text, c);
+    }
+  return g_string_free (text, FALSE);
+}
+
+/* Everything up to the end of the connection.  */
+static inline char *
+receive_all (int fd)
+{
+  GString *text = g_string_new (NULL);
+  while (receive_some (fd, text))
+    continue;
+  return g_string_free (text, FALSE);
+}
+
+/* Close with a reset.  */
+static inline void
+reset (int fd)
+{
+  struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  close (fd);
+}
+
+#endif
--- /dev/null
+++ b/tests/test-message.c
@@ -0,0 +1,219 @@
+/* Reading HTTP/1.1 messages: what is refused, however the reads are split,
+   and seeded mutation.  */
+#include <string.h>
+
+#include "cardamom/message.h"
+
+#define HEAD_MAX 512
+#define BODY_MAX 64
+
+/* Feed TEXT in pieces of STEP bytes; returns the bytes taken.  */
+static size_t
+feed (cs_message_t *m, const char *text, size_t len, size_t step)
+{
+  size_t used = 0;
+  while (used < len && !m->done && !m->fault)
+    used += cs_message_feed (m, text + used, MIN (step, len - used));
+  return used;
+}
+
+static const struct
+{
+  const char *what, *text;
+  int fault;        /* Expected; 0: read whole.  */
+  const char *body; /* Expected.  */
+} requests[] = {
+  { "plain", "GET /a/b HTTP/1.1\r\nHost: h\r\n\r\n", 0, "" },
+  { "length", "PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc", 0,
+    "abc" },
+  { "chunks",
+    "PUT / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "2\r\nab\r\n1;x=y\r\nc\r\n0\r\nTrail: 1\r\n\r\n",
+    0, "abc" },
+  { "blank line before", "\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n", 0, "" },
+  { "two framings",
+    "PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    400, "" },
+  { "two framings, the other way round",
+    "PUT / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+    "Content-Length: 3\r\n\r\n0\r\n\r\n",
+    400, "" },
+  { "repeated length",
+    "PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 3\r\n"
+    "\r\nabc",
+    400, "" },
+  { "malformed length",
+    "PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 3x\r\n\r\nabc", 400, "" },
+  { "signed length",
+    "PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\nabc", 400, "" },
+  { "unknown coding",
+    "PUT / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\nabc", 400,
+    "" },
+  { "space before the colon",
+    "PUT / HTTP/1.1\r\nHost: h\r\nContent-Length : 3\r\n\r\nabc", 400, "" },
+  { "folded line", "GET / HTTP/1.1\r\nHost: h\r\nA: b\r\n c\r\n\r\n", 400,
+    "" },
+  { "folded with a tab", "GET / HTTP/1.1\r\nHost: h\r\nA: b\r\n\tc\r\n\r\n",
+    400, "" },
+  { "bare line feed", "GET / HTTP/1.1\r\nHost: h\nA: b\r\n\r\n", 400, "" },
+  { "no host", "GET / HTTP/1.1\r\nA: b\r\n\r\n", 400, "" },
+  { "two hosts", "GET / HTTP/1.1\r\nHost: h\r\nHost: g\r\n\r\n", 400, "" },
+  { "tunnel", "CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n", 400, "" },
+  { "body over the limit",
+    "PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n", 413, "" },
+  { "no request at all", "\x16\x03\x01 rubbish\r\n\r\n", 400, "" },
+};
+
+static void
+test_requests (void)
+{
+  static const size_t steps[] = { 1, 2, 3, 7, 64, 4096 };
+  for (size_t i = 0; i < G_N_ELEMENTS (requests); i++)
+    for (size_t j = 0; j < G_N_ELEMENTS (steps); j++)
+      {
+        cs_message_t m;
+        const char *text = requests[i].text;
+        cs_message_init (&m, HTTP_REQUEST, HEAD_MAX, BODY_MAX);
+        feed (&m, text, strlen (text), steps[j]);
+        g_test_message ("%s, %zu at a time", requests[i].what, steps[j]);
+        g_assert_cmpint (m.fault, ==, requests[i].fault);
+        g_assert_cmpint (m.done, ==, !requests[i].fault);
+        if (!requests[i].fault)
+          g_assert_cmpstr (m.body->str, ==, requests[i].body);
+        cs_message_clear (&m);
+      }
+}
+
+static void
+test_limits (void)
+{
+  cs_message_t m;
+  GString *text = g_string_new ("GET / HTTP/1.1\r\nHost: h\r\nA: ");
+  for (int i = 0; i < HEAD_MAX; i++)
+    g_string_append_c (text, 'x');
+  g_string_append (text, "\r\n\r\n");
+  cs_message_init (&m, HTTP_REQUEST, HEAD_MAX, BODY_MAX);
+  feed (&m, text->str, text->len, 16);
+  g_assert_cmpint (m.fault, ==, 431);
+  cs_message_clear (&m);
+  g_string_assign (text, "PUT / HTTP/1.1\r\nHost: h\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n41\r\n");
+  for (int i = 0; i < 65; i++)
+    g_string_append_c (text, 'x');
+  cs_message_init (&m, HTTP_REQUEST, HEAD_MAX, BODY_MAX);
+  feed (&m, text->str, text->len, 16);
+  g_assert_cmpint (m.fault, ==, 413);
+  cs_message_clear (&m);
+  g_string_free (text, TRUE);
+}
+
+/* One message is taken, the next is left.  */
+static void
+test_pipelined (void)
+{
+  static const char text[] = "PUT /1 HTTP/1.1\r\nHost: h\r\n"
+                             "Content-Length: 2\r\n\r\nab"
+                             "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n";
+  cs_message_t m;
+  cs_message_init (&m, HTTP_REQUEST, HEAD_MAX, BODY_MAX);
+  size_t used = cs_message_feed (&m, text, sizeof text - 1);
+  g_assert_true (m.done);
+  g_assert_cmpstr (m.body->str, ==, "ab");
+  cs_message_reset (&m);
+  used += cs_message_feed (&m, text + used, sizeof text - 1 - used);
+  g_assert_true (m.done);
+  g_assert_cmpuint (used, ==, sizeof text - 1);
+  g_assert_true (cs_str_equal (m.target, CS_STR ("/2")));
+  cs_message_clear (&m);
+}
+
+static void
+test_answers (void)
+{
+  static const struct
+  {
+    const char *what, *text;
+    bool head, done, whole_at_end;
+  } cases[] = {
+    { "length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", false, true,
+      true },
+    { "short of its length", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab",
+      false, false, false },
+    { "short of its last chunk",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+      false, false, false },
+    { "to the end of the connection", "HTTP/1.1 200 OK\r\n\r\nab", false,
+      false, true },
+    { "no body", "HTTP/1.1 204 No Content\r\n\r\n", false, true, true },
+    { "to HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", true, true,
+      true },
+    { "head cut", "HTTP/1.1 200 OK\r\nConte", false, false, false },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      cs_message_t m;
+      cs_message_init (&m, HTTP_RESPONSE, HEAD_MAX, BODY_MAX);
+      m.skip_body = cases[i].head;
+      feed (&m, cases[i].text, strlen (cases[i].text), 5);
+      g_test_message ("%s", cases[i].what);
+      g_assert_cmpint (m.fault, ==, 0);
+      g_assert_cmpint (m.done, ==, cases[i].done);
+      g_assert_cmpint (cs_message_end (&m), ==, cases[i].whole_at_end);
+      cs_message_clear (&m);
+    }
+}
+
+/* Mutants of every request, from a fixed seed: each is read whole, refused
+   once, or waits for more; a body is never longer than its limit.  */
+static void
+test_mutants (void)
+{
+  GRand *random = g_rand_new_with_seed (20261204);
+  for (int round = 0; round < 20000; round++)
+    {
+      const char *text
+          = requests[g_rand_int_range (random, 0, G_N_ELEMENTS (requests))]
+                .text;
+      GString *mutant = g_string_new (text);
+      for (int i = g_rand_int_range (random, 1, 5); i > 0 && mutant->len; i--)
+        {
+          gsize at = (gsize)g_rand_int_range (random, 0, (gint)mutant->len);
+          switch (g_rand_int_range (random, 0, 3))
+            {
+            case 0:
+              mutant->str[at] = (char)g_rand_int_range (random, 0, 256);
+              break;
+            case 1:
+              g_string_erase (mutant, (gssize)at, 1);
+              break;
+            default:
+              g_string_insert_len (mutant, (gssize)at, "\r\n 0:9,", 1);
+            }
+        }
+      cs_message_t m;
+      cs_message_init (&m, HTTP_REQUEST, HEAD_MAX, BODY_MAX);
+      feed (&m, mutant->str, mutant->len,
+            (size_t)g_rand_int_range (random, 1, 40));
+      g_assert_false (m.done && m.fault);
+      g_assert_cmpuint (m.body->len, <=, BODY_MAX);
+      if (m.done)
+        g_assert_false (cs_message_field (&m, "content-length").data
+                        && cs_message_field (&m, "transfer-encoding").data);
+      cs_message_clear (&m);
+      g_string_free (mutant, TRUE);
+    }
+  g_rand_free (random);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/message/requests", test_requests);
+  g_test_add_func ("/message/limits", test_limits);
+  g_test_add_func ("/message/pipelined", test_pipelined);
+  g_test_add_func ("/message/answers", test_answers);
+  g_test_add_func ("/message/mutants", test_mutants);
+  return g_test_run ();
+}
