--- a/source/sidecar/moves.c
+++ b/source/sidecar/moves.c
@@ -10,7 +10,9 @@
 #define FALSE_ALARM 0.0025   /* Chance that a good version is taken back.  */
 #define FIRST_PERMILLE 50    /* First share of the new version.  */
 #define WRITE_PAUSE (250 * CS_MSEC) /* After a write that failed.  */
-#define MOVE_FIELDS 12
+#define MOVE_FIELDS 13
+/* A conductor that cannot write for so long leaves the move to others.  */
+#define WRITES_FAIL_MAX (1000 * CS_MSEC)
 
 /* The state of a move: a row of CS_SPACE_MOVES, and what the node that
    conducts it tells the others.  */
@@ -46,12 +48,15 @@
   int64_t ordered_ms;
   state_t state;
   int64_t row_revision; /* Of the row that STATE stands in; 0: none.  */
+  int64_t told_order;   /* What operators were last told.  */
+  cs_move_phase_t told_phase;
   bool has_state;
   cs_usec_t heard; /* Last sign of the node that conducts.  */
   /* While this node conducts.  */
   bool mine, writing;
   state_t wanted; /* Being written.  */
   cs_usec_t write_at, settled_at;
+  cs_usec_t failing_since; /* Of the first write that failed; 0: none has.  */
   cs_jury_t *jury;
   GHashTable *evidence; /* node -> evidence_t *.  */
   GString *reason;
@@ -88,7 +93,7 @@
 }
 
 static void
-pack_state (cs_pack_t *pack, const char *service, const state_t *s)
+pack_state (cs_pack_t *pack, const char *service, const state_t *s, bool able)
 {
   cs_pack_array (pack, MOVE_FIELDS);
   cs_pack_number (pack, CS_FRAME_MOVE);
@@ -103,6 +108,7 @@
   cs_pack_number (pack, s->phase);
   cs_pack_number (pack, s->start_ms);
   cs_pack_number (pack, s->deadline_ms);
+  cs_pack_number (pack, able);
 }
 
 static void
@@ -118,8 +124,9 @@
   out[text.len] = '\0';
 }
 
-/* The fields after the number of the frame.  */
-static void
+/* The fields after the number of the frame.  Returns whether the conductor
+   can write to the table.  */
+static bool
 take_state (cs_cursor_t *in, char service[CS_LIFE_TEXT], state_t *s)
 {
   *s = (state_t){ 0 };
@@ -134,11 +141,13 @@
   int64_t phase = cs_take_number (in);
   s->start_ms = cs_take_number (in);
   s->deadline_ms = cs_take_number (in);
+  bool able = cs_take_number (in) != 0;
   if (phase < CS_MOVE_RUNNING || phase > CS_MOVE_TAKEN_BACK
       || s->share_permille < 0 || s->share_permille > CS_SHARE_ONE)
     in->bad = true;
   else
     s->phase = (cs_move_phase_t)phase;
+  return able;
 }
 
 static bool
@@ -248,14 +257,15 @@
 {
   char service[CS_LIFE_TEXT] = "";
   state_t state;
-  take_state (in, service, &state);
+  bool able = take_state (in, service, &state);
   if (in->bad)
     return;
   move_t *m = move_of (c, service);
   adopt (m, &state);
   if (strcmp (m->state.owner, from) != 0 || newer (&m->state, &state))
     return;
-  m->heard = control_now (c);
+  if (able)
+    m->heard = control_now (c);
   if (state.phase == CS_MOVE_RUNNING
       && strcmp (c->life.report.service, service) == 0)
     cs_traffic_give_evidence (c->traffic, from);
@@ -363,7 +373,7 @@
   m->wanted = *wanted;
   m->writing = true;
   cs_pack_init (&pack);
-  pack_state (&pack, m->service, wanted);
+  pack_state (&pack, m->service, wanted, true);
   c->adapter->move_state (m->service, wanted->to, wanted->phase, &key, &text);
   cs_expect_t expect = { .space = CS_SPACE_MOVES,
                          .key = m->service,
@@ -374,8 +384,7 @@
       .value = cs_pack_payload (&pack) },
     { .space = CS_SPACE_STATES, .key = key, .value = cs_str_of (text) }
   };
-  bool tell = !m->has_state || m->state.order != wanted->order
-              || m->state.phase != wanted->phase;
+  bool tell = m->told_order != wanted->order || m->told_phase != wanted->phase;
   c->table->vtable->commit (c->table, &expect, 1, puts, tell ? 2 : 1,
                             on_written, m);
   cs_pack_clear (&pack);
@@ -388,7 +397,10 @@
 {
   cs_pack_t pack;
   cs_pack_init (&pack);
-  pack_state (&pack, m->service, &m->state);
+  bool able = !m->failing_since
+              || control_now (m->control) - m->failing_since
+                     < WRITES_FAIL_MAX;
+  pack_state (&pack, m->service, &m->state, able);
   cs_traffic_send (m->control->traffic, NULL, NULL, cs_pack_payload (&pack));
   cs_pack_clear (&pack);
   if (m->state.phase == CS_MOVE_RUNNING
@@ -451,12 +463,17 @@
     }
   if (status != CS_OK)
     {
+      if (!m->failing_since)
+        m->failing_since = control_now (c);
       m->write_at = control_now (c) + WRITE_PAUSE;
       return;
     }
   bool claim = !m->has_state || m->state.epoch != m->wanted.epoch
                || m->state.order != m->wanted.order;
   m->row_revision = revision;
+  m->told_order = m->wanted.order;
+  m->told_phase = m->wanted.phase;
+  m->failing_since = 0;
   if (m->has_state && newer (&m->state, &m->wanted))
     return;
   m->state = m->wanted;
@@ -653,7 +670,7 @@
     }
   bool begun = m->has_state && m->state.order == m->order_revision;
   cs_usec_t since = begun ? MAX (m->heard, m->ordered_at) : m->ordered_at;
-  if (!m->writing && now >= m->write_at
+  if (!m->writing && now >= m->write_at && m->control->table_up
       && cs_conduct_takes (rank_for (m), begun, now - since))
     claim (m);
 }
