--- a/include/cardamom/budget.h
+++ b/include/cardamom/budget.h
@@ -23,8 +23,17 @@
 {
   int64_t slice; /* Number of the newest slice.  */
   unsigned requests[CS_BUDGET_SLICES], repeats[CS_BUDGET_SLICES];
+  double failing; /* Moving average of runs that failed.  */
 } cs_budget_t;
 
+/* A run of the service has ended.  */
+void cs_budget_ended (cs_budget_t *budget, bool failed);
+
+/* Whether failures lie with single servers, so that another one may do
+   better: when the service fails as a whole, as it does when one that it calls
+   is short of room, a second run only adds to that.  */
+bool cs_budget_may_help (const cs_budget_t *budget);
+
 /* A request for the service has come in.  */
 void cs_budget_request (cs_budget_t *budget, const cs_budget_terms_t *terms,
                         cs_usec_t now);
@@ -33,8 +42,4 @@
 bool cs_budget_repeat (cs_budget_t *budget, const cs_budget_terms_t *terms,
                        unsigned nodes, cs_usec_t now);
 
-/* A repeat that was sent without asking.  */
-void cs_budget_note (cs_budget_t *budget, const cs_budget_terms_t *terms,
-                     cs_usec_t now);
-
 #endif
--- a/include/cardamom/run.h
+++ b/include/cardamom/run.h
@@ -21,6 +21,7 @@
   cs_str_t body;
   int64_t priority;
   cs_usec_t target_left; /* To the end that earns full benefit.  */
+  cs_usec_t full_target; /* Time that a request of its kind has to it.  */
   cs_usec_t limit_left;  /* To the end of the request.  */
   uint64_t print;        /* Of method, path and body.  */
   bool idempotent, head_only;
--- a/include/cardamom/waiting.h
+++ b/include/cardamom/waiting.h
@@ -22,7 +22,9 @@
 {
   GList link;       /* The queue's own.  */
   int64_t priority; /* 0 goes first.  */
+  cs_usec_t arrived;
   cs_usec_t target; /* Absolute end that earns full benefit.  */
+  cs_usec_t full_target; /* Time that a request of its kind has to it.  */
   cs_usec_t limit;  /* Absolute end of the request.  */
   cs_usec_t work;   /* Expected run time.  */
 } cs_waiter_t;
@@ -54,8 +56,8 @@
 /* Take out the waiter to run next, NULL when there is none.  */
 cs_waiter_t *cs_waiting_next (cs_waiting_t *waiting, cs_usec_t now);
 
-/* Take out a waiter that cannot end by its limit any more, NULL when there is
-   none.  */
+/* Take out a waiter that cannot end in time any more and has been kept long
+   enough, NULL when there is none.  */
 cs_waiter_t *cs_waiting_expired (cs_waiting_t *waiting, cs_usec_t now);
 
 /* Take out WAITER, or any one (NULL when there is none).  */
--- a/source/call/budget.c
+++ b/source/call/budget.c
@@ -4,7 +4,10 @@
 
 /* Part of the allowance that is used: calls made by a repeated run count as
    repeats too, and no node sees them.  */
-#define USED_SHARE 0.6
+#define USED_SHARE 0.5
+#define FAILING_WEIGHT 0.02 /* Of a run in the moving average.  */
+/* More than a few failing servers among many explain.  */
+#define FAILING_WHOLE 0.15
 
 static void
 move_to (cs_budget_t *b, const cs_budget_terms_t *terms, cs_usec_t now)
@@ -29,10 +32,15 @@
 }
 
 void
-cs_budget_note (cs_budget_t *b, const cs_budget_terms_t *terms, cs_usec_t now)
+cs_budget_ended (cs_budget_t *b, bool failed)
 {
-  move_to (b, terms, now);
-  b->repeats[b->slice % CS_BUDGET_SLICES]++;
+  b->failing += FAILING_WEIGHT * ((failed ? 1.0 : 0.0) - b->failing);
+}
+
+bool
+cs_budget_may_help (const cs_budget_t *b)
+{
+  return b->failing < FAILING_WHOLE;
 }
 
 bool
--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -7,6 +7,7 @@
 #include "traffic.h"
 
 #define TRIED_MAX 6 /* Nodes that one call is sent to at most.  */
+#define ELAPSED_MIN (20 * CS_MSEC) /* Less is the caller's own delay.  */
 #define FULL_MAX 3  /* Nodes without room after which a call is refused.  */
 #define LIMIT_DEFAULT (30 * CS_SEC) /* A caller that gives no deadline.  */
 /* Past its limit the outcome may still be on its way.  */
@@ -39,7 +40,7 @@
   uint64_t number; /* Of the job under way.  */
   uint64_t print;
   int64_t boot; /* Life of the node that the job was sent to.  */
-  cs_usec_t arrived, target, limit;
+  cs_usec_t arrived, target, full_target, limit;
   uv_timer_t timer;
   peer_t *peer;   /* That works on it; NULL between two.  */
   cs_task_t *run; /* When that is this node.  */
@@ -273,6 +274,7 @@
                    .body = cs_str_of_gstring (call->exchange->request.body),
                    .priority = call->route->priority,
                    .target_left = call->target - now,
+                   .full_target = call->full_target,
                    .limit_left = call->limit - now,
                    .print = call->print,
                    .idempotent = call->route->idempotent,
@@ -369,7 +371,11 @@
   peer_t *peer = call->peer;
   note_average (&call->state->work, outcome->ran);
   note_average (work_at (peer, call->route->path), outcome->ran);
-  if (outcome->status >= 500 && call->route->idempotent && may_repeat (call))
+  cs_budget_t *budget = &pool_of (call->traffic, call->service)->budget;
+  bool failed = outcome->status >= 500;
+  cs_budget_ended (budget, failed);
+  if (failed && call->route->idempotent && cs_budget_may_help (budget)
+      && may_repeat (call))
     {
       repeat (call, "failed");
       return;
@@ -622,14 +628,22 @@
       = cs_message_number (request, cs_headers->deadline,
                            LIMIT_DEFAULT / CS_MSEC, LIMIT_DEFAULT / CS_MSEC)
         * CS_MSEC;
+  /* A caller that comes again has less time left than at first, and has lost
+     as much of the time to its target.  */
+  cs_usec_t elapsed = 0;
+  call->state->budget = MAX (call->state->budget, limit);
+  if (call->state->budget - limit > ELAPSED_MIN)
+    elapsed = call->state->budget - limit;
   if (route->timeout_ms > 0)
     limit = MIN (limit, route->timeout_ms * CS_MSEC);
   call->arrived = traffic_now (call->traffic);
   call->limit = call->arrived + limit;
   call->target = call->limit;
   if (route->target_ms > 0)
-    call->target
-        = MIN (call->limit, call->arrived + route->target_ms * CS_MSEC);
+    call->target = MIN (call->limit, call->arrived - elapsed
+                                         + route->target_ms * CS_MSEC);
+  call->full_target = route->target_ms > 0 ? route->target_ms * CS_MSEC
+                                           : call->limit - call->arrived;
 }
 
 void
--- a/source/call/place.c
+++ b/source/call/place.c
@@ -56,15 +56,21 @@
 cs_place_choose (const cs_place_t *places, size_t count,
                  const cs_place_need_t *need, GRand *random)
 {
-  cs_usec_t near = need->target_left * NEAR_PERCENT / 100;
-  for (int distance = CS_NEAR; distance <= CS_FAR; distance++)
-    {
-      int i = soonest (places, count, distance, false, random);
-      if (i >= 0 && finish_at (&places[i]) <= near)
-        return (cs_placement_t){ i, finish_at (&places[i]) };
-    }
-  /* Only the node beside a server knows its queue, and may refuse.  */
-  int i = soonest (places, count, -1, false, random);
+  static const int percents[] = { NEAR_PERCENT, 100 };
+  for (size_t pass = 0; pass < G_N_ELEMENTS (percents); pass++)
+    for (int distance = CS_NEAR; distance <= CS_FAR; distance++)
+      {
+        int i = soonest (places, count, distance, false, random);
+        if (i >= 0
+            && finish_at (&places[i])
+                   <= need->target_left * percents[pass] / 100)
+          return (cs_placement_t){ i, finish_at (&places[i]) };
+      }
+  /* Too late everywhere: only the node beside a server knows its queue, and
+     may refuse.  Another region is asked when there is none here.  */
+  int i = -1;
+  for (int distance = CS_NEAR; i < 0 && distance <= CS_FAR; distance++)
+    i = soonest (places, count, distance, false, random);
   if (i < 0)
     i = soonest (places, count, -1, true, random);
   return (cs_placement_t){ i, i < 0 ? -1 : finish_at (&places[i]) };
--- a/source/call/traffic.h
+++ b/source/call/traffic.h
@@ -71,6 +71,7 @@
 typedef struct
 {
   average_t work;
+  cs_usec_t budget; /* Longest deadline that a caller has given.  */
   int64_t credit[16];
 } route_state_t;
 
--- a/source/run/run.c
+++ b/source/run/run.c
@@ -557,7 +557,9 @@
   cs_usec_t now = now_of (r);
   run->limit = now + job->limit_left;
   run->waiter.priority = job->priority;
+  run->waiter.arrived = now;
   run->waiter.target = now + job->target_left;
+  run->waiter.full_target = job->full_target;
   run->waiter.limit = run->limit;
   run->waiter.work = (cs_usec_t)*work_of (r, run->route->str);
   return run;
--- a/source/run/waiting.c
+++ b/source/run/waiting.c
@@ -3,9 +3,9 @@
 /* Part of the expected run time that must be left at the limit: a run that
    is shorter than expected may still end.  */
 #define WORK_LEFT_PERCENT 60
-/* Waiters that miss their target, for each slot: enough to fill a slot that
-   comes free, not enough to hold callers for long.  */
-#define LATE_PER_SLOT_PERCENT 50
+/* Part of its target for which a request that misses it is kept waiting for a
+   free slot, before it is told to come back.  */
+#define LATE_HOLD_PERCENT 12
 
 /* Part of the expected run time that must fit before the target: half of all
    runs take longer than expected, and when the queue is full every run starts
@@ -51,18 +51,6 @@
   return (ahead + room->slot_time) / MAX (room->slots, 1);
 }
 
-static int64_t
-count_late (const cs_waiting_t *waiting, cs_usec_t now)
-{
-  int64_t late = 0;
-  for (const GList *at = waiting->waiters.head; at; at = at->next)
-    {
-      const cs_waiter_t *w = at->data;
-      late += !makes_target (w, now);
-    }
-  return late;
-}
-
 bool
 cs_waiting_offer (cs_waiting_t *waiting, cs_waiter_t *w,
                   const cs_waiting_room_t *room, cs_usec_t now,
@@ -76,8 +64,7 @@
     admit = true;
   else
     admit = now + *wait + w->work <= w->limit
-            && count_late (waiting, now) * 100
-                   < room->slots * LATE_PER_SLOT_PERCENT;
+            && *wait <= w->full_target * LATE_HOLD_PERCENT / 100;
   if (!admit)
     return false;
   w->link = (GList){ .data = w };
@@ -103,7 +90,9 @@
   for (GList *at = waiting->waiters.head; at; at = at->next)
     {
       cs_waiter_t *w = at->data;
-      if (now + w->work * WORK_LEFT_PERCENT / 100 > w->limit)
+      if (now + w->work * WORK_LEFT_PERCENT / 100 > w->limit
+          || (!makes_target (w, now)
+              && now - w->arrived > w->full_target * LATE_HOLD_PERCENT / 100))
         {
           cs_waiting_remove (waiting, w);
           return w;
--- a/source/stream/frames.c
+++ b/source/stream/frames.c
@@ -3,7 +3,7 @@
 #include "cardamom/frames.h"
 
 #define MEMBER_FIELDS 13
-#define JOB_FIELDS 12
+#define JOB_FIELDS 13
 #define OUTCOME_FIELDS 16
 #define JOB_TIME_MAX (3600 * CS_SEC) /* No route allows as much.  */
 #define JOB_IDEMPOTENT 1
@@ -84,6 +84,7 @@
                             | (job->head_only ? JOB_HEAD_ONLY : 0));
   cs_pack_number (pack, job->priority);
   cs_pack_number (pack, job->target_left / CS_MSEC);
+  cs_pack_number (pack, job->full_target / CS_MSEC);
   cs_pack_number (pack, job->limit_left / CS_MSEC);
   cs_pack_unsigned (pack, job->print);
   cs_pack_str (pack, job->id);
@@ -103,6 +104,7 @@
   job->head_only = flags & JOB_HEAD_ONLY;
   job->priority = cs_take_number (in);
   job->target_left = cs_take_number (in) * CS_MSEC;
+  job->full_target = cs_take_number (in) * CS_MSEC;
   job->limit_left = cs_take_number (in) * CS_MSEC;
   if (job->limit_left < 0 || job->limit_left > JOB_TIME_MAX
       || job->target_left > JOB_TIME_MAX || job->target_left < -JOB_TIME_MAX)
--- a/tests/test-decide.c
+++ b/tests/test-decide.c
@@ -185,6 +185,8 @@
   cs_usec_t wait;
   *run = (run_t){ .kind = kind,
                   .waiter = { .priority = k->priority,
+                              .arrived = now,
+                              .full_target = k->target,
                               .target = now + k->target,
                               .limit = now + k->limit,
                               .work = k->work } };
@@ -281,6 +283,24 @@
   g_assert_true (cs_budget_repeat (&budgets[0], &terms, 12, 125 * CS_SEC));
 }
 
+/* One server of eight fails half of its runs: another may do better.  A service
+   of which every second run fails is not helped by running more.  */
+static void
+test_budget_whole (void)
+{
+  cs_budget_t one = { 0 }, all = { 0 };
+  for (int i = 0; i < 400; i++)
+    {
+      cs_budget_ended (&one, i % 16 == 0);
+      cs_budget_ended (&all, i % 2 == 0);
+    }
+  g_assert_true (cs_budget_may_help (&one));
+  g_assert_false (cs_budget_may_help (&all));
+  for (int i = 0; i < 400; i++)
+    cs_budget_ended (&all, false);
+  g_assert_true (cs_budget_may_help (&all));
+}
+
 static void
 test_rotation (void)
 {
@@ -447,6 +467,7 @@
   g_test_add_func ("/decide/waiting-priority", test_waiting_priority);
   g_test_add_func ("/decide/waiting-near-target", test_waiting_near_target);
   g_test_add_func ("/decide/budget", test_budget);
+  g_test_add_func ("/decide/budget-whole", test_budget_whole);
   g_test_add_func ("/decide/rotation", test_rotation);
   g_test_add_func ("/decide/life", test_life);
   g_test_add_func ("/decide/roles", test_roles);
