Name the service and version of a job, not the instance

Cause: test-path under the address sanitizer: a job for the first life of a server was refused by the node beside its second life, which runs the same version (503 instead of an answer). The node beside the server names the instance itself. Ruled out: a lost report (the member had arrived later).

--- a/include/cardamom/run.h
+++ b/include/cardamom/run.h
@@ -13,11 +13,12 @@
 /* A request on its way to a backend server.  Views are borrowed.  */
 typedef struct
 {
-  cs_str_t id;       /* Of the caller's attempt.  */
-  cs_str_t route;    /* Path of its route, for statistics.  */
-  cs_str_t instance; /* The server that must run it; empty: any.  */
-  cs_str_t head;     /* Request line and fields, without the last blank line,
-                        the deadline and the instance.  */
+  cs_str_t id;      /* Of the caller's attempt.  */
+  cs_str_t route;   /* Path of its route, for statistics.  */
+  cs_str_t service; /* That must run it, in VERSION.  */
+  cs_str_t version;
+  cs_str_t head; /* Request line and fields, without the last blank line,
+                    the deadline and the instance.  */
   cs_str_t body;
   int64_t priority;
   cs_usec_t target_left; /* To the end that earns full benefit.  */
@@ -33,7 +34,7 @@
   CS_REFUSED_FULL,     /* It would not end in time.  */
   CS_REFUSED_EXPIRED,  /* Its time ran out in the queue.  */
   CS_REFUSED_GONE,     /* No server, or one that leaves.  */
-  CS_REFUSED_INSTANCE, /* Another server than the one named.  */
+  CS_REFUSED_OTHER,    /* The server is of another service or version.  */
   CS_REFUSED_SHED,     /* The server itself turned it away.  */
   CS_REFUSED_TRIAL,    /* The version on trial has failed too often here.  */
   CS_REFUSED_CRASHER,  /* It has crashed servers.  */
--- a/include/cardamom/waiting.h
+++ b/include/cardamom/waiting.h
@@ -23,10 +23,10 @@
   GList link;       /* The queue's own.  */
   int64_t priority; /* 0 goes first.  */
   cs_usec_t arrived;
-  cs_usec_t target; /* Absolute end that earns full benefit.  */
+  cs_usec_t target;      /* Absolute end that earns full benefit.  */
   cs_usec_t full_target; /* Time that a request of its kind has to it.  */
-  cs_usec_t limit;  /* Absolute end of the request.  */
-  cs_usec_t work;   /* Expected run time.  */
+  cs_usec_t limit;       /* Absolute end of the request.  */
+  cs_usec_t work;        /* Expected run time.  */
 } cs_waiter_t;
 
 typedef struct
--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -8,7 +8,7 @@
 
 #define TRIED_MAX 6 /* Nodes that one call is sent to at most.  */
 #define ELAPSED_MIN (20 * CS_MSEC) /* Less is the caller's own delay.  */
-#define FULL_MAX 3  /* Nodes without room after which a call is refused.  */
+#define FULL_MAX 3 /* Nodes without room after which a call is refused.  */
 #define LIMIT_DEFAULT (30 * CS_SEC) /* A caller that gives no deadline.  */
 /* Past its limit the outcome may still be on its way.  */
 #define LIMIT_GRACE (30 * CS_MSEC)
@@ -269,7 +269,8 @@
   const http_parser *parser = &call->exchange->request.parser;
   cs_job_t job = { .id = id_of (call),
                    .route = cs_str_of (call->route->path),
-                   .instance = cs_str_of (peer->member.instance),
+                   .service = cs_str_of (call->service),
+                   .version = cs_str_of (peer->member.version),
                    .head = cs_str_of_gstring (call->head),
                    .body = cs_str_of_gstring (call->exchange->request.body),
                    .priority = call->route->priority,
@@ -354,7 +355,7 @@
       end_refused (call);
       return;
     }
-  if (outcome->arrived && outcome->reason != CS_REFUSED_INSTANCE)
+  if (outcome->arrived && outcome->reason != CS_REFUSED_OTHER)
     {
       if (may_repeat (call))
         repeat (call, "shed");
@@ -640,8 +641,8 @@
   call->limit = call->arrived + limit;
   call->target = call->limit;
   if (route->target_ms > 0)
-    call->target = MIN (call->limit, call->arrived - elapsed
-                                         + route->target_ms * CS_MSEC);
+    call->target = MIN (call->limit,
+                        call->arrived - elapsed + route->target_ms * CS_MSEC);
   call->full_target = route->target_ms > 0 ? route->target_ms * CS_MSEC
                                            : call->limit - call->arrived;
 }
--- a/source/run/run.c
+++ b/source/run/run.c
@@ -31,8 +31,8 @@
 {
   cs_waiter_t waiter;
   cs_runner_t *runner;
-  conn_t *conn;                           /* NULL while it waits.  */
-  GString *id, *route, *instance, *bytes; /* BYTES: head, then body.  */
+  conn_t *conn;                /* NULL while it waits.  */
+  GString *id, *route, *bytes; /* BYTES: head, then body.  */
   size_t head_len;
   uint64_t print;
   cs_usec_t limit, sent;
@@ -66,7 +66,7 @@
 cs_refused_name (cs_refused_t reason)
 {
   static const char *const names[]
-      = { "full", "expired", "gone",    "instance",
+      = { "full", "expired", "gone",    "other",
           "shed", "trial",   "crasher", "stopping" };
   return reason < CS_REFUSED_COUNT ? names[reason] : "unknown";
 }
@@ -122,7 +122,6 @@
 {
   g_string_free (run->id, TRUE);
   g_string_free (run->route, TRUE);
-  g_string_free (run->instance, TRUE);
   g_string_free (run->bytes, TRUE);
   g_free (run);
 }
@@ -267,7 +266,7 @@
   if (not_run)
     {
       outcome.kind = CS_OUTCOME_REFUSED;
-      outcome.reason = status == 421 ? CS_REFUSED_INSTANCE : CS_REFUSED_SHED;
+      outcome.reason = status == 421 ? CS_REFUSED_OTHER : CS_REFUSED_SHED;
       outcome.wait = (cs_usec_t)r->slot_time;
       note_failing (r, true);
     }
@@ -544,7 +543,6 @@
   run->runner = r;
   run->id = copy_of (job->id);
   run->route = copy_of (job->route);
-  run->instance = copy_of (job->instance);
   run->bytes = g_string_sized_new (job->head.len + job->body.len);
   g_string_append_len (run->bytes, job->head.data, (gssize)job->head.len);
   g_string_append_len (run->bytes, job->body.data, (gssize)job->body.len);
@@ -579,9 +577,9 @@
     reason = CS_REFUSED_STOPPING;
   else if (r->life.state != CS_LIFE_READY)
     reason = CS_REFUSED_GONE;
-  else if (run->instance->len
-           && strcmp (run->instance->str, r->life.report.instance) != 0)
-    reason = CS_REFUSED_INSTANCE;
+  else if (!cs_str_equal (job->service, cs_str_of (r->life.report.service))
+           || !cs_str_equal (job->version, cs_str_of (r->life.report.version)))
+    reason = CS_REFUSED_OTHER;
   else if (trial_is_over (r))
     reason = CS_REFUSED_TRIAL;
   else if (!cs_waiting_offer (&r->waiting, &run->waiter, &room, now_of (r),
--- a/source/sidecar/moves.c
+++ b/source/sidecar/moves.c
@@ -398,8 +398,7 @@
   cs_pack_t pack;
   cs_pack_init (&pack);
   bool able = !m->failing_since
-              || control_now (m->control) - m->failing_since
-                     < WRITES_FAIL_MAX;
+              || control_now (m->control) - m->failing_since < WRITES_FAIL_MAX;
   pack_state (&pack, m->service, &m->state, able);
   cs_traffic_send (m->control->traffic, NULL, NULL, cs_pack_payload (&pack));
   cs_pack_clear (&pack);
--- a/source/stream/frames.c
+++ b/source/stream/frames.c
@@ -3,7 +3,7 @@
 #include "cardamom/frames.h"
 
 #define MEMBER_FIELDS 13
-#define JOB_FIELDS 13
+#define JOB_FIELDS 14
 #define OUTCOME_FIELDS 16
 #define JOB_TIME_MAX (3600 * CS_SEC) /* No route allows as much.  */
 #define JOB_IDEMPOTENT 1
@@ -89,7 +89,8 @@
   cs_pack_unsigned (pack, job->print);
   cs_pack_str (pack, job->id);
   cs_pack_str (pack, job->route);
-  cs_pack_str (pack, job->instance);
+  cs_pack_str (pack, job->service);
+  cs_pack_str (pack, job->version);
   cs_pack_bytes (pack, job->head);
   cs_pack_bytes (pack, job->body);
 }
@@ -112,7 +113,8 @@
   job->print = cs_take_unsigned (in);
   job->id = cs_take_str (in);
   job->route = cs_take_str (in);
-  job->instance = cs_take_str (in);
+  job->service = cs_take_str (in);
+  job->version = cs_take_str (in);
   job->head = cs_take_str (in);
   job->body = cs_take_str (in);
 }
