--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -7,7 +7,9 @@
 #include "traffic.h"
 
 #define TRIED_MAX 6 /* Nodes that one call is sent to at most.  */
-#define ELAPSED_MIN (20 * CS_MSEC) /* Less is the caller's own delay.  */
+/* Callers differ in their patience by less than this part of it; one that has
+   less time left has been here before.  */
+#define AGAIN_PART 5
 #define FULL_MAX 3 /* Nodes without room after which a call is refused.  */
 #define LIMIT_DEFAULT (30 * CS_SEC) /* A caller that gives no deadline.  */
 /* Past its limit the outcome may still be on its way.  */
@@ -633,7 +635,7 @@
      as much of the time to its target.  */
   cs_usec_t elapsed = 0;
   call->state->budget = MAX (call->state->budget, limit);
-  if (call->state->budget - limit > ELAPSED_MIN)
+  if (call->state->budget - limit > call->state->budget / AGAIN_PART)
     elapsed = call->state->budget - limit;
   if (route->timeout_ms > 0)
     limit = MIN (limit, route->timeout_ms * CS_MSEC);
