--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,10 @@
 PACKAGES = libmsgpack-dev libneon27-gnutls-dev libmicrohttpd-dev \
   liburcu-dev libargtable2-dev libglib2.0-dev libjansson-dev \
   libxxhash-dev libsodium-dev libuv1-dev libhttp-parser-dev \
+  libzstd-dev \
   pkg-config curl
 PC = msgpack neon libmicrohttpd liburcu glib-2.0 jansson libxxhash \
-  libsodium argtable2 libuv liburcu-mb
+  libsodium argtable2 libuv liburcu-mb libzstd
 
 OUT = build/$(BUILD)
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
@@ -121,10 +122,12 @@
   source/sidecar/settings.c $(EVENT_SRC) $(wildcard platform/*.c) \
   source/kernel/str.c source/kernel/context.c source/kernel/clock.c \
   source/kernel/counters.c source/kernel/pack.c source/kernel/registry.c \
-  source/kernel/status.c source/kernel/event.c source/config/snapshot.c \
+  source/kernel/status.c source/kernel/event.c source/kernel/delta.c \
+  source/config/snapshot.c \
   source/config/document.c source/config/docs.c source/move/conduct.c source/move/judges.c source/move/jury.c \
   source/move/sample.c source/move/move.c
-SIDECAR_PC = msgpack glib-2.0 jansson libxxhash libuv argtable2 liburcu-mb
+SIDECAR_PC = msgpack glib-2.0 jansson libxxhash libuv argtable2 liburcu-mb \
+  libzstd
 $(OUT)/cardamom-sidecar: $(call obj,$(SIDECAR_SRC))
 	$(CC) $(CFLAGS) -o $@ $^ $(shell pkg-config --libs $(SIDECAR_PC)) \
 	  -lhttp_parser -lm
--- a/source/call/peers.c
+++ b/source/call/peers.c
@@ -13,6 +13,8 @@
 #define GONE_AFTER (1000 * CS_MSEC)
 /* An idle stream is checked now and then, lest the next call finds it dead. */
 #define IDLE_PING_AFTER (2500 * CS_MSEC)
+#define IDLE_PING_GROUP 16
+#define IDLE_PING_MAX (20 * CS_SEC)
 #define IDLE_GONE_AFTER (4500 * CS_MSEC)
 #define CONNECT_TIMEOUT (1500 * CS_MSEC)
 #define ROUND_TRIP_NEAR (1 * CS_MSEC)
@@ -396,6 +398,15 @@
   cs_pack_clear (&pack);
 }
 
+/* The more nodes, the more rarely each idle stream is checked: what a node
+   spends on that does not grow.  */
+static cs_usec_t
+idle_ping_after (const cs_traffic_t *t)
+{
+  unsigned groups = 1 + g_hash_table_size (t->peers) / IDLE_PING_GROUP;
+  return MIN ((cs_usec_t)groups * IDLE_PING_AFTER, IDLE_PING_MAX);
+}
+
 static void
 watch_stream (peer_t *peer, cs_usec_t now)
 {
@@ -404,7 +415,8 @@
   cs_usec_t heard = cs_stream_heard (peer->stream);
   if (peer->pinged && heard > peer->pinged)
     peer->pinged = 0;
-  if (!peer->pinged && now - heard > (busy ? PING_AFTER : IDLE_PING_AFTER))
+  if (!peer->pinged
+      && now - heard > (busy ? PING_AFTER : idle_ping_after (peer->traffic)))
     ping (peer, now);
   else if (peer->pinged
            && now - peer->pinged > (busy ? GONE_AFTER - PING_AFTER
--- a/source/sidecar/rows.c
+++ b/source/sidecar/rows.c
@@ -2,6 +2,7 @@
    and put in force.  */
 #include <string.h>
 
+#include "cardamom/delta.h"
 #include "control.h"
 
 #define RETRY_PAUSE (150 * CS_MSEC) /* After a call that failed.  */
@@ -79,20 +80,19 @@
   publish (c, snapshot);
 }
 
-/* Put ENTRY, which is taken over, in force unless it is known.  Returns
-   whether it is new.  */
-static bool
+/* Put ENTRY, which is taken over, in force unless it is known.  */
+static void
 take_entry (control_t *c, cs_entry_t *entry)
 {
   const cs_entry_t *known = g_hash_table_lookup (c->rows, entry->key);
   if (known && known->revision >= entry->revision)
     {
       cs_entry_free (entry);
-      return false;
+      return;
     }
   g_hash_table_replace (c->rows, entry->key, entry);
   if (!entry->value)
-    return true;
+    return;
   switch (c->adapter->order_kind (entry->key))
     {
     case CS_ORDER_CONFIG:
@@ -104,30 +104,40 @@
     case CS_ORDER_OTHER:
       break;
     }
-  return true;
 }
 
+/* Send ENTRY to NODE, or with NODE NULL to the region: as what leads to it
+   from BASE, the row before it, where there is one.  */
 static void
-pack_row (cs_pack_t *pack, const cs_entry_t *entry)
-{
-  cs_pack_init (pack);
-  cs_pack_array (pack, 5);
-  cs_pack_number (pack, CS_FRAME_ROW);
-  cs_pack_text (pack, entry->key);
-  cs_pack_number (pack, entry->revision);
-  cs_pack_number (pack, entry->value != NULL);
-  cs_pack_bytes (pack, entry->value ? cs_str_of_gstring (entry->value)
-                                    : CS_STR (""));
-}
-
-static void
-pass_on (control_t *c, const cs_entry_t *entry, const char *node)
+pass_on (control_t *c, const cs_entry_t *entry, const cs_entry_t *base,
+         const char *node)
 {
   cs_pack_t pack;
-  pack_row (&pack, entry);
+  bool has_base = base && base->value && entry->value;
+  GString *delta
+      = entry->value ? cs_delta_make (
+            has_base ? cs_str_of_gstring (base->value) : CS_STR (""),
+            cs_str_of_gstring (entry->value))
+                     : NULL;
+  if (entry->value && !delta)
+    {
+      cs_event (CS_E_CONFIG_BAD, "row=%s why=\"too large to pass on\"",
+                entry->key);
+      return;
+    }
+  cs_pack_init (&pack);
+  cs_pack_array (&pack, 6);
+  cs_pack_number (&pack, CS_FRAME_ROW);
+  cs_pack_text (&pack, entry->key);
+  cs_pack_number (&pack, entry->revision);
+  cs_pack_number (&pack, entry->value != NULL);
+  cs_pack_number (&pack, has_base ? base->revision : 0);
+  cs_pack_bytes (&pack, delta ? cs_str_of_gstring (delta) : CS_STR (""));
   cs_traffic_send (c->traffic, node, c->settings.region,
                    cs_pack_payload (&pack));
   cs_pack_clear (&pack);
+  if (delta)
+    g_string_free (delta, TRUE);
 }
 
 void
@@ -137,7 +147,7 @@
   gpointer entry;
   g_hash_table_iter_init (&iter, c->rows);
   while (g_hash_table_iter_next (&iter, NULL, &entry))
-    pass_on (c, entry, node);
+    pass_on (c, entry, NULL, node);
 }
 
 /* What two nodes with the same rows have in common.  */
@@ -185,6 +195,20 @@
   cs_pack_clear (&pack);
 }
 
+/* The value that DELTA gives from the row KEY at revision BASE; NULL when that
+   is not at hand.  */
+static GString *
+value_from (control_t *c, const char *key, int64_t base, cs_str_t delta)
+{
+  const cs_entry_t *known = g_hash_table_lookup (c->rows, key);
+  GString *value;
+  if (base && (!known || !known->value || known->revision != base))
+    return NULL;
+  cs_str_t before = base ? cs_str_of_gstring (known->value) : CS_STR ("");
+  return cs_delta_apply (c->ctx, before, delta, &value) == CS_OK ? value
+                                                                 : NULL;
+}
+
 void
 rows_take_row (control_t *c, const char *from, cs_cursor_t *in)
 {
@@ -193,14 +217,20 @@
   entry->key = cs_take_text (in);
   entry->revision = cs_take_number (in);
   bool exists = cs_take_number (in) != 0;
-  cs_str_t value = cs_take_str (in);
-  if (exists)
-    entry->value = g_string_new_len (value.data, (gssize)value.len);
-  (void)from;
-  if (in->bad)
-    cs_entry_free (entry);
-  else
-    take_entry (c, entry);
+  int64_t base = cs_take_number (in);
+  cs_str_t delta = cs_take_str (in);
+  const cs_entry_t *known = g_hash_table_lookup (c->rows, entry->key);
+  bool fresh = !in->bad && (!known || known->revision < entry->revision);
+  if (fresh && exists)
+    entry->value = value_from (c, entry->key, base, delta);
+  if (fresh && (entry->value || !exists))
+    {
+      take_entry (c, entry);
+      return;
+    }
+  if (fresh)
+    ask_rows (c, from);
+  cs_entry_free (entry);
 }
 
 void
@@ -231,6 +261,20 @@
   c->table_up = up;
 }
 
+/* Whether a later entry than number I is about the same row.  */
+static bool
+is_overtaken (const GPtrArray *entries, guint i)
+{
+  const cs_entry_t *entry = entries->pdata[i];
+  for (guint j = i + 1; j < entries->len; j++)
+    {
+      const cs_entry_t *later = entries->pdata[j];
+      if (later->space == entry->space && strcmp (later->key, entry->key) == 0)
+        return true;
+    }
+  return false;
+}
+
 /* The end of a read (the rows of a space) or a watch.  */
 static void
 take_rows (control_t *c, cs_status_t status, GPtrArray *entries,
@@ -253,7 +297,7 @@
   for (guint i = 0; i < entries->len; i++)
     {
       cs_entry_t *entry = entries->pdata[i];
-      if (entry->space != CS_SPACE_ORDERS)
+      if (entry->space != CS_SPACE_ORDERS || is_overtaken (entries, i))
         continue;
       cs_entry_t *copy = g_new0 (cs_entry_t, 1);
       *copy = (cs_entry_t){ .space = entry->space,
@@ -261,11 +305,13 @@
                             .value = entry->value,
                             .revision = entry->revision };
       entry->value = NULL;
-      if (take_entry (c, copy) && pass)
+      const cs_entry_t *known = g_hash_table_lookup (c->rows, copy->key);
+      if (pass && (!known || known->revision < copy->revision))
         {
-          pass_on (c, g_hash_table_lookup (c->rows, entry->key), NULL);
+          pass_on (c, copy, known, NULL);
           news = true;
         }
+      take_entry (c, copy);
     }
   c->seen = MAX (c->seen, revision);
   c->fresh_at = now;
