--- /dev/null
+++ b/tests/test-adapter.c
@@ -0,0 +1,333 @@
+/* The platform's adapter: what it decodes, and its table under faults, against
+   a stand-in that this test plays.  */
+#include <string.h>
+
+#include "../platform/decode.h"
+#include "cardamom/delta.h"
+#include "cardamom/registry.h"
+#include "cardamom/server.h"
+
+static cs_ctx_t *ctx;
+
+static const cs_adapter_vtable_t *
+adapter (void)
+{
+  const void *vtable;
+  g_assert_cmpint (
+      cs_plugin_find (ctx, CS_PLUGIN_ADAPTER, "mesh-platform", &vtable), ==,
+      CS_OK);
+  return vtable;
+}
+
+#define ROUTE(extra)                                                          \
+  "{\"version\":\"0000000c\",\"services\":{\"s\":{},\"t\":{}},\"routes\":"    \
+  "{\"r\":{\"host\":\"h\",\"prefix\":\"/p/\",\"kind\":\"safe\"," extra "}}}"
+
+static void
+test_config (void)
+{
+  static const struct
+  {
+    const char *what, *text;
+    bool good;
+  } cases[] = {
+    { "whole", ROUTE ("\"service\":\"s\",\"timeout\":\"1.5s\""), true },
+    { "unknown fields",
+      ROUTE ("\"service\":\"s\",\"timeout\":\"1s\",\"new\":{}"), true },
+    { "split",
+      ROUTE ("\"timeout\":\"1s\",\"trafficSplit\":[{\"service\":\"s\","
+             "\"weight\":9},{\"service\":\"t\",\"weight\":1}]"),
+      true },
+    { "split to an unknown service",
+      ROUTE ("\"timeout\":\"1s\",\"trafficSplit\":[{\"service\":\"u\","
+             "\"weight\":9}]"),
+      false },
+    { "unknown service", ROUTE ("\"service\":\"u\",\"timeout\":\"1s\""),
+      false },
+    { "no timeout", ROUTE ("\"service\":\"s\""), false },
+    { "timeout without a unit", ROUTE ("\"service\":\"s\",\"timeout\":\"1\""),
+      false },
+    { "timeout below zero", ROUTE ("\"service\":\"s\",\"timeout\":\"-1s\""),
+      false },
+    { "no service", ROUTE ("\"timeout\":\"1s\""), false },
+    { "cut short", "{\"version\":\"0000000c\",\"rou", false },
+    { "no version", "{\"services\":{},\"routes\":{}}", false },
+    { "version that is no number",
+      "{\"version\":\"zz\",\"services\":{},\"routes\":{}}", false },
+    { "a list", "[]", false },
+    { "nothing", "", false },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      cs_snapshot_t *snapshot = NULL;
+      g_test_message ("%s", cases[i].what);
+      cs_status_t status
+          = adapter ()->config (ctx, cs_str_of (cases[i].text), &snapshot);
+      g_assert_cmpint (status, ==, cases[i].good ? CS_OK : CS_BAD_INPUT);
+      if (status != CS_OK)
+        continue;
+      g_assert_cmpint (snapshot->version, ==, 12);
+      const cs_route_t *route = cs_snapshot_route (
+          snapshot, CS_STR ("H"), CS_STR ("/p/x"), CS_METHODS_ALL);
+      g_assert_nonnull (route);
+      g_assert_true (route->idempotent);
+      g_assert_null (cs_snapshot_route (snapshot, CS_STR ("h"), CS_STR ("/p"),
+                                        CS_METHODS_ALL));
+      cs_snapshot_drop (ctx, snapshot);
+    }
+}
+
+#define REPORT(extra)                                                         \
+  "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"version\":\"v1\"," extra   \
+  "}"
+
+static void
+test_report (void)
+{
+  static const struct
+  {
+    const char *what, *text;
+    bool good, draining;
+  } cases[] = {
+    { "ready",
+      REPORT ("\"slots\":8,\"state\":\"ready\",\"sequence\":4,\"born\":7"),
+      true, false },
+    { "draining",
+      REPORT ("\"slots\":8,\"state\":\"draining\",\"sequence\":4"), true,
+      true },
+    { "unknown state",
+      REPORT ("\"slots\":8,\"state\":\"asleep\",\"sequence\":4"), false,
+      false },
+    { "no sequence", REPORT ("\"slots\":8,\"state\":\"ready\""), false,
+      false },
+    { "slots of another type",
+      REPORT ("\"slots\":\"8\",\"state\":\"ready\",\"sequence\":4"), false,
+      false },
+    { "no slots", REPORT ("\"slots\":0,\"state\":\"ready\",\"sequence\":4"),
+      false, false },
+    { "start of another type",
+      REPORT ("\"slots\":8,\"state\":\"ready\",\"sequence\":4,"
+              "\"born\":\"7\""),
+      false, false },
+    { "cut short", "{\"service\":\"s\",\"addr", false, false },
+    { "bytes", "\x81\xa1", false, false },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      cs_report_t report;
+      g_test_message ("%s", cases[i].what);
+      g_assert_cmpint (adapter ()->report (ctx, "i-1",
+                                           cs_str_of (cases[i].text), &report),
+                       ==, cases[i].good ? CS_OK : CS_BAD_INPUT);
+      if (!cases[i].good)
+        continue;
+      g_assert_cmpint (report.draining, ==, cases[i].draining);
+      g_assert_cmpint (report.slots, ==, 8);
+      g_assert_cmpstr (report.instance, ==, "i-1");
+    }
+}
+
+static void
+test_move (void)
+{
+  cs_order_t order;
+  char *key, *text;
+  g_assert_cmpint (
+      adapter ()->order (ctx,
+                         CS_STR ("{\"service\":\"s\",\"to\":\"v2\","
+                                 "\"over\":\"12s\"}"),
+                         &order),
+      ==, CS_OK);
+  g_assert_cmpint (order.over, ==, 12 * CS_SEC);
+  g_assert_cmpint (
+      adapter ()->order (ctx, CS_STR ("{\"service\":\"s\"}"), &order), ==,
+      CS_BAD_INPUT);
+  adapter ()->move_state ("s", "v2", CS_MOVE_TAKEN_BACK, &key, &text);
+  g_assert_cmpstr (key, ==, "rollout/s");
+  g_assert_nonnull (strstr (text, "\"state\":\"rolled_back\""));
+  g_free (key);
+  g_free (text);
+}
+
+/* The table under faults.  */
+
+typedef struct
+{
+  uv_loop_t loop;
+  cs_server_t *server;
+  cs_table_t *table;
+  unsigned status;  /* Of the next answer; 0: none comes.  */
+  const char *body; /* Of it.  */
+  cs_status_t got;
+  guint rows;
+  int64_t revision;
+  int done;
+} stand_t;
+
+static void
+on_call (void *user, cs_exchange_t *exchange)
+{
+  stand_t *s = user;
+  if (s->status)
+    cs_exchange_answer (exchange, s->status, NULL, cs_str_of (s->body),
+                        false);
+}
+
+static void
+on_left (void *user, cs_exchange_t *exchange)
+{
+  (void)user, (void)exchange;
+}
+
+static void
+on_done (void *user, cs_status_t status, GPtrArray *entries, int64_t revision)
+{
+  stand_t *s = user;
+  s->got = status;
+  s->rows = entries->len;
+  s->revision = revision;
+  s->done++;
+}
+
+static stand_t *
+stand (void)
+{
+  static const cs_server_handler_t handler
+      = { .request = on_call, .left = on_left };
+  static unsigned port = 23100;
+  stand_t *s = g_new0 (stand_t, 1);
+  char *address = NULL;
+  uv_loop_init (&s->loop);
+  do
+    {
+      g_free (address);
+      address = g_strdup_printf ("127.0.0.1:%u", port++);
+    }
+  while (cs_server_new (ctx, &s->loop, address, &handler, s, &s->server)
+         != CS_OK);
+  g_assert_cmpint (
+      adapter ()->open_table (ctx, &s->loop, address, &s->table), ==, CS_OK);
+  g_free (address);
+  return s;
+}
+
+static void
+await (stand_t *s)
+{
+  int before = s->done;
+  while (s->done == before)
+    uv_run (&s->loop, UV_RUN_ONCE);
+}
+
+#define ROW "{\"table\":\"op\",\"part\":\"\",\"key\":\"config\","             \
+            "\"value\":\"YWI=\",\"ver\":5}"
+
+static void
+test_table_faults (void)
+{
+  static const struct
+  {
+    const char *what;
+    unsigned status;
+    const char *body;
+    cs_status_t read, commit;
+    guint rows;
+  } cases[] = {
+    { "rows", 200, "{\"rows\":[" ROW "],\"ver\":9}", CS_OK, CS_OK, 1 },
+    { "malformed rows are left out", 200,
+      "{\"rows\":[" ROW ",{\"table\":\"op\"},7,{\"table\":\"other\","
+      "\"key\":\"k\"}],\"ver\":9}",
+      CS_OK, CS_OK, 1 },
+    { "conflict", 412, "{\"rows\":[" ROW "],\"ver\":9}", CS_CONFLICT,
+      CS_CONFLICT, 1 },
+    { "history gone", 410, "{}", CS_NOT_FOUND, CS_NOT_FOUND, 0 },
+    { "too many", 429, "", CS_LIMIT, CS_LIMIT, 0 },
+    { "refused", 503, "", CS_UNAVAILABLE, CS_UNAVAILABLE, 0 },
+    { "denied", 403, "", CS_DENIED, CS_DENIED, 0 },
+    { "another failure may have written", 500, "", CS_UNAVAILABLE, CS_UNKNOWN,
+      0 },
+    { "no answer to understand", 200, "<html>", CS_UNAVAILABLE, CS_UNKNOWN,
+      0 },
+    { "no answer", 0, NULL, CS_UNAVAILABLE, CS_UNKNOWN, 0 },
+  };
+  stand_t *s = stand ();
+  cs_put_t put = { .space = CS_SPACE_MOVES,
+                   .key = "k",
+                   .value = CS_STR ("v") };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_test_message ("%s", cases[i].what);
+      s->status = cases[i].status;
+      s->body = cases[i].body;
+      s->table->vtable->read (s->table, CS_SPACE_ORDERS, on_done, s);
+      await (s);
+      g_assert_cmpint (s->got, ==, cases[i].read);
+      g_assert_cmpuint (s->rows, ==, cases[i].rows);
+      s->table->vtable->commit (s->table, NULL, 0, &put, 1, on_done, s);
+      await (s);
+      g_assert_cmpint (s->got, ==, cases[i].commit);
+    }
+}
+
+/* Nobody listens: nothing was sent, so nothing was written.  */
+static void
+test_table_gone (void)
+{
+  stand_t *s = stand ();
+  cs_table_t *table;
+  cs_put_t put = { .space = CS_SPACE_MOVES,
+                   .key = "k",
+                   .value = CS_STR ("v") };
+  g_assert_cmpint (
+      adapter ()->open_table (ctx, &s->loop, "127.0.0.1:1", &table), ==,
+      CS_OK);
+  table->vtable->commit (table, NULL, 0, &put, 1, on_done, s);
+  await (s);
+  g_assert_cmpint (s->got, ==, CS_UNAVAILABLE);
+  g_assert_cmpint (adapter ()->open_table (ctx, &s->loop, "nowhere", &table),
+                   ==, CS_BAD_INPUT);
+}
+
+/* Deltas: small for a small change, and refused on another base.  */
+static void
+test_delta (void)
+{
+  GString *base = g_string_new (NULL), *got;
+  for (int i = 0; i < 3000; i++)
+    g_string_append_printf (base, "\"route-%x\":{\"timeout\":\"%dms\"},",
+                            g_str_hash ("x") * (guint)i, i);
+  GString *text = g_string_new (base->str);
+  g_string_insert (text, 40000, "\"route-new\":{\"timeout\":\"1s\"},");
+  GString *delta
+      = cs_delta_make (cs_str_of_gstring (base), cs_str_of_gstring (text));
+  g_assert_cmpuint (delta->len, <, 400);
+  g_assert_cmpint (cs_delta_apply (ctx, cs_str_of_gstring (base),
+                                   cs_str_of_gstring (delta), &got),
+                   ==, CS_OK);
+  g_assert_true (g_string_equal (got, text));
+  g_string_free (got, TRUE);
+  g_string_insert (base, 100, "other");
+  g_assert_cmpint (cs_delta_apply (ctx, cs_str_of_gstring (base),
+                                   cs_str_of_gstring (delta), &got),
+                   ==, CS_CORRUPT);
+  g_assert_cmpint (
+      cs_delta_apply (ctx, CS_STR (""), CS_STR ("no delta"), &got), ==,
+      CS_CORRUPT);
+  g_string_free (base, TRUE);
+  g_string_free (text, TRUE);
+  g_string_free (delta, TRUE);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  ctx = cs_ctx_new (NULL, cs_clock_deadline (), 3);
+  g_test_add_func ("/adapter/config", test_config);
+  g_test_add_func ("/adapter/report", test_report);
+  g_test_add_func ("/adapter/move", test_move);
+  g_test_add_func ("/adapter/table-faults", test_table_faults);
+  g_test_add_func ("/adapter/table-gone", test_table_gone);
+  g_test_add_func ("/adapter/delta", test_delta);
+  return g_test_run ();
+}
