--- a/include/cardamom/feed.h
+++ b/include/cardamom/feed.h
@@ -3,8 +3,10 @@
    The load pattern it answers: hundreds of nodes that must all have a change
    within seconds, a table whose calls are few and paid for, and readers that
    die or are cut off from it.  In each region the node of the first name
-   reads and passes rows on; the others follow its signs of freshness and step
-   in one after another when those stop.  */
+   reads and passes rows on; the others follow its signs of freshness.  When
+   those stop, they step in soon; while readers are heard that have lost the
+   table themselves, it is most likely down for all, and they step in slowly,
+   one after another.  */
 #ifndef CARDAMOM_FEED_H
 #define CARDAMOM_FEED_H
 
@@ -19,7 +21,11 @@
 #define CS_FEED_SIGN (300 * CS_MSEC)
 
 /* Whether the node of RANK among those of its region that can read (0 is the
-   first) reads now, AGE after what it knows was last known to be fresh.  */
-bool cs_feed_reads (unsigned rank, cs_usec_t age);
+   first) reads now, AGE after what it knows was last known to be fresh and
+   QUIET after the last sign of a reader.  */
+bool cs_feed_reads (unsigned rank, cs_usec_t age, cs_usec_t quiet);
+
+/* How long to wait after the call number FAILURES in a row has failed.  */
+cs_usec_t cs_feed_pause (unsigned rank, unsigned failures);
 
 #endif
--- a/include/cardamom/table.h
+++ b/include/cardamom/table.h
@@ -13,8 +13,7 @@
 {
   CS_SPACE_ORDERS, /* What operators wrote; read only.  */
   CS_SPACE_STATES, /* What operators read back.  */
-  CS_SPACE_NODES,  /* Where nodes are reached.  */
-  CS_SPACE_MOVES,  /* Where version moves stand, with their writer.  */
+  CS_SPACE_MESH,   /* The nodes' own.  */
   CS_SPACE_COUNT
 } cs_space_t;
 
--- a/source/mesh/feed.c
+++ b/source/mesh/feed.c
@@ -7,9 +7,32 @@
 #define FOLLOW_STEP (150 * CS_MSEC)
 #define FOLLOW_STEPS_MAX 6
 
+/* A reader signs more often than this, also one that has lost the table.  */
+#define QUIET_MAX (1000 * CS_MSEC)
+/* Between followers that step in while readers are heard.  */
+#define HEARD_STEP (500 * CS_MSEC)
+#define PAUSE_FIRST (150 * CS_MSEC)
+/* The first reader must be back soon after the table is.  */
+#define PAUSE_READER (800 * CS_MSEC)
+#define PAUSE_FOLLOWER (2500 * CS_MSEC)
+
 bool
-cs_feed_reads (unsigned rank, cs_usec_t age)
+cs_feed_reads (unsigned rank, cs_usec_t age, cs_usec_t quiet)
 {
   unsigned steps = rank < FOLLOW_STEPS_MAX ? rank : FOLLOW_STEPS_MAX;
-  return rank == 0 || age > FOLLOW_AGE + (cs_usec_t)steps * FOLLOW_STEP;
+  if (rank == 0)
+    return true;
+  if (quiet > QUIET_MAX)
+    return age > FOLLOW_AGE + (cs_usec_t)steps * FOLLOW_STEP;
+  return age > FOLLOW_AGE + (cs_usec_t)rank * HEARD_STEP;
+}
+
+cs_usec_t
+cs_feed_pause (unsigned rank, unsigned failures)
+{
+  cs_usec_t most = rank == 0 ? PAUSE_READER : PAUSE_FOLLOWER;
+  cs_usec_t pause = PAUSE_FIRST;
+  while (failures-- > 1 && pause < most)
+    pause *= 2;
+  return pause < most ? pause : most;
 }
--- a/source/sidecar/control.h
+++ b/source/sidecar/control.h
@@ -15,6 +15,10 @@
 
 #include "settings.h"
 
+/* Keys in CS_SPACE_MESH, before a node's and a service's name.  */
+#define ROW_NODE "node/" /* Where the node is reached.  */
+#define ROW_MOVE "move/" /* Where a version move stands.  */
+
 /* What is known of a node.  */
 typedef struct
 {
@@ -45,9 +49,13 @@
   int64_t seen;       /* Revision up to which ROWS is whole.  */
   cs_usec_t fresh_at; /* When ROWS was last known to be whole.  */
   cs_usec_t signed_at, wanted_at, retry_at;
-  cs_usec_t walls_apart; /* BOOTTIME less MONOTONIC.  */
+  cs_usec_t sign_heard;   /* Last sign of a reader, however old its rows.  */
+  cs_usec_t orders_since; /* When the rows began to be asked for.  */
+  cs_usec_t walls_apart;  /* BOOTTIME less MONOTONIC.  */
   cs_usec_t ticked_at;
   unsigned start_step;
+  unsigned failures;       /* Of calls of the table in a row.  */
+  bool registered;         /* The table holds this node's row.  */
   bool busy;               /* A read or watch is under way.  */
   bool table_up;           /* The last call was answered.  */
   cs_snapshot_t *snapshot; /* Published to the traffic thread.  */
--- a/source/sidecar/moves.c
+++ b/source/sidecar/moves.c
@@ -14,7 +14,7 @@
 /* A conductor that cannot write for so long leaves the move to others.  */
 #define WRITES_FAIL_MAX (1000 * CS_MSEC)
 
-/* The state of a move: a row of CS_SPACE_MOVES, and what the node that
+/* The state of a move: a row of CS_SPACE_MESH, and what the node that
    conducts it tells the others.  */
 typedef struct
 {
@@ -228,7 +228,7 @@
             m->service, order.to, order.over / CS_MSEC);
 }
 
-/* A row of CS_SPACE_MOVES.  */
+/* A row of CS_SPACE_MESH.  */
 void
 moves_row (control_t *c, const cs_entry_t *entry)
 {
@@ -236,7 +236,7 @@
   cs_cursor_t in;
   state_t state;
   char service[CS_LIFE_TEXT] = "";
-  if (!entry->value
+  if (!entry->value || !g_str_has_prefix (entry->key, ROW_MOVE)
       || cs_unpack_init (c->ctx, &unpack, cs_str_of_gstring (entry->value),
                          &in)
              != CS_OK)
@@ -370,16 +370,16 @@
   control_t *c = m->control;
   cs_pack_t pack;
   char *key, *text;
+  char *row = g_strconcat (ROW_MOVE, m->service, NULL);
   m->wanted = *wanted;
   m->writing = true;
   cs_pack_init (&pack);
   pack_state (&pack, m->service, wanted, true);
   c->adapter->move_state (m->service, wanted->to, wanted->phase, &key, &text);
-  cs_expect_t expect = { .space = CS_SPACE_MOVES,
-                         .key = m->service,
-                         .revision = m->row_revision };
+  cs_expect_t expect
+      = { .space = CS_SPACE_MESH, .key = row, .revision = m->row_revision };
   cs_put_t puts[] = {
-    { .space = CS_SPACE_MOVES,
+    { .space = CS_SPACE_MESH,
       .key = m->service,
       .value = cs_pack_payload (&pack) },
     { .space = CS_SPACE_STATES, .key = key, .value = cs_str_of (text) }
@@ -388,6 +388,7 @@
   c->table->vtable->commit (c->table, &expect, 1, puts, tell ? 2 : 1,
                             on_written, m);
   cs_pack_clear (&pack);
+  g_free (row);
   g_free (key);
   g_free (text);
 }
--- a/source/sidecar/rows.c
+++ b/source/sidecar/rows.c
@@ -5,8 +5,11 @@
 #include "cardamom/delta.h"
 #include "control.h"
 
-#define RETRY_PAUSE (150 * CS_MSEC) /* After a call that failed.  */
-#define WANT_PAUSE (400 * CS_MSEC)  /* Between questions to other nodes.  */
+/* A node that starts first asks the others for the rows, for so long if it may
+   read them itself, and for so long if another node of its region will.  */
+#define WANT_READER (500 * CS_MSEC)
+#define WANT_FOLLOWER (1500 * CS_MSEC)
+#define WANT_PAUSE (250 * CS_MSEC) /* Between questions to other nodes.  */
 #define SIGN_MAX_AGE (3600 * CS_SEC)
 
 unsigned
@@ -140,17 +143,6 @@
     g_string_free (delta, TRUE);
 }
 
-void
-rows_give (control_t *c, const char *node)
-{
-  GHashTableIter iter;
-  gpointer entry;
-  g_hash_table_iter_init (&iter, c->rows);
-  while (g_hash_table_iter_next (&iter, NULL, &entry))
-    pass_on (c, entry, NULL, node);
-}
-
-/* What two nodes with the same rows have in common.  */
 static int64_t
 digest_of (const control_t *c)
 {
@@ -163,23 +155,36 @@
   return digest;
 }
 
-/* Tell the region how fresh the rows are.  */
+/* Tell NODE, or with NULL the region, how fresh the rows are.  */
 static void
-send_sign (control_t *c, cs_usec_t now)
+send_sign (control_t *c, const char *node, cs_usec_t now)
 {
   cs_pack_t pack;
-  c->signed_at = now;
   cs_pack_init (&pack);
   cs_pack_array (&pack, 4);
   cs_pack_number (&pack, CS_FRAME_SYNC);
   cs_pack_number (&pack, c->seen);
   cs_pack_number (&pack, digest_of (c));
   cs_pack_number (&pack, now - c->fresh_at);
-  cs_traffic_send (c->traffic, NULL, c->settings.region,
+  cs_traffic_send (c->traffic, node, c->settings.region,
                    cs_pack_payload (&pack));
   cs_pack_clear (&pack);
 }
 
+/* NODE has asked for the rows.  */
+void
+rows_give (control_t *c, const char *node)
+{
+  GHashTableIter iter;
+  gpointer entry;
+  if (!c->seen)
+    return;
+  g_hash_table_iter_init (&iter, c->rows);
+  while (g_hash_table_iter_next (&iter, NULL, &entry))
+    pass_on (c, entry, NULL, node);
+  send_sign (c, node, control_now (c));
+}
+
 static void
 ask_rows (control_t *c, const char *node)
 {
@@ -239,7 +244,10 @@
   int64_t seen = cs_take_number (in);
   int64_t digest = cs_take_number (in);
   cs_usec_t age = cs_take_number (in);
-  if (in->bad || age < 0 || age > SIGN_MAX_AGE || !c->seen)
+  if (in->bad || age < 0 || age > SIGN_MAX_AGE)
+    return;
+  c->sign_heard = control_now (c);
+  if (!c->seen && (!c->snapshot || digest != digest_of (c)))
     return;
   if (seen > c->seen && digest != digest_of (c))
     {
@@ -275,6 +283,14 @@
   return false;
 }
 
+static void
+note_failure (control_t *c)
+{
+  double spread = g_rand_double_range (c->ctx->random, 0.75, 1.25);
+  cs_usec_t pause = cs_feed_pause (rows_rank (c), ++c->failures);
+  c->retry_at = control_now (c) + (cs_usec_t)((double)pause * spread);
+}
+
 /* The end of a read (the rows of a space) or a watch.  */
 static void
 take_rows (control_t *c, cs_status_t status, GPtrArray *entries,
@@ -286,11 +302,12 @@
   if (status == CS_NOT_FOUND)
     {
       c->seen = 0; /* Read the whole space anew.  */
+      c->orders_since = 0;
       return;
     }
   if (status != CS_OK)
     {
-      c->retry_at = now + RETRY_PAUSE;
+      note_failure (c);
       return;
     }
   bool news = false;
@@ -315,8 +332,12 @@
     }
   c->seen = MAX (c->seen, revision);
   c->fresh_at = now;
+  c->failures = 0;
   if (news)
-    send_sign (c, now);
+    {
+      c->signed_at = now;
+      send_sign (c, NULL, now);
+    }
   rows_tick (c, now);
 }
 
@@ -334,73 +355,85 @@
   take_rows (user, status, entries, revision, true);
 }
 
-/* The first steps, each repeated until it succeeds: be found, find the
-   others, learn where moves stand, read the orders.  */
+/* The first steps, each repeated until it succeeds: be found, find the others
+   and where moves stand, get the orders.  */
 enum
 {
+  STEP_MESH,
   STEP_REGISTER,
-  STEP_NODES,
-  STEP_MOVES,
   STEP_ORDERS
 };
 
 static void
-end_step (control_t *c, cs_status_t status)
+end_step (control_t *c, cs_status_t status, unsigned next)
 {
   c->busy = false;
   control_note_table (c, status);
-  if (status == CS_OK)
-    c->start_step++;
-  else
-    c->retry_at = control_now (c) + RETRY_PAUSE;
+  if (status != CS_OK)
+    {
+      note_failure (c);
+      return;
+    }
+  c->failures = 0;
+  c->start_step = next;
+  if (next == STEP_ORDERS)
+    c->orders_since = control_now (c);
+  rows_tick (c, control_now (c));
 }
 
 static void
 on_registered (void *user, cs_status_t status, GPtrArray *entries,
                int64_t revision)
 {
+  control_t *c = user;
   (void)entries, (void)revision;
-  end_step (user, status);
+  c->registered |= status == CS_OK;
+  end_step (c, status, STEP_MESH);
 }
 
+/* A row of ROW_NODE.  */
 static void
-on_nodes (void *user, cs_status_t status, GPtrArray *entries, int64_t revision)
+take_node (control_t *c, const cs_entry_t *entry)
 {
-  control_t *c = user;
-  (void)revision;
-  for (guint i = 0; status == CS_OK && i < entries->len; i++)
-    {
-      const cs_entry_t *entry = entries->pdata[i];
-      cs_unpack_t unpack;
-      cs_cursor_t in;
-      cs_member_t member;
-      if (!entry->value
-          || cs_unpack_init (c->ctx, &unpack, cs_str_of_gstring (entry->value),
-                             &in)
-                 != CS_OK)
-        continue;
-      cs_member_take (&in, &member);
-      if (!in.bad && strcmp (member.name, c->settings.node) != 0)
-        cs_traffic_learn (c->traffic, &member);
-      cs_unpack_clear (&unpack);
-    }
-  end_step (c, status);
+  cs_unpack_t unpack;
+  cs_cursor_t in;
+  cs_member_t member;
+  if (!entry->value
+      || cs_unpack_init (c->ctx, &unpack, cs_str_of_gstring (entry->value),
+                         &in)
+             != CS_OK)
+    return;
+  cs_member_take (&in, &member);
+  if (!in.bad && strcmp (member.name, c->settings.node) != 0)
+    cs_traffic_learn (c->traffic, &member);
+  else if (!in.bad)
+    c->registered |= strcmp (member.address, c->settings.peers) == 0;
+  cs_unpack_clear (&unpack);
 }
 
 static void
-on_moves (void *user, cs_status_t status, GPtrArray *entries, int64_t revision)
+on_mesh (void *user, cs_status_t status, GPtrArray *entries, int64_t revision)
 {
   control_t *c = user;
   (void)revision;
   for (guint i = 0; status == CS_OK && i < entries->len; i++)
-    moves_row (c, entries->pdata[i]);
-  end_step (c, status);
+    {
+      const cs_entry_t *entry = entries->pdata[i];
+      if (g_str_has_prefix (entry->key, ROW_NODE))
+        take_node (c, entry);
+      else
+        moves_row (c, entry);
+    }
+  /* Whoever registers reads once more: of two that start at once, one then
+     sees the other.  */
+  end_step (c, status, c->registered ? STEP_ORDERS : STEP_REGISTER);
 }
 
 static void
 register_node (control_t *c)
 {
   cs_pack_t pack;
+  char *row = g_strconcat (ROW_NODE, c->settings.node, NULL);
   cs_member_t self = { .boot = c->boot };
   g_strlcpy (self.name, c->settings.node, sizeof self.name);
   g_strlcpy (self.dc, c->settings.dc, sizeof self.dc);
@@ -409,36 +442,17 @@
   cs_pack_init (&pack);
   cs_pack_array (&pack, 1);
   cs_member_pack (&pack, &self);
-  cs_put_t put = { .space = CS_SPACE_NODES,
-                   .key = c->settings.node,
+  cs_put_t put = { .space = CS_SPACE_MESH,
+                   .key = row,
                    .value = cs_pack_payload (&pack) };
   c->table->vtable->commit (c->table, NULL, 0, &put, 1, on_registered, c);
   cs_pack_clear (&pack);
+  g_free (row);
 }
 
-static void
-take_step (control_t *c)
-{
-  const cs_table_vtable_t *table = c->table->vtable;
-  c->busy = true;
-  switch (c->start_step)
-    {
-    case STEP_REGISTER:
-      register_node (c);
-      break;
-    case STEP_NODES:
-      table->read (c->table, CS_SPACE_NODES, on_nodes, c);
-      break;
-    case STEP_MOVES:
-      table->read (c->table, CS_SPACE_MOVES, on_moves, c);
-      break;
-    default:
-      table->read (c->table, CS_SPACE_ORDERS, on_orders, c);
-    }
-}
-
-/* Without the table, a node of the region is asked, another one each time.  */
-static void
+/* Ask a node of the region for the rows, another one each time; false when
+   there is none.  */
+static bool
 want_rows (control_t *c)
 {
   GHashTableIter iter;
@@ -450,27 +464,53 @@
     {
       const known_t *known = value;
       if (known->reachable
+          && strcmp (known->member.region, c->settings.region) == 0
           && strcmp (known->member.name, c->settings.node) != 0
           && g_rand_int_range (c->ctx->random, 0, ++count) == 0)
         node = known->member.name;
     }
   if (node)
     ask_rows (c, node);
+  return node != NULL;
+}
+
+static void
+take_step (control_t *c, unsigned rank, cs_usec_t now)
+{
+  const cs_table_vtable_t *table = c->table->vtable;
+  if (c->start_step == STEP_MESH && c->settings.first_start && !c->registered)
+    c->start_step = STEP_REGISTER;
+  if (c->start_step == STEP_ORDERS
+      && now - c->orders_since < (rank ? WANT_FOLLOWER : WANT_READER))
+    {
+      want_rows (c);
+      return;
+    }
+  c->busy = true;
+  if (c->start_step == STEP_REGISTER)
+    register_node (c);
+  else if (c->start_step == STEP_MESH)
+    table->read (c->table, CS_SPACE_MESH, on_mesh, c);
+  else
+    table->read (c->table, CS_SPACE_ORDERS, on_orders, c);
 }
 
 void
 rows_tick (control_t *c, cs_usec_t now)
 {
   unsigned rank = rows_rank (c);
-  bool reads = cs_feed_reads (rank, now - c->fresh_at);
-  if (!c->table_up && !c->snapshot)
+  bool reads = cs_feed_reads (rank, now - c->fresh_at, now - c->sign_heard);
+  if (c->start_step < STEP_ORDERS && !c->snapshot && c->failures)
     want_rows (c);
   if (reads && c->seen && now - c->signed_at >= CS_FEED_SIGN)
-    send_sign (c, now);
+    {
+      c->signed_at = now;
+      send_sign (c, NULL, now);
+    }
   if (c->busy || now < c->retry_at)
     return;
   if (c->start_step < STEP_ORDERS || !c->seen)
-    take_step (c);
+    take_step (c, rank, now);
   else if (reads)
     {
       c->busy = true;
--- a/source/sidecar/settings.c
+++ b/source/sidecar/settings.c
@@ -35,6 +35,8 @@
   { "metrics", TEXT, AT (metrics), "", "IP:PORT of counters; empty: none" },
   { "service", TEXT, AT (service), "", "service of the backend server" },
   { "table", TEXT, AT (table), NULL, "IP:PORT of the platform's table" },
+  { "first_start", COUNT, AT (first_start), "0",
+    "1 when the whole mesh starts for the first time" },
   { "heartbeat", DURATION, AT (heartbeat), "1500ms",
     "time between reports of the backend server" },
   { "drain", DURATION, AT (drain), "2500ms",
@@ -98,6 +100,8 @@
 {
   if (json_is_string (value))
     return json_string_value (value);
+  if (json_is_boolean (value))
+    return json_is_true (value) ? "1" : "0";
   if (json_is_number (value))
     return g_ascii_dtostr (buffer, G_ASCII_DTOSTR_BUF_SIZE,
                            json_number_value (value));
--- a/source/sidecar/settings.h
+++ b/source/sidecar/settings.h
@@ -16,6 +16,7 @@
   char metrics[CS_LIFE_TEXT]; /* Where counters are read; or empty.  */
   char service[CS_LIFE_TEXT]; /* Of the server beside the node.  */
   char table[CS_LIFE_TEXT];   /* Of the platform's table.  */
+  int64_t first_start;        /* 1: the whole mesh starts anew.  */
   cs_usec_t heartbeat;        /* Between reports of the server.  */
   cs_usec_t drain;            /* From a leave to the last new request.  */
   cs_usec_t grace;            /* From a stop signal to the end.  */
--- a/tests/test-adapter.c
+++ b/tests/test-adapter.c
@@ -78,7 +78,7 @@
 }
 
 #define REPORT(extra)                                                         \
-  "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"version\":\"v1\"," extra   \
+  "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"version\":\"v1\"," extra  \
   "}"
 
 static void
@@ -92,9 +92,8 @@
     { "ready",
       REPORT ("\"slots\":8,\"state\":\"ready\",\"sequence\":4,\"born\":7"),
       true, false },
-    { "draining",
-      REPORT ("\"slots\":8,\"state\":\"draining\",\"sequence\":4"), true,
-      true },
+    { "draining", REPORT ("\"slots\":8,\"state\":\"draining\",\"sequence\":4"),
+      true, true },
     { "unknown state",
       REPORT ("\"slots\":8,\"state\":\"asleep\",\"sequence\":4"), false,
       false },
@@ -116,9 +115,9 @@
     {
       cs_report_t report;
       g_test_message ("%s", cases[i].what);
-      g_assert_cmpint (adapter ()->report (ctx, "i-1",
-                                           cs_str_of (cases[i].text), &report),
-                       ==, cases[i].good ? CS_OK : CS_BAD_INPUT);
+      g_assert_cmpint (
+          adapter ()->report (ctx, "i-1", cs_str_of (cases[i].text), &report),
+          ==, cases[i].good ? CS_OK : CS_BAD_INPUT);
       if (!cases[i].good)
         continue;
       g_assert_cmpint (report.draining, ==, cases[i].draining);
@@ -169,8 +168,7 @@
 {
   stand_t *s = user;
   if (s->status)
-    cs_exchange_answer (exchange, s->status, NULL, cs_str_of (s->body),
-                        false);
+    cs_exchange_answer (exchange, s->status, NULL, cs_str_of (s->body), false);
 }
 
 static void
@@ -205,8 +203,8 @@
     }
   while (cs_server_new (ctx, &s->loop, address, &handler, s, &s->server)
          != CS_OK);
-  g_assert_cmpint (
-      adapter ()->open_table (ctx, &s->loop, address, &s->table), ==, CS_OK);
+  g_assert_cmpint (adapter ()->open_table (ctx, &s->loop, address, &s->table),
+                   ==, CS_OK);
   g_free (address);
   return s;
 }
@@ -219,8 +217,9 @@
     uv_run (&s->loop, UV_RUN_ONCE);
 }
 
-#define ROW "{\"table\":\"op\",\"part\":\"\",\"key\":\"config\","             \
-            "\"value\":\"YWI=\",\"ver\":5}"
+#define ROW                                                                   \
+  "{\"table\":\"op\",\"part\":\"\",\"key\":\"config\","                       \
+  "\"value\":\"YWI=\",\"ver\":5}"
 
 static void
 test_table_faults (void)
@@ -251,9 +250,7 @@
     { "no answer", 0, NULL, CS_UNAVAILABLE, CS_UNKNOWN, 0 },
   };
   stand_t *s = stand ();
-  cs_put_t put = { .space = CS_SPACE_MOVES,
-                   .key = "k",
-                   .value = CS_STR ("v") };
+  cs_put_t put = { .space = CS_SPACE_MESH, .key = "k", .value = CS_STR ("v") };
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       g_test_message ("%s", cases[i].what);
@@ -275,9 +272,7 @@
 {
   stand_t *s = stand ();
   cs_table_t *table;
-  cs_put_t put = { .space = CS_SPACE_MOVES,
-                   .key = "k",
-                   .value = CS_STR ("v") };
+  cs_put_t put = { .space = CS_SPACE_MESH, .key = "k", .value = CS_STR ("v") };
   g_assert_cmpint (
       adapter ()->open_table (ctx, &s->loop, "127.0.0.1:1", &table), ==,
       CS_OK);
--- a/tests/test-decide.c
+++ b/tests/test-decide.c
@@ -440,12 +440,19 @@
 static void
 test_roles (void)
 {
-  g_assert_true (cs_feed_reads (0, 0));
-  g_assert_false (cs_feed_reads (1, 1000 * MS));
-  g_assert_true (cs_feed_reads (1, 1500 * MS));
-  g_assert_false (cs_feed_reads (5, 1500 * MS));
+  g_assert_true (cs_feed_reads (0, 0, 0));
+  g_assert_false (cs_feed_reads (1, 1000 * MS, 1100 * MS));
+  g_assert_true (cs_feed_reads (1, 1500 * MS, 1500 * MS));
+  g_assert_false (cs_feed_reads (5, 1500 * MS, 1500 * MS));
   /* Within the time in which a change must be in force everywhere.  */
-  g_assert_true (cs_feed_reads (400, 2300 * MS));
+  g_assert_true (cs_feed_reads (400, 2300 * MS, 2300 * MS));
+  /* The table is down for all, and readers say so: 400 nodes do not turn to
+     it at once.  */
+  g_assert_false (cs_feed_reads (400, 8000 * MS, 300 * MS));
+  g_assert_true (cs_feed_reads (2, 2400 * MS, 300 * MS));
+  g_assert_cmpint (cs_feed_pause (0, 1), ==, 150 * MS);
+  g_assert_cmpint (cs_feed_pause (0, 50), ==, 800 * MS);
+  g_assert_cmpint (cs_feed_pause (9, 50), ==, 2500 * MS);
   g_assert_true (cs_conduct_takes (0, false, 0));
   g_assert_false (cs_conduct_takes (1, false, 300 * MS));
   g_assert_false (cs_conduct_takes (0, true, 1000 * MS));
