--- a/source/run/run.c
+++ b/source/run/run.c
@@ -250,6 +250,17 @@
          && !cs_message_field (answer, "content-encoding").data;
 }
 
+/* The server does not take connections: nothing more is sent until its next
+   report.  */
+static void
+lose_server (cs_runner_t *r)
+{
+  cs_life_lose (&r->life, now_of (r));
+  drop_idle (r);
+  refuse_waiting (r, CS_REFUSED_GONE);
+  r->handler.lost (r->user);
+}
+
 static void
 on_answer (void *user, cs_message_t *answer)
 {
@@ -268,7 +279,8 @@
       outcome.kind = CS_OUTCOME_REFUSED;
       outcome.reason = status == 421 ? CS_REFUSED_OTHER : CS_REFUSED_SHED;
       outcome.wait = (cs_usec_t)r->slot_time;
-      note_failing (r, true);
+      if (status != 421)
+        note_failing (r, true);
     }
   else if (!is_sound (answer))
     {
@@ -290,6 +302,8 @@
   end_run (run, &outcome);
   if (fields)
     g_string_free (fields, TRUE);
+  if (status == 421)
+    lose_server (r); /* Another server than the one that reported.  */
   schedule_pump (r);
 }
 
@@ -304,17 +318,6 @@
 static void send_on (cs_runner_t *r, cs_task_t *run, conn_t *conn);
 static conn_t *open_conn (cs_runner_t *r);
 
-/* The server does not take connections: nothing more is sent until its next
-   report.  */
-static void
-lose_server (cs_runner_t *r)
-{
-  cs_life_lose (&r->life, now_of (r));
-  drop_idle (r);
-  refuse_waiting (r, CS_REFUSED_GONE);
-  r->handler.lost (r->user);
-}
-
 static void
 on_failed (void *user, cs_client_fault_t fault, bool partial)
 {
--- a/source/sidecar/control.h
+++ b/source/sidecar/control.h
@@ -55,6 +55,10 @@
   cs_usec_t ticked_at;
   unsigned start_step;
   unsigned failures;       /* Of calls of the table in a row.  */
+  uint64_t node_written; /* Change of LIFE that the node's row holds.  */
+  uint64_t node_writes;  /* The one being written.  */
+  cs_usec_t node_retry_at;
+  bool writing_node;
   bool registered;         /* The table holds this node's row.  */
   bool busy;               /* A read or watch is under way.  */
   bool table_up;           /* The last call was answered.  */
--- a/source/sidecar/rows.c
+++ b/source/sidecar/rows.c
@@ -5,10 +5,11 @@
 #include "cardamom/delta.h"
 #include "control.h"
 
-/* A node that starts first asks the others for the rows, for so long if it may
-   read them itself, and for so long if another node of its region will.  */
+/* When the whole mesh starts, which takes seconds, rows are asked of the node
+   that reads first, for so long.  */
 #define WANT_READER (500 * CS_MSEC)
 #define WANT_FOLLOWER (1500 * CS_MSEC)
+#define NODE_RETRY (500 * CS_MSEC) /* Between writes of the node's row.  */
 #define WANT_PAUSE (250 * CS_MSEC) /* Between questions to other nodes.  */
 #define SIGN_MAX_AGE (3600 * CS_SEC)
 
@@ -387,10 +388,88 @@
 {
   control_t *c = user;
   (void)entries, (void)revision;
-  c->registered |= status == CS_OK;
+  if (status == CS_OK)
+    {
+      c->registered = true;
+      c->node_written = c->node_writes;
+    }
   end_step (c, status, STEP_MESH);
 }
 
+/* Write where this node is reached, and the server beside it, for a process
+   that starts in its place.  */
+static void
+write_node (control_t *c, cs_table_done_t done)
+{
+  cs_pack_t pack;
+  char *row = g_strconcat (ROW_NODE, c->settings.node, NULL);
+  const cs_report_t *r = &c->life.report;
+  cs_member_t self = { .boot = c->boot,
+                       .state = c->life.state,
+                       .slots = r->slots,
+                       .born_ms = r->born_ms };
+  g_strlcpy (self.name, c->settings.node, sizeof self.name);
+  g_strlcpy (self.dc, c->settings.dc, sizeof self.dc);
+  g_strlcpy (self.region, c->settings.region, sizeof self.region);
+  g_strlcpy (self.address, c->settings.peers, sizeof self.address);
+  g_strlcpy (self.service, r->service, sizeof self.service);
+  g_strlcpy (self.version, r->version, sizeof self.version);
+  g_strlcpy (self.instance, r->instance, sizeof self.instance);
+  cs_pack_init (&pack);
+  cs_pack_array (&pack, 1);
+  cs_member_pack (&pack, &self);
+  cs_put_t put = { .space = CS_SPACE_MESH,
+                   .key = row,
+                   .value = cs_pack_payload (&pack) };
+  c->table->vtable->commit (c->table, NULL, 0, &put, 1, done, c);
+  cs_pack_clear (&pack);
+  g_free (row);
+}
+
+static void
+on_node_written (void *user, cs_status_t status, GPtrArray *entries,
+                 int64_t revision)
+{
+  control_t *c = user;
+  (void)entries, (void)revision;
+  c->writing_node = false;
+  c->node_retry_at = control_now (c) + NODE_RETRY;
+  if (status == CS_OK)
+    c->node_written = c->node_writes;
+}
+
+/* Write the node's row after each change of the server beside it.  */
+static void
+keep_node (control_t *c, cs_usec_t now)
+{
+  if (c->writing_node || now < c->node_retry_at || !c->registered
+      || c->node_written == c->life.changes)
+    return;
+  c->writing_node = true;
+  c->node_writes = c->life.changes;
+  write_node (c, on_node_written);
+}
+
+/* Go on with the server that the process before this one had; whether it is
+   still the same one, it checks itself with each request.  */
+static void
+resume_server (control_t *c, const cs_member_t *member)
+{
+  if (c->settings.first_start || c->life.state != CS_LIFE_NONE
+      || member->state != CS_LIFE_READY || !c->settings.server[0])
+    return;
+  cs_report_t report = { .slots = member->slots, .born_ms = member->born_ms };
+  g_strlcpy (report.instance, member->instance, sizeof report.instance);
+  g_strlcpy (report.service, member->service, sizeof report.service);
+  g_strlcpy (report.version, member->version, sizeof report.version);
+  g_strlcpy (report.address, c->settings.server, sizeof report.address);
+  cs_life_report (&c->life, &report, control_now (c));
+  c->node_written = c->life.changes;
+  cs_event (CS_E_SERVER, "state=resumed instance=%s service=%s version=%s",
+            report.instance, report.service, report.version);
+  cs_traffic_set_life (c->traffic, &c->life);
+}
+
 /* A row of ROW_NODE.  */
 static void
 take_node (control_t *c, const cs_entry_t *entry)
@@ -407,7 +486,10 @@
   if (!in.bad && strcmp (member.name, c->settings.node) != 0)
     cs_traffic_learn (c->traffic, &member);
   else if (!in.bad)
-    c->registered |= strcmp (member.address, c->settings.peers) == 0;
+    {
+      c->registered |= strcmp (member.address, c->settings.peers) == 0;
+      resume_server (c, &member);
+    }
   cs_unpack_clear (&unpack);
 }
 
@@ -429,27 +511,6 @@
   end_step (c, status, c->registered ? STEP_ORDERS : STEP_REGISTER);
 }
 
-static void
-register_node (control_t *c)
-{
-  cs_pack_t pack;
-  char *row = g_strconcat (ROW_NODE, c->settings.node, NULL);
-  cs_member_t self = { .boot = c->boot };
-  g_strlcpy (self.name, c->settings.node, sizeof self.name);
-  g_strlcpy (self.dc, c->settings.dc, sizeof self.dc);
-  g_strlcpy (self.region, c->settings.region, sizeof self.region);
-  g_strlcpy (self.address, c->settings.peers, sizeof self.address);
-  cs_pack_init (&pack);
-  cs_pack_array (&pack, 1);
-  cs_member_pack (&pack, &self);
-  cs_put_t put = { .space = CS_SPACE_MESH,
-                   .key = row,
-                   .value = cs_pack_payload (&pack) };
-  c->table->vtable->commit (c->table, NULL, 0, &put, 1, on_registered, c);
-  cs_pack_clear (&pack);
-  g_free (row);
-}
-
 /* Ask a node of the region for the rows, another one each time; false when
    there is none.  */
 static bool
@@ -480,7 +541,7 @@
   const cs_table_vtable_t *table = c->table->vtable;
   if (c->start_step == STEP_MESH && c->settings.first_start && !c->registered)
     c->start_step = STEP_REGISTER;
-  if (c->start_step == STEP_ORDERS
+  if (c->start_step == STEP_ORDERS && c->settings.first_start
       && now - c->orders_since < (rank ? WANT_FOLLOWER : WANT_READER))
     {
       want_rows (c);
@@ -488,7 +549,10 @@
     }
   c->busy = true;
   if (c->start_step == STEP_REGISTER)
-    register_node (c);
+    {
+      c->node_writes = c->life.changes;
+      write_node (c, on_registered);
+    }
   else if (c->start_step == STEP_MESH)
     table->read (c->table, CS_SPACE_MESH, on_mesh, c);
   else
@@ -507,6 +571,7 @@
       c->signed_at = now;
       send_sign (c, NULL, now);
     }
+  keep_node (c, now);
   if (c->busy || now < c->retry_at)
     return;
   if (c->start_step < STEP_ORDERS || !c->seen)
--- a/source/sidecar/settings.c
+++ b/source/sidecar/settings.c
@@ -34,6 +34,8 @@
   { "peers", TEXT, AT (peers), NULL, "IP:PORT for other nodes" },
   { "metrics", TEXT, AT (metrics), "", "IP:PORT of counters; empty: none" },
   { "service", TEXT, AT (service), "", "service of the backend server" },
+  { "server", TEXT, AT (server), "",
+    "IP:PORT of the backend server, to go on with it after a restart" },
   { "table", TEXT, AT (table), NULL, "IP:PORT of the platform's table" },
   { "first_start", COUNT, AT (first_start), "0",
     "1 when the whole mesh starts for the first time" },
--- a/source/sidecar/settings.h
+++ b/source/sidecar/settings.h
@@ -15,6 +15,7 @@
   char peers[CS_LIFE_TEXT];   /* Where other nodes connect.  */
   char metrics[CS_LIFE_TEXT]; /* Where counters are read; or empty.  */
   char service[CS_LIFE_TEXT]; /* Of the server beside the node.  */
+  char server[CS_LIFE_TEXT];  /* IP:PORT of that server; or empty.  */
   char table[CS_LIFE_TEXT];   /* Of the platform's table.  */
   int64_t first_start;        /* 1: the whole mesh starts anew.  */
   cs_usec_t heartbeat;        /* Between reports of the server.  */
