--- a/source/sidecar/moves.c
+++ b/source/sidecar/moves.c
@@ -380,7 +380,7 @@
       = { .space = CS_SPACE_MESH, .key = row, .revision = m->row_revision };
   cs_put_t puts[] = {
     { .space = CS_SPACE_MESH,
-      .key = m->service,
+      .key = row,
       .value = cs_pack_payload (&pack) },
     { .space = CS_SPACE_STATES, .key = key, .value = cs_str_of (text) }
   };
