Play the platform to the sidecar in a scripted test

It has the fault of the move's row under another key than its fence: with that put back, 'after the end of all nodes it still has them' fails.

--- a/source/sidecar/control.h
+++ b/source/sidecar/control.h
@@ -54,7 +54,7 @@
   cs_usec_t walls_apart;  /* BOOTTIME less MONOTONIC.  */
   cs_usec_t ticked_at;
   unsigned start_step;
-  unsigned failures;       /* Of calls of the table in a row.  */
+  unsigned failures;     /* Of calls of the table in a row.  */
   uint64_t node_written; /* Change of LIFE that the node's row holds.  */
   uint64_t node_writes;  /* The one being written.  */
   cs_usec_t node_retry_at;
--- a/source/sidecar/moves.c
+++ b/source/sidecar/moves.c
@@ -379,9 +379,7 @@
   cs_expect_t expect
       = { .space = CS_SPACE_MESH, .key = row, .revision = m->row_revision };
   cs_put_t puts[] = {
-    { .space = CS_SPACE_MESH,
-      .key = row,
-      .value = cs_pack_payload (&pack) },
+    { .space = CS_SPACE_MESH, .key = row, .value = cs_pack_payload (&pack) },
     { .space = CS_SPACE_STATES, .key = key, .value = cs_str_of (text) }
   };
   bool tell = m->told_order != wanted->order || m->told_phase != wanted->phase;
--- /dev/null
+++ b/tests/sidecar.t
@@ -0,0 +1,139 @@
+#!/usr/bin/env bash
+# The sidecar on the users' platform, played by a stand-in: a configuration is
+# put in force, a version move is done and outlasts a restart of every node, a
+# leaving server gets nothing more, a stop cuts nothing off, bad settings are
+# told.
+. "$(dirname "$0")/tap.sh"
+dir=$(mktemp -d)
+MESH_DIR=$dir
+pids=()
+base=23400
+table=127.0.0.1:$base
+end () { for p in "${pids[@]}"; do kill "$p" 2>/dev/null; done; wait 2>/dev/null; rm -rf "$dir"; }
+trap end EXIT
+
+port () { echo $((base + 100 * $1 + $2)); } # NODE WHICH
+
+servers=""
+for n in 1 2 3; do servers="$servers,$(port $n 9):s$n"; done
+"$MESH_OUT/standin-rows" --port=$base --servers="${servers#,}" &
+pids+=($!)
+
+settings () { # NODE FIRST_START
+  cat >"$dir/n$1.json" <<J
+{"node": "n$1", "data_centre": "a", "region": "r", "first_start": $2,
+ "callers": "127.0.0.1:$(port $1 1)", "ready": "127.0.0.1:$(port $1 2)",
+ "reports": "127.0.0.1:$(port $1 3)", "peers": "127.0.0.1:$(port $1 4)",
+ "metrics": "127.0.0.1:$(port $1 5)", "service": "desk",
+ "server": "127.0.0.1:$(port $1 9)", "table": "$table"}
+J
+}
+declare -A node
+start () { # NODE
+  "$MESH_OUT/cardamom-sidecar" --settings="$dir/n$1.json" >>"$dir/n$1.log" 2>&1 &
+  node[$1]=$!
+  pids+=($!)
+}
+
+# until_ok COMMAND...: within a bound far above what it takes.
+until_ok () {
+  local i
+  for i in $(seq 300); do "$@" >/dev/null 2>&1 && return 0; sleep 0.1; done
+  return 1
+}
+
+put () { # TABLE KEY JSON
+  local value
+  value=$(printf '%s' "$3" | base64 -w0)
+  curl -s -o /dev/null "http://$table/api/rows-tx" -d \
+    "{\"puts\":[{\"table\":\"$1\",\"part\":\"\",\"key\":\"$2\",\"value\":\"$value\"}]}"
+}
+get () { # TABLE KEY
+  curl -s "http://$table/api/rows-get?table=$1&part=" |
+    grep -o "\"key\": *\"$2\"[^}]*\"value\": *\"[^\"]*\"" |
+    sed 's/.*"value": *"\([^"]*\)"/\1/' | base64 -d
+}
+report () { # NODE STATE VERSION SEQUENCE
+  curl -s -o /dev/null -w '%{http_code}' -X PUT \
+    "http://127.0.0.1:$(port $1 3)/api/instances/i$1" -d \
+    "{\"service\":\"desk\",\"address\":\"127.0.0.1:$(port $1 9)\",\"zone\":\"a\",
+      \"version\":\"$3\",\"slots\":4,\"state\":\"$2\",\"sequence\":$4,\"born\":$1}"
+}
+call () { # NODE PATH
+  curl -s -w ' %{http_code}' -H 'Host: h' -H 'Timeout-Remaining-Ms: 2000' \
+    -H "Attempt-Id: $RANDOM$RANDOM" "http://127.0.0.1:$(port $1 1)$2"
+}
+ready () { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:$(port $1 2)/api/ready")" = 200 ]; }
+config () { # VERSION TIMEOUT
+  put op config "{\"version\":\"$1\",\"services\":{\"desk\":{}},\"routes\":{\"r\":
+    {\"host\":\"h\",\"prefix\":\"/d/\",\"kind\":\"safe\",\"timeout\":\"$2\",
+     \"service\":\"desk\",\"maxAttempts\":2}},\"limits\":{}}"
+}
+answers () { call "$1" "$2" | grep -q "$3"; }
+# only SERVER: twenty calls of node 1 all go to it.
+only () {
+  local i
+  for i in $(seq 20); do answers 1 /d/x "^$1 200$" || return 1; done
+}
+in_log () { grep -q "$2" "$dir/n$1.log"; }
+
+for n in 1 2 3; do settings $n 1; done
+until_ok curl -s "http://$table/"
+for n in 1 2; do start $n; done
+until_ok curl -s "http://127.0.0.1:$(port 1 3)/"
+is "without a configuration a node is not ready" 1 "$(ready 1; echo $?)"
+is "and asks callers to come back" " 503" "$(call 1 /d/x)"
+config 00000001 1s
+ok "a configuration makes it ready" until_ok ready 1
+is "a report is acknowledged" 200 "$(report 1 ready v1 1)"
+is "one that cannot be read is not" 400 "$(report 1 asleep v1 2)"
+ok "requests reach the server" until_ok answers 2 /d/x "^s1 200$"
+is "a path without a route" " 404" "$(call 2 /nowhere)"
+
+start 3
+ok "a third node joins" until_ok ready 3
+report 3 ready v2 1 >/dev/null
+ok "and is known" until_ok in_log 1 "member=n3 service=desk version=v2 state=ready"
+ok "a version that nobody ordered gets nothing" only s1
+put op rollout/desk '{"service":"desk","to":"v2","over":"6s"}'
+moved () { get status rollout/desk | grep -q "\"state\":\"$1\""; }
+ok "operators are told that the move runs" until_ok moved running
+( while :; do call 1 /d/x >/dev/null; call 2 /d/x >/dev/null; done ) &
+load=$!
+pids+=($load)
+ok "and that it is done" until_ok moved completed
+kill $load
+ok "the new version has the requests" only s3
+is "the move's row is there" 1 "$(curl -s "http://$table/api/rows-get?table=mesh&part=" | grep -c '"move/desk"')"
+
+for n in 1 2 3; do kill -KILL "${node[$n]}"; wait "${node[$n]}" 2>/dev/null; settings $n 0; done
+for n in 1 2 3; do start $n; done
+ok "after the end of all nodes it still has them" until_ok only s3
+ok "the node went on with its server by itself" in_log 3 "state=resumed instance=i3"
+ok "and no move was begun anew" bash -c "! grep -h 'event=move' $dir/n*.log | grep -q 'epoch=2'"
+
+config 00000003 900ms
+ok "a later configuration is in force" until_ok in_log 2 "event=config version=3"
+config 00000002 800ms
+put op config '{"version":"00000009","rou'
+sleep 1
+is "an earlier or torn one is kept out" " 404" "$(call 2 /nowhere)"
+ok "and told" in_log 2 "event=config-refused"
+
+report 3 draining v2 9 >/dev/null
+until_ok in_log 1 "member=n3 service=desk version=v2 state=draining"
+ran=$(curl -s "http://127.0.0.1:$(port 3 9)/count")
+for i in $(seq 10); do call 1 /d/x >/dev/null; done
+is "a leaving server gets nothing more" "$ran" "$(curl -s "http://127.0.0.1:$(port 3 9)/count")"
+
+echo '{"node": "n1"' >"$dir/n1.json"
+kill -HUP "${node[1]}"
+ok "a torn settings file changes nothing" until_ok in_log 1 "event=settings state=kept"
+ok "and the node serves on" ready 1
+kill -TERM "${node[2]}"
+wait "${node[2]}"
+is "a node stops in order" 0 $?
+ok "and says so" in_log 2 "event=stop step=ended"
+ok "its settings are checked by the program" "$MESH_OUT/cardamom-sidecar" --check --settings="$dir/n2.json"
+is "bad ones are named" 2 "$("$MESH_OUT/cardamom-sidecar" --check --settings="$dir/n1.json" >/dev/null 2>&1; echo $?)"
+done_testing
