Check a server before going on with it after a restart

Now the server's own check must name the same instance and not be leaving. Ruled out: a late report.

--- a/include/cardamom/document.h
+++ b/include/cardamom/document.h
@@ -76,6 +76,7 @@
   int64_t objective_permille; /* Share of good calls promised.  */
   int64_t latency_ms;         /* A slower call is not good.  */
   int64_t weight;             /* Share of its team under contention.  */
+  char *health_path;          /* Of a server's check of itself; or NULL.  */
 } cs_service_t;
 
 /* A service that takes a part of a route's requests.  */
--- a/include/cardamom/headers.h
+++ b/include/cardamom/headers.h
@@ -13,6 +13,7 @@
   const char *seal;     /* The server's proof on its answer.  */
   const char *not_run;  /* Set by a server that has not run the request.  */
   const char *load;     /* The server's own count of its work.  */
+  const char *server;   /* The server's own identifier, on a health check.  */
 } cs_headers_t;
 
 /* The names in use; set before the first request.  */
--- a/source/config/document.c
+++ b/source/config/document.c
@@ -352,6 +352,7 @@
   g_free (service->team);
   g_free (service->name);
   g_free (service->version);
+  g_free (service->health_path);
   g_free (service);
 }
 
--- a/source/http1/headers.c
+++ b/source/http1/headers.c
@@ -6,6 +6,7 @@
                                   .caller = "Cardamom-Caller",
                                   .seal = "Cardamom-Seal",
                                   .not_run = "Cardamom-Not-Run",
-                                  .load = "Cardamom-Load" };
+                                  .load = "Cardamom-Load",
+                                  .server = "Cardamom-Server" };
 
 const cs_headers_t *cs_headers = &own;
--- a/source/sidecar/control.c
+++ b/source/sidecar/control.c
@@ -159,6 +159,7 @@
   cs_usec_t now = control_now (c);
   check_awake (c, now);
   rows_tick (c, now);
+  resume_tick (c);
   moves_tick (c, now);
   cs_event_flush ();
 }
--- a/source/sidecar/control.h
+++ b/source/sidecar/control.h
@@ -59,6 +59,9 @@
   uint64_t node_writes;  /* The one being written.  */
   cs_usec_t node_retry_at;
   bool writing_node;
+  cs_member_t resume; /* This node as the process before wrote it.  */
+  bool resumes;       /* Its server is to be checked.  */
+  struct cs_client *check;
   bool registered;         /* The table holds this node's row.  */
   bool busy;               /* A read or watch is under way.  */
   bool table_up;           /* The last call was answered.  */
@@ -86,6 +89,10 @@
 unsigned rows_rank (const control_t *c);
 void control_note_table (control_t *c, cs_status_t status);
 
+/* resume.c */
+void resume_later (control_t *c, const cs_member_t *member);
+void resume_tick (control_t *c);
+
 /* moves.c */
 void moves_order (control_t *c, const cs_entry_t *entry);
 void moves_row (control_t *c, const cs_entry_t *entry);
--- a/source/sidecar/rows.c
+++ b/source/sidecar/rows.c
@@ -450,26 +450,6 @@
   write_node (c, on_node_written);
 }
 
-/* Go on with the server that the process before this one had; whether it is
-   still the same one, it checks itself with each request.  */
-static void
-resume_server (control_t *c, const cs_member_t *member)
-{
-  if (c->settings.first_start || c->life.state != CS_LIFE_NONE
-      || member->state != CS_LIFE_READY || !c->settings.server[0])
-    return;
-  cs_report_t report = { .slots = member->slots, .born_ms = member->born_ms };
-  g_strlcpy (report.instance, member->instance, sizeof report.instance);
-  g_strlcpy (report.service, member->service, sizeof report.service);
-  g_strlcpy (report.version, member->version, sizeof report.version);
-  g_strlcpy (report.address, c->settings.server, sizeof report.address);
-  cs_life_report (&c->life, &report, control_now (c));
-  c->node_written = c->life.changes;
-  cs_event (CS_E_SERVER, "state=resumed instance=%s service=%s version=%s",
-            report.instance, report.service, report.version);
-  cs_traffic_set_life (c->traffic, &c->life);
-}
-
 /* A row of ROW_NODE.  */
 static void
 take_node (control_t *c, const cs_entry_t *entry)
@@ -488,7 +468,7 @@
   else if (!in.bad)
     {
       c->registered |= strcmp (member.address, c->settings.peers) == 0;
-      resume_server (c, &member);
+      resume_later (c, &member);
     }
   cs_unpack_clear (&unpack);
 }
--- a/tests/sidecar.t
+++ b/tests/sidecar.t
@@ -65,7 +65,7 @@
 }
 ready () { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:$(port $1 2)/api/ready")" = 200 ]; }
 config () { # VERSION TIMEOUT
-  put op config "{\"version\":\"$1\",\"services\":{\"desk\":{}},\"routes\":{\"r\":
+  put op config "{\"version\":\"$1\",\"services\":{\"desk\":{\"healthPath\":\"/health\"}},\"routes\":{\"r\":
     {\"host\":\"h\",\"prefix\":\"/d/\",\"kind\":\"safe\",\"timeout\":\"$2\",
      \"service\":\"desk\",\"maxAttempts\":2}},\"limits\":{}}"
 }
--- a/tests/standins/standin-rows.c
+++ b/tests/standins/standin-rows.c
@@ -264,6 +264,14 @@
       g_free (text);
       return;
     }
+  if (cs_str_equal (exchange->request.target, CS_STR ("/health")))
+    {
+      char *fields
+          = g_strdup_printf ("Instance-Id: i%s\r\n", backend->name + 1);
+      cs_exchange_answer (exchange, 200, fields, CS_STR (""), false);
+      g_free (fields);
+      return;
+    }
   backend->count++;
   char *fields = g_strdup_printf ("Attempt-Id: %.*s\r\nResponse-Seal: s\r\n",
                                   (int)id.len, id.data ? id.data : "");
