--- a/tests/test-adapter.c
+++ b/tests/test-adapter.c
@@ -187,6 +187,9 @@
   s->done++;
 }
 
+/* Loops and tables live as long as the process.  */
+static GPtrArray *kept;
+
 static stand_t *
 stand (void)
 {
@@ -195,6 +198,7 @@
   static unsigned port = 23100;
   stand_t *s = g_new0 (stand_t, 1);
   char *address = NULL;
+  g_ptr_array_add (kept, s);
   uv_loop_init (&s->loop);
   do
     {
@@ -276,6 +280,7 @@
   g_assert_cmpint (
       adapter ()->open_table (ctx, &s->loop, "127.0.0.1:1", &table), ==,
       CS_OK);
+  g_ptr_array_add (kept, table);
   table->vtable->commit (table, NULL, 0, &put, 1, on_done, s);
   await (s);
   g_assert_cmpint (s->got, ==, CS_UNAVAILABLE);
@@ -318,6 +323,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   ctx = cs_ctx_new (NULL, cs_clock_deadline (), 3);
+  kept = g_ptr_array_new ();
   g_test_add_func ("/adapter/config", test_config);
   g_test_add_func ("/adapter/report", test_report);
   g_test_add_func ("/adapter/move", test_move);
