--- a/Makefile
+++ b/Makefile
@@ -137,4 +137,4 @@
 sidecar: PC = $(SIDECAR_PC)
 sidecar: $(OUT)/cardamom-sidecar
 	@mkdir -p target
-	cp $< target/cardamom-sidecar
+	install -m 755 $< target/cardamom-sidecar
