Step in for readers that have lost the table in time for a change

Ruled out: a slow decoder (rows in force 0.1 s after the reading). Steps are 0.1 s now, and whoever has stepped in goes on until an earlier one reads again.

--- a/source/mesh/feed.c
+++ b/source/mesh/feed.c
@@ -9,8 +9,10 @@
 
 /* A reader signs more often than this, also one that has lost the table.  */
 #define QUIET_MAX (1000 * CS_MSEC)
-/* Between followers that step in while readers are heard.  */
-#define HEARD_STEP (500 * CS_MSEC)
+/* Between followers that step in while readers are heard: when half of the
+   nodes have lost the table, one of the first eight has it in all but 4 of
+   1,000 cases, and has read it 0.7 s after the first could not.  */
+#define HEARD_STEP (100 * CS_MSEC)
 #define PAUSE_FIRST (150 * CS_MSEC)
 /* The first reader must be back soon after the table is.  */
 #define PAUSE_READER (800 * CS_MSEC)
--- a/source/sidecar/control.h
+++ b/source/sidecar/control.h
@@ -49,6 +49,8 @@
   int64_t seen;       /* Revision up to which ROWS is whole.  */
   cs_usec_t fresh_at; /* When ROWS was last known to be whole.  */
   cs_usec_t signed_at, wanted_at, retry_at;
+  cs_usec_t read_at;      /* Last reading of this node itself.  */
+  bool stepped_in;        /* It reads in place of an earlier one.  */
   cs_usec_t sign_heard;   /* Last sign of a reader, however old its rows.  */
   cs_usec_t orders_since; /* When the rows began to be asked for.  */
   cs_usec_t walls_apart;  /* BOOTTIME less MONOTONIC.  */
--- a/source/sidecar/moves.c
+++ b/source/sidecar/moves.c
@@ -400,8 +400,8 @@
   cs_pack_t pack;
   cs_pack_init (&pack);
   /* Who cannot write leaves the move to others.  */
-  bool slow = m->writing
-              && control_now (m->control) - m->write_began > WRITE_SLOW;
+  bool slow
+      = m->writing && control_now (m->control) - m->write_began > WRITE_SLOW;
   bool able = !m->write_failed && !slow;
   pack_state (&pack, m->service, &m->state, able);
   cs_traffic_send (m->control->traffic, NULL, NULL, cs_pack_payload (&pack));
--- a/source/sidecar/rows.c
+++ b/source/sidecar/rows.c
@@ -11,6 +11,8 @@
 #define WANT_FOLLOWER (1500 * CS_MSEC)
 #define NODE_RETRY (500 * CS_MSEC) /* Between writes of the node's row.  */
 #define WANT_PAUSE (250 * CS_MSEC) /* Between questions to other nodes.  */
+/* A node whose own last reading is older has lost the table.  */
+#define READS_AGE (1500 * CS_MSEC)
 #define SIGN_MAX_AGE (3600 * CS_SEC)
 
 unsigned
@@ -162,11 +164,12 @@
 {
   cs_pack_t pack;
   cs_pack_init (&pack);
-  cs_pack_array (&pack, 4);
+  cs_pack_array (&pack, 5);
   cs_pack_number (&pack, CS_FRAME_SYNC);
   cs_pack_number (&pack, c->seen);
   cs_pack_number (&pack, digest_of (c));
   cs_pack_number (&pack, now - c->fresh_at);
+  cs_pack_number (&pack, now - c->read_at < READS_AGE);
   cs_traffic_send (c->traffic, node, c->settings.region,
                    cs_pack_payload (&pack));
   cs_pack_clear (&pack);
@@ -245,9 +248,12 @@
   int64_t seen = cs_take_number (in);
   int64_t digest = cs_take_number (in);
   cs_usec_t age = cs_take_number (in);
+  bool reads = cs_take_number (in) != 0;
   if (in->bad || age < 0 || age > SIGN_MAX_AGE)
     return;
   c->sign_heard = control_now (c);
+  if (reads && strcmp (from, c->settings.node) < 0)
+    c->stepped_in = false;
   if (!c->seen && (!c->snapshot || digest != digest_of (c)))
     return;
   if (seen > c->seen && digest != digest_of (c))
@@ -332,8 +338,9 @@
       take_entry (c, copy);
     }
   c->seen = MAX (c->seen, revision);
-  c->fresh_at = now;
+  c->fresh_at = c->read_at = now;
   c->failures = 0;
+  c->stepped_in = rows_rank (c) > 0;
   if (news)
     {
       c->signed_at = now;
@@ -543,7 +550,9 @@
 rows_tick (control_t *c, cs_usec_t now)
 {
   unsigned rank = rows_rank (c);
-  bool reads = cs_feed_reads (rank, now - c->fresh_at, now - c->sign_heard);
+  /* Whoever has stepped in reads until an earlier one does again.  */
+  bool reads = c->stepped_in
+               || cs_feed_reads (rank, now - c->fresh_at, now - c->sign_heard);
   if (c->start_step < STEP_ORDERS && !c->snapshot && c->failures)
     want_rows (c);
   if (reads && c->seen && now - c->signed_at >= CS_FEED_SIGN)
