--- a/include/cardamom/frames.h
+++ b/include/cardamom/frames.h
@@ -17,7 +17,6 @@
   CS_FRAME_PING,
   CS_FRAME_PONG,
   CS_FRAME_MEMBER, /* A node's description has changed.  */
-  CS_FRAME_STRIKE, /* A request has crashed a server.  */
   CS_FRAME_CONTROL /* From here on: for the control thread.  */
 } cs_frame_t;
 
--- a/include/cardamom/run.h
+++ b/include/cardamom/run.h
@@ -24,7 +24,6 @@
   cs_usec_t target_left; /* To the end that earns full benefit.  */
   cs_usec_t full_target; /* Time that a request of its kind has to it.  */
   cs_usec_t limit_left;  /* To the end of the request.  */
-  uint64_t print;        /* Of method, path and body.  */
   bool idempotent, head_only;
 } cs_job_t;
 
@@ -37,7 +36,6 @@
   CS_REFUSED_OTHER,    /* The server is of another service or version.  */
   CS_REFUSED_SHED,     /* The server itself turned it away.  */
   CS_REFUSED_TRIAL,    /* The version on trial has failed too often here.  */
-  CS_REFUSED_CRASHER,  /* It has crashed servers.  */
   CS_REFUSED_STOPPING, /* The node stops.  */
   CS_REFUSED_COUNT
 } cs_refused_t;
@@ -85,8 +83,6 @@
 {
   /* The server does not take connections any more.  */
   void (*lost) (void *user);
-  /* A request with PRINT was running when the server broke off.  */
-  void (*crashed) (void *user, uint64_t print);
 } cs_runner_handler_t;
 
 cs_runner_t *cs_runner_new (cs_ctx_t *ctx, uv_loop_t *loop,
--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -40,8 +40,7 @@
   GString *head; /* For the server, without deadline and instance.  */
   cs_str_t id;
   uint64_t number; /* Of the job under way.  */
-  uint64_t print;
-  int64_t boot; /* Life of the node that the job was sent to.  */
+  int64_t boot;    /* Life of the node that the job was sent to.  */
   cs_usec_t arrived, target, full_target, limit;
   uv_timer_t timer;
   peer_t *peer;   /* That works on it; NULL between two.  */
@@ -279,7 +278,6 @@
                    .target_left = call->target - now,
                    .full_target = call->full_target,
                    .limit_left = call->limit - now,
-                   .print = call->print,
                    .idempotent = call->route->idempotent,
                    .head_only = parser->method == HTTP_HEAD };
   call->peer = peer;
@@ -352,11 +350,6 @@
   call->refused = true;
   call->reason = outcome->reason;
   call->fulls += outcome->reason == CS_REFUSED_FULL;
-  if (outcome->reason == CS_REFUSED_CRASHER)
-    {
-      end_refused (call);
-      return;
-    }
   if (outcome->arrived && outcome->reason != CS_REFUSED_OTHER)
     {
       if (may_repeat (call))
@@ -567,14 +560,6 @@
   return cs_snapshot_route (snapshot, host, path, CS_METHODS_ALL);
 }
 
-static uint64_t
-print_of (const cs_message_t *request)
-{
-  uint64_t print = cs_hash (request->target.data, request->target.len,
-                            request->parser.method);
-  return cs_hash (request->body->str, request->body->len, print);
-}
-
 static route_state_t *
 state_of (cs_traffic_t *t, const cs_route_t *route)
 {
@@ -678,7 +663,6 @@
   call->service = service_for (call->state, route);
   call->head = head_for_server (t, request);
   call->id = cs_message_field (request, cs_headers->attempt);
-  call->print = print_of (request);
   call->reason = CS_REFUSED_GONE;
   exchange->user = call;
   t->calls++;
--- a/source/call/traffic.c
+++ b/source/call/traffic.c
@@ -48,12 +48,6 @@
   t->handler.lost (t->user);
 }
 
-static void
-on_crashed (void *user, uint64_t print)
-{
-  (void)user, (void)print;
-}
-
 static void
 run_thread (void *arg)
 {
@@ -69,8 +63,7 @@
 {
   static const cs_server_handler_t callers
       = { .request = calls_request, .left = calls_left, .turn = calls_turn };
-  static const cs_runner_handler_t runner
-      = { .lost = on_lost, .crashed = on_crashed };
+  static const cs_runner_handler_t runner = { .lost = on_lost };
   cs_traffic_t *t = g_new0 (cs_traffic_t, 1);
   t->ctx = cs_ctx_clone (ctx);
   t->handler = *handler;
--- a/source/run/run.c
+++ b/source/run/run.c
@@ -34,7 +34,6 @@
   conn_t *conn;                /* NULL while it waits.  */
   GString *id, *route, *bytes; /* BYTES: head, then body.  */
   size_t head_len;
-  uint64_t print;
   cs_usec_t limit, sent;
   bool idempotent, head_only, again, forgotten;
   cs_task_done_t done;
@@ -66,8 +65,7 @@
 cs_refused_name (cs_refused_t reason)
 {
   static const char *const names[]
-      = { "full", "expired", "gone",    "other",
-          "shed", "trial",   "crasher", "stopping" };
+      = { "full", "expired", "gone", "other", "shed", "trial", "stopping" };
   return reason < CS_REFUSED_COUNT ? names[reason] : "unknown";
 }
 
@@ -341,8 +339,6 @@
     }
   note_failing (r, true);
   note_arm (r, run, true, now_of (r) - run->sent);
-  if (fault != CS_CLIENT_GARBLED && !partial && !reused)
-    r->handler.crashed (r->user, run->print);
   cs_outcome_t outcome = { .kind = CS_OUTCOME_BROKEN,
                            .arrived = true,
                            .ran = now_of (r) - run->sent };
@@ -550,7 +546,6 @@
   g_string_append_len (run->bytes, job->head.data, (gssize)job->head.len);
   g_string_append_len (run->bytes, job->body.data, (gssize)job->body.len);
   run->head_len = job->head.len;
-  run->print = job->print;
   run->idempotent = job->idempotent;
   run->head_only = job->head_only;
   run->done = done;
--- a/source/sidecar/control.c
+++ b/source/sidecar/control.c
@@ -191,7 +191,6 @@
   bool same = strcmp (fresh.table, c->settings.table) == 0
               && strcmp (fresh.callers, c->settings.callers) == 0
               && strcmp (fresh.peers, c->settings.peers) == 0;
-  c->settings.heartbeat = fresh.heartbeat;
   cs_event (CS_E_SETTINGS, "state=%s", same ? "read" : "needs-restart");
 }
 
--- a/source/sidecar/rows.c
+++ b/source/sidecar/rows.c
@@ -294,6 +294,7 @@
 note_failure (control_t *c)
 {
   double spread = g_rand_double_range (c->ctx->random, 0.75, 1.25);
+  c->stepped_in = false;
   cs_usec_t pause = cs_feed_pause (rows_rank (c), ++c->failures);
   c->retry_at = control_now (c) + (cs_usec_t)((double)pause * spread);
 }
@@ -340,7 +341,6 @@
   c->seen = MAX (c->seen, revision);
   c->fresh_at = c->read_at = now;
   c->failures = 0;
-  c->stepped_in = rows_rank (c) > 0;
   if (news)
     {
       c->signed_at = now;
@@ -567,6 +567,7 @@
     take_step (c, rank, now);
   else if (reads)
     {
+      c->stepped_in = rank > 0;
       c->busy = true;
       c->table->vtable->watch (c->table, CS_SPACE_ORDERS, c->seen,
                                CS_FEED_WAIT, on_changes, c);
--- a/source/sidecar/settings.h
+++ b/source/sidecar/settings.h
@@ -18,13 +18,8 @@
   char server[CS_LIFE_TEXT];  /* IP:PORT of that server; or empty.  */
   char table[CS_LIFE_TEXT];   /* Of the platform's table.  */
   int64_t first_start;        /* 1: the whole mesh starts anew.  */
-  cs_usec_t heartbeat;        /* Between reports of the server.  */
-  cs_usec_t drain;            /* From a leave to the last new request.  */
   cs_usec_t grace;            /* From a stop signal to the end.  */
-  cs_usec_t contact;          /* Silence after which a node is apart.  */
   cs_budget_terms_t budget;   /* Of second sends.  */
-  double exposure;            /* Share that a bad version may get.  */
-  int64_t exposure_slack;     /* Requests that it may get besides.  */
 } node_settings_t;
 
 /* Read the file at PATH.  CS_BAD_INPUT names the first wrong key.  */
--- a/source/stream/frames.c
+++ b/source/stream/frames.c
@@ -3,7 +3,7 @@
 #include "cardamom/frames.h"
 
 #define MEMBER_FIELDS 13
-#define JOB_FIELDS 14
+#define JOB_FIELDS 13
 #define OUTCOME_FIELDS 16
 #define JOB_TIME_MAX (3600 * CS_SEC) /* No route allows as much.  */
 #define JOB_IDEMPOTENT 1
@@ -86,7 +86,6 @@
   cs_pack_number (pack, job->target_left / CS_MSEC);
   cs_pack_number (pack, job->full_target / CS_MSEC);
   cs_pack_number (pack, job->limit_left / CS_MSEC);
-  cs_pack_unsigned (pack, job->print);
   cs_pack_str (pack, job->id);
   cs_pack_str (pack, job->route);
   cs_pack_str (pack, job->service);
@@ -110,7 +109,6 @@
   if (job->limit_left < 0 || job->limit_left > JOB_TIME_MAX
       || job->target_left > JOB_TIME_MAX || job->target_left < -JOB_TIME_MAX)
     in->bad = true;
-  job->print = cs_take_unsigned (in);
   job->id = cs_take_str (in);
   job->route = cs_take_str (in);
   job->service = cs_take_str (in);
