--- a/include/cardamom/clock.h
+++ b/include/cardamom/clock.h
@@ -23,6 +23,10 @@
 /* The clock of the operating system, shared and never dropped.  */
 cs_clock_t *cs_clock_system (void);
 
+/* The clock of deadlines: it also counts the time in which the host was
+   suspended, so that a deadline is not taken for open after a wake-up.  */
+cs_clock_t *cs_clock_deadline (void);
+
 /* A clock that stands still until told to move.  */
 typedef struct
 {
--- a/include/cardamom/frames.h
+++ b/include/cardamom/frames.h
@@ -42,6 +42,9 @@
   int64_t slots, born_ms;
 } cs_member_t;
 
+/* A text without NUL that fits NAME; sets CURSOR->bad for any other.  */
+void cs_name_take (cs_cursor_t *cursor, char name[CS_LIFE_TEXT]);
+
 /* Whether A is newer than B about the same node.  */
 bool cs_member_newer (const cs_member_t *a, const cs_member_t *b);
 
--- a/include/cardamom/net.h
+++ b/include/cardamom/net.h
@@ -13,10 +13,6 @@
 /* Parse "IP:PORT"; false for anything else.  */
 bool cs_endpoint_parse (const char *text, struct sockaddr_in *address);
 
-/* The clock of deadlines: it also counts the time in which the host was
-   suspended, so that a deadline is not taken for open after a wake-up.  */
-cs_clock_t *cs_clock_deadline (void);
-
 /* Write BYTES, which are taken over, to STREAM.  What the socket does not take
    at once is kept by libuv until it does.  A failure shows in the reader.  */
 void cs_write (uv_stream_t *stream, GString *bytes);
--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -3,10 +3,9 @@
 #include <string.h>
 
 #include "cardamom/headers.h"
+#include "call.h"
 #include "cardamom/rotation.h"
-#include "traffic.h"
 
-#define TRIED_MAX 6 /* Nodes that one call is sent to at most.  */
 /* Callers differ in their patience by less than this part of it; one that has
    less time left has been here before.  */
 #define AGAIN_PART 5
@@ -15,12 +14,6 @@
 /* Past its limit the outcome may still be on its way.  */
 #define LIMIT_GRACE (30 * CS_MSEC)
 #define WORK_WEIGHT 0.1
-#define WORK_GUESS (40 * CS_MSEC) /* Before the first answer.  */
-#define SLOTS_GUESS 8             /* Before the first report.  */
-#define SLOT_TIME_GUESS (60 * CS_MSEC)
-#define LOAD_FRESH (400 * CS_MSEC)  /* Of a node's last report.  */
-#define LOAD_STALE_PERCENT 60       /* Of its slots, later.  */
-#define FAILING_FORGET (2 * CS_SEC) /* A failing node is tried again.  */
 /* Without a configuration a caller is asked to come back after this.  */
 #define START_RETRY_AFTER (300 * CS_MSEC)
 /* Without a server, or with one that leaves, the next report may tell.  */
@@ -29,31 +22,6 @@
 #define RETRY_AFTER_MAX (2 * CS_SEC)
 #define RETRY_AFTER_STEP (30 * CS_MSEC) /* For each rank of priority.  */
 
-struct call
-{
-  cs_traffic_t *traffic;
-  cs_exchange_t *exchange;
-  cs_snapshot_t *snapshot;
-  const cs_route_t *route;
-  const char *service;
-  route_state_t *state;
-  GString *head; /* For the server, without deadline and instance.  */
-  cs_str_t id;
-  uint64_t number; /* Of the job under way.  */
-  int64_t boot;    /* Life of the node that the job was sent to.  */
-  cs_usec_t arrived, target, full_target, limit;
-  uv_timer_t timer;
-  peer_t *peer;   /* That works on it; NULL between two.  */
-  cs_task_t *run; /* When that is this node.  */
-  peer_t *tried[TRIED_MAX];
-  unsigned tries;    /* Nodes tried.  */
-  unsigned arrivals; /* At servers.  */
-  unsigned fulls;    /* Refusals for want of room.  */
-  cs_usec_t wait;    /* Shortest expected wait of those that refused.  */
-  cs_refused_t reason;
-  bool wants_trial, refused, timed;
-};
-
 static cs_str_t
 id_of (const call_t *call)
 {
@@ -170,90 +138,6 @@
     average->mean += WORK_WEIGHT * ((double)value - average->mean);
 }
 
-static bool
-was_tried (const call_t *call, const peer_t *peer)
-{
-  for (unsigned i = 0; i < call->tries; i++)
-    if (call->tried[i] == peer)
-      return true;
-  return false;
-}
-
-static const char *
-version_for (const call_t *call, const pool_t *pool)
-{
-  const version_t *v = &pool->version;
-  return call->wants_trial ? v->trial : v->current;
-}
-
-/* PEER as a place for CALL.  */
-static cs_place_t
-place_of (const call_t *call, peer_t *peer, const char *version, cs_usec_t now)
-{
-  const cs_member_t *m = &peer->member;
-  cs_load_t load = peer->load;
-  cs_usec_t age = now - peer->load_at;
-  int64_t mine = g_hash_table_size (peer->calls);
-  if (peer->self)
-    {
-      load = cs_runner_load (call->traffic->runner);
-      age = mine = 0;
-    }
-  int64_t slots = m->slots > 0 ? m->slots : SLOTS_GUESS;
-  int64_t others
-      = load.running + load.waiting - (peer->self ? 0 : peer->mine_at_load);
-  if (!load.slots || age > LOAD_FRESH)
-    others = MIN (load.slots ? MAX (others, 0) : slots,
-                  slots * LOAD_STALE_PERCENT / 100);
-  const average_t *work = g_hash_table_lookup (peer->work, call->route->path);
-  double expected = work && work->mean > 0       ? work->mean
-                    : call->state->work.mean > 0 ? call->state->work.mean
-                                                 : (double)WORK_GUESS;
-  return (cs_place_t){
-    .distance = peer->distance,
-    .usable = m->state == CS_LIFE_READY && !m->stopping
-              && peer_is_reachable (peer) && strcmp (m->version, version) == 0
-              && !was_tried (call, peer),
-    .slots = slots,
-    .busy = MAX (others, 0) + mine,
-    .slot_time = load.slot_time > 0 ? load.slot_time : SLOT_TIME_GUESS,
-    .work = (cs_usec_t)expected,
-    .round_trip = peer->round_trip,
-    .failing_permille = age > FAILING_FORGET ? 0 : load.failing_permille,
-  };
-}
-
-static peer_t *
-choose_among (call_t *call, pool_t *pool, const char *version)
-{
-  cs_traffic_t *t = call->traffic;
-  cs_usec_t now = traffic_now (t);
-  guint count = pool->peers->len;
-  if (!count || !version[0])
-    return NULL;
-  cs_place_t *places = g_new (cs_place_t, count);
-  for (guint i = 0; i < count; i++)
-    places[i] = place_of (call, pool->peers->pdata[i], version, now);
-  cs_place_need_t need = { .target_left = call->target - now };
-  cs_placement_t chosen
-      = cs_place_choose (places, count, &need, t->ctx->random);
-  g_free (places);
-  return chosen.index >= 0 ? pool->peers->pdata[chosen.index] : NULL;
-}
-
-static peer_t *
-choose_peer (call_t *call)
-{
-  pool_t *pool = pool_of (call->traffic, call->service);
-  peer_t *peer = choose_among (call, pool, version_for (call, pool));
-  if (!peer && call->wants_trial)
-    {
-      call->wants_trial = false;
-      peer = choose_among (call, pool, version_for (call, pool));
-    }
-  return peer;
-}
-
 static void
 on_local_done (void *user, const cs_outcome_t *outcome)
 {
@@ -309,7 +193,7 @@
   call->peer = NULL;
   peer_t *peer
       = now < call->limit && call->tries < TRIED_MAX && call->fulls < FULL_MAX
-            ? choose_peer (call)
+            ? call_choose_peer (call)
             : NULL;
   if (peer)
     send_job (call, peer);
@@ -489,103 +373,6 @@
   free_call (call);
 }
 
-/* Whether NAME is set by the node itself, or concerns only one hop.  */
-static bool
-is_own_field (cs_str_t name)
-{
-  return cs_field_is_hop (name) || cs_str_is (name, "content-length")
-         || cs_str_is (name, cs_headers->deadline)
-         || cs_str_is (name, cs_headers->instance)
-         || cs_str_is (name, cs_headers->caller);
-}
-
-/* Whether the Connection field of REQUEST names NAME.  */
-static bool
-is_named_by_connection (const cs_message_t *request, cs_str_t name)
-{
-  cs_str_t value = cs_message_field (request, "connection");
-  if (!value.len)
-    return false;
-  char *text = g_strndup (value.data, value.len);
-  char **words = g_strsplit (text, ",", -1);
-  bool named = false;
-  for (char **word = words; *word; word++)
-    named |= cs_str_is (name, g_strstrip (*word));
-  g_strfreev (words);
-  g_free (text);
-  return named;
-}
-
-/* The request line and fields for the server.  */
-static GString *
-head_for_server (const cs_traffic_t *t, const cs_message_t *request)
-{
-  GString *out = g_string_sized_new (request->head->len + 64);
-  bool framed = request->parser.flags & F_CHUNKED || request->body->len;
-  g_string_append (out, http_method_str (request->parser.method));
-  g_string_append_c (out, ' ');
-  g_string_append_len (out, request->target.data, (gssize)request->target.len);
-  g_string_append (out, " HTTP/1.1\r\n");
-  for (guint i = 0; i < request->fields->len; i++)
-    {
-      const cs_field_t *f = &g_array_index (request->fields, cs_field_t, i);
-      if (is_own_field (f->name) || is_named_by_connection (request, f->name))
-        continue;
-      g_string_append_len (out, f->name.data, (gssize)f->name.len);
-      g_string_append (out, ": ");
-      g_string_append_len (out, f->value.data, (gssize)f->value.len);
-      g_string_append (out, "\r\n");
-    }
-  if (t->caller_service[0])
-    g_string_append_printf (out, "%s: %s\r\n", cs_headers->caller,
-                            t->caller_service);
-  if (framed || cs_message_field (request, "content-length").data)
-    g_string_append_printf (out, "Content-Length: %zu\r\n",
-                            request->body->len);
-  return out;
-}
-
-/* Host without its port, target without its query.  */
-static const cs_route_t *
-route_of (const cs_snapshot_t *snapshot, const cs_message_t *request)
-{
-  cs_str_t host = cs_message_field (request, "host");
-  cs_str_t path = request->target;
-  const char *port = host.len ? memchr (host.data, ':', host.len) : NULL;
-  const char *query = path.len ? memchr (path.data, '?', path.len) : NULL;
-  if (port)
-    host.len = (size_t)(port - host.data);
-  if (query)
-    path.len = (size_t)(query - path.data);
-  return cs_snapshot_route (snapshot, host, path, CS_METHODS_ALL);
-}
-
-static route_state_t *
-state_of (cs_traffic_t *t, const cs_route_t *route)
-{
-  route_state_t *state = g_hash_table_lookup (t->routes, route->path);
-  if (!state)
-    {
-      state = g_new0 (route_state_t, 1);
-      g_hash_table_insert (t->routes, g_strdup (route->path), state);
-    }
-  return state;
-}
-
-/* The service for the next request of ROUTE.  */
-static const char *
-service_for (route_state_t *state, const cs_route_t *route)
-{
-  int64_t weights[G_N_ELEMENTS (state->credit)] = { 0 };
-  if (!route->parts)
-    return route->service_path;
-  guint count = MIN (route->parts->len, G_N_ELEMENTS (state->credit));
-  for (guint i = 0; i < count; i++)
-    weights[i] = g_array_index (route->parts, cs_part_t, i).weight;
-  int part = cs_rotation_next (weights, state->credit, count);
-  return g_array_index (route->parts, cs_part_t, MAX (part, 0)).service_path;
-}
-
 static void
 choose_version (call_t *call)
 {
@@ -646,7 +433,7 @@
       refuse_exchange (exchange, 503, START_RETRY_AFTER);
       return;
     }
-  const cs_route_t *route = route_of (snapshot, request);
+  const cs_route_t *route = call_route_of (snapshot, request);
   if (!route)
     {
       cs_count (CS_C_NO_ROUTE, 1);
@@ -659,9 +446,9 @@
   call->exchange = exchange;
   call->snapshot = snapshot;
   call->route = route;
-  call->state = state_of (t, route);
-  call->service = service_for (call->state, route);
-  call->head = head_for_server (t, request);
+  call->state = call_state_of (t, route);
+  call->service = call_service_for (call->state, route);
+  call->head = call_head_for_server (t, request);
   call->id = cs_message_field (request, cs_headers->attempt);
   call->reason = CS_REFUSED_GONE;
   exchange->user = call;
--- a/source/http1/net.c
+++ b/source/http1/net.c
@@ -2,7 +2,6 @@
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #include "cardamom/net.h"
 
@@ -24,35 +23,6 @@
   return uv_ip4_addr (ip, (int)port, address) == 0;
 }
 
-static cs_usec_t
-read_clock (clockid_t id)
-{
-  struct timespec now;
-  clock_gettime (id, &now);
-  return (cs_usec_t)now.tv_sec * CS_SEC + now.tv_nsec / 1000;
-}
-
-static cs_usec_t
-read_boottime (cs_clock_t *clock)
-{
-  (void)clock;
-  return read_clock (CLOCK_BOOTTIME);
-}
-
-static cs_usec_t
-read_wall (cs_clock_t *clock)
-{
-  (void)clock;
-  return read_clock (CLOCK_REALTIME);
-}
-
-cs_clock_t *
-cs_clock_deadline (void)
-{
-  static cs_clock_t clock = { .monotonic = read_boottime, .wall = read_wall };
-  return &clock;
-}
-
 typedef struct
 {
   uv_write_t request;
--- a/source/kernel/clock.c
+++ b/source/kernel/clock.c
@@ -24,6 +24,21 @@
   return read_clock (CLOCK_REALTIME);
 }
 
+static cs_usec_t
+boot_monotonic (cs_clock_t *clock)
+{
+  (void)clock;
+  return read_clock (CLOCK_BOOTTIME);
+}
+
+cs_clock_t *
+cs_clock_deadline (void)
+{
+  static cs_clock_t clock
+      = { .monotonic = boot_monotonic, .wall = system_wall };
+  return &clock;
+}
+
 cs_clock_t *
 cs_clock_system (void)
 {
--- a/source/sidecar/moves.c
+++ b/source/sidecar/moves.c
@@ -2,82 +2,23 @@
 #include <string.h>
 
 #include "cardamom/conduct.h"
-#include "cardamom/move.h"
 #include "cardamom/registry.h"
-#include "control.h"
+#include "moves-internal.h"
 
 #define TICK (200 * CS_MSEC) /* Between looks at each move.  */
 #define FALSE_ALARM 0.0025   /* Chance that a good version is taken back.  */
-#define FIRST_PERMILLE 50    /* First share of the new version.  */
 #define WRITE_PAUSE (250 * CS_MSEC) /* After a write that failed.  */
 #define MOVE_FIELDS 13
 /* A write that takes longer has most likely lost the table; a slow one takes
    some hundred milliseconds.  */
 #define WRITE_SLOW (800 * CS_MSEC)
 
-/* The state of a move: a row of CS_SPACE_MESH, and what the node that
-   conducts it tells the others.  */
-typedef struct
-{
-  int64_t order; /* Revision of the operator's row.  */
-  int64_t epoch; /* Grows with each node that takes the move over.  */
-  int64_t step;  /* Grows with each write of one.  */
-  char owner[CS_LIFE_TEXT];
-  char current[CS_LIFE_TEXT]; /* The version that has the requests.  */
-  char to[CS_LIFE_TEXT];
-  int64_t share_permille;
-  cs_move_phase_t phase;
-  int64_t start_ms, deadline_ms; /* Wall time.  */
-} state_t;
-
-/* What the server beside a node has done, as that node tells.  */
-typedef struct
-{
-  char version[CS_LIFE_TEXT], instance[CS_LIFE_TEXT];
-  int64_t work; /* Running and waiting.  */
-  cs_usec_t at;
-  GHashTable *arms; /* route -> cs_arm_t *, cumulative.  */
-} evidence_t;
-
-typedef struct
-{
-  control_t *control;
-  char service[CS_LIFE_TEXT];
-  cs_order_t order;
-  int64_t order_revision; /* 0: no order.  */
-  cs_usec_t ordered_at;
-  int64_t ordered_ms;
-  state_t state;
-  int64_t row_revision; /* Of the row that STATE stands in; 0: none.  */
-  int64_t told_order;   /* What operators were last told.  */
-  cs_move_phase_t told_phase;
-  bool has_state;
-  cs_usec_t heard; /* Last sign of the node that conducts.  */
-  /* While this node conducts.  */
-  bool mine, writing;
-  state_t wanted; /* Being written.  */
-  cs_usec_t write_at, settled_at;
-  cs_usec_t write_began;
-  bool write_failed; /* The last one.  */
-  cs_jury_t *jury;
-  GHashTable *evidence; /* node -> evidence_t *.  */
-  GString *reason;
-} move_t;
-
-static int64_t
-wall_ms (const control_t *c)
+int64_t
+move_wall_ms (const control_t *c)
 {
   return cs_wall (c->ctx) / CS_MSEC;
 }
 
-static void
-free_evidence (void *data)
-{
-  evidence_t *e = data;
-  g_hash_table_unref (e->arms);
-  g_free (e);
-}
-
 static move_t *
 move_of (control_t *c, const char *service)
 {
@@ -87,8 +28,8 @@
   m = g_new0 (move_t, 1);
   m->control = c;
   g_strlcpy (m->service, service, sizeof m->service);
-  m->evidence
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_evidence);
+  m->evidence = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                       move_free_evidence);
   m->reason = g_string_new (NULL);
   g_hash_table_insert (c->moves, m->service, m);
   return m;
@@ -113,32 +54,19 @@
   cs_pack_number (pack, able);
 }
 
-static void
-take_name (cs_cursor_t *in, char out[CS_LIFE_TEXT])
-{
-  cs_str_t text = cs_take_str (in);
-  if (text.len >= CS_LIFE_TEXT)
-    {
-      in->bad = true;
-      return;
-    }
-  memcpy (out, text.data, text.len);
-  out[text.len] = '\0';
-}
-
 /* The fields after the number of the frame.  Returns whether the conductor
    can write to the table.  */
 static bool
 take_state (cs_cursor_t *in, char service[CS_LIFE_TEXT], state_t *s)
 {
   *s = (state_t){ 0 };
-  take_name (in, service);
+  cs_name_take (in, service);
   s->order = cs_take_number (in);
   s->epoch = cs_take_number (in);
   s->step = cs_take_number (in);
-  take_name (in, s->owner);
-  take_name (in, s->current);
-  take_name (in, s->to);
+  cs_name_take (in, s->owner);
+  cs_name_take (in, s->current);
+  cs_name_take (in, s->to);
   s->share_permille = cs_take_number (in);
   int64_t phase = cs_take_number (in);
   s->start_ms = cs_take_number (in);
@@ -163,8 +91,8 @@
 }
 
 /* Have requests follow STATE.  */
-static void
-apply_state (move_t *m)
+void
+move_apply (move_t *m)
 {
   const state_t *s = &m->state;
   cs_version_t v = { .order = s->order, .share_permille = s->share_permille };
@@ -201,7 +129,7 @@
                 m->service, state->owner, state->epoch);
       stop_conducting (m);
     }
-  apply_state (m);
+  move_apply (m);
 }
 
 void
@@ -222,7 +150,7 @@
   m->order = order;
   m->order_revision = entry->revision;
   m->ordered_at = control_now (c);
-  m->ordered_ms = wall_ms (c);
+  m->ordered_ms = move_wall_ms (c);
   if (m->mine)
     stop_conducting (m);
   cs_event (CS_E_MOVE,
@@ -273,76 +201,6 @@
     cs_traffic_give_evidence (c->traffic, from);
 }
 
-/* The growth of ARM since the last report of the same server goes to the
-   jury.  */
-static void
-add_evidence (move_t *m, evidence_t *e, const char *route, const cs_arm_t *arm)
-{
-  cs_sample_t now = { 0 }, before = { 0 }, growth;
-  const cs_arm_t *known = g_hash_table_lookup (e->arms, route);
-  bool is_new = strcmp (e->version, m->state.to) == 0;
-  if (!is_new && strcmp (e->version, m->state.current) != 0)
-    return;
-  *(is_new ? &now.new : &now.old) = *arm;
-  if (known)
-    *(is_new ? &before.new : &before.old) = *known;
-  cs_sample_subtract (&growth, &now, &before);
-  cs_jury_add (m->control->ctx, m->jury, route, &growth);
-}
-
-static evidence_t *
-evidence_of (move_t *m, const char *node, const char *version,
-             const char *instance, bool *first)
-{
-  evidence_t *e = g_hash_table_lookup (m->evidence, node);
-  *first = !e || strcmp (e->instance, instance) != 0;
-  if (!*first)
-    return e;
-  e = g_new0 (evidence_t, 1);
-  e->arms = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  g_strlcpy (e->version, version, sizeof e->version);
-  g_strlcpy (e->instance, instance, sizeof e->instance);
-  g_hash_table_replace (m->evidence, g_strdup (node), e);
-  return e;
-}
-
-void
-moves_take_evidence (control_t *c, const char *from, cs_cursor_t *in)
-{
-  char service[CS_LIFE_TEXT], version[CS_LIFE_TEXT], instance[CS_LIFE_TEXT];
-  bool first;
-  take_name (in, service);
-  take_name (in, version);
-  take_name (in, instance);
-  int64_t work = cs_take_number (in);
-  cs_cursor_t arms = cs_take_array (in);
-  move_t *m = in->bad ? NULL : g_hash_table_lookup (c->moves, service);
-  if (!m || !m->mine || !m->jury)
-    return;
-  evidence_t *e = evidence_of (m, from, version, instance, &first);
-  e->work = work;
-  e->at = control_now (c);
-  while (arms.left >= 2)
-    {
-      cs_sample_t sample;
-      char *route = cs_take_text (&arms);
-      cs_sample_take (&arms, &sample);
-      if (arms.bad)
-        in->bad = true;
-      /* What an old version did before the move is no comparison.  */
-      else
-        {
-          if (!first || strcmp (version, m->state.to) == 0)
-            add_evidence (m, e, route, &sample.new);
-          g_hash_table_replace (e->arms, g_strdup (route),
-                                g_memdup2 (&sample.new, sizeof sample.new));
-        }
-      g_free (route);
-      if (in->bad)
-        return;
-    }
-}
-
 /* The version that has the service's requests, as far as members tell.  */
 static void
 find_current (move_t *m, char out[CS_LIFE_TEXT])
@@ -366,8 +224,8 @@
                         int64_t revision);
 
 /* Write WANTED as the state of the move, beside what operators read.  */
-static void
-write_state (move_t *m, const state_t *wanted)
+void
+move_write (move_t *m, const state_t *wanted)
 {
   control_t *c = m->control;
   cs_pack_t pack;
@@ -394,8 +252,8 @@
   g_free (text);
 }
 
-static void
-send_sign (move_t *m)
+void
+move_sign (move_t *m)
 {
   cs_pack_t pack;
   cs_pack_init (&pack);
@@ -480,12 +338,12 @@
     return;
   m->state = m->wanted;
   m->has_state = true;
-  apply_state (m);
+  move_apply (m);
   if (claim)
     begin_conducting (m);
   log_step (m);
   m->settled_at = control_now (c);
-  send_sign (m);
+  move_sign (m);
   if (m->state.phase != CS_MOVE_RUNNING)
     stop_conducting (m);
 }
@@ -535,125 +393,7 @@
   g_strlcpy (wanted.to, m->order.to, sizeof wanted.to);
   if (strcmp (wanted.current, wanted.to) == 0)
     wanted.phase = CS_MOVE_DONE;
-  write_state (m, &wanted);
-}
-
-static bool
-has_upstreams (const move_t *m)
-{
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, m->control->members);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const cs_member_t *member = &((known_t *)value)->member;
-      if (strcmp (member->service, m->service) == 0
-          && strcmp (member->version, m->state.to) == 0
-          && member->state == CS_LIFE_READY && !member->stopping)
-        return true;
-    }
-  return false;
-}
-
-/* Whether every node beside a server of the old version says that nothing of
-   it runs or waits any more.  */
-static bool
-old_is_idle (const move_t *m)
-{
-  control_t *c = m->control;
-  GHashTableIter iter;
-  gpointer value;
-  cs_usec_t now = control_now (c), oldest = 0;
-  int64_t work = 0;
-  g_hash_table_iter_init (&iter, c->members);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const known_t *known = value;
-      const cs_member_t *member = &known->member;
-      if (!known->reachable || strcmp (member->service, m->service) != 0
-          || strcmp (member->version, m->state.current) != 0)
-        continue;
-      const evidence_t *e = g_hash_table_lookup (m->evidence, member->name);
-      work += e ? e->work : 1;
-      oldest = MAX (oldest, e ? now - e->at : now);
-    }
-  return cs_conduct_idle (work, oldest, now - m->settled_at);
-}
-
-static cs_move_t
-as_document (const move_t *m)
-{
-  const state_t *s = &m->state;
-  return (cs_move_t){
-    .start_ms = s->start_ms,
-    .deadline_ms = cs_conduct_verdict_by (s->start_ms, s->deadline_ms),
-    .first_permille = FIRST_PERMILLE,
-    .phase = s->phase,
-    .share_permille = s->share_permille,
-    .since_ms = wall_ms (m->control)
-                - (control_now (m->control) - m->settled_at) / CS_MSEC
-  };
-}
-
-/* The version is bad, or cannot be shown to be good in time: it gets nothing
-   from now on, whether the table can be written or not.  */
-static void
-take_back (move_t *m, const char *why)
-{
-  if (why)
-    g_string_assign (m->reason, why);
-  else
-    cs_jury_explain (m->jury, m->reason);
-  m->state.share_permille = 0;
-  m->state.phase = CS_MOVE_TAKEN_BACK;
-  m->state.step++;
-  apply_state (m);
-  send_sign (m);
-}
-
-static void
-write_step (move_t *m, int64_t share, cs_move_phase_t phase)
-{
-  state_t wanted = m->state;
-  wanted.step++;
-  wanted.share_permille = share;
-  wanted.phase = phase;
-  write_state (m, &wanted);
-}
-
-static void
-conduct (move_t *m, cs_usec_t now)
-{
-  control_t *c = m->control;
-  cs_jury_tick (m->jury);
-  send_sign (m);
-  if (m->writing || now < m->write_at)
-    return;
-  if (m->reason->len)
-    {
-      write_step (m, 0, CS_MOVE_TAKEN_BACK);
-      return;
-    }
-  cs_move_t document = as_document (m);
-  cs_move_facts_t facts = { .now_ms = wall_ms (c),
-                            .verdict = cs_jury_verdict (m->jury),
-                            .new_calls = cs_jury_new_calls (m->jury),
-                            .has_upstreams = has_upstreams (m) };
-  cs_step_t step = cs_move_decide (&document, &facts);
-  if (step.kind == CS_STEP_TAKE_BACK)
-    {
-      take_back (m, step.reason);
-      write_step (m, 0, CS_MOVE_TAKEN_BACK);
-    }
-  else if (m->state.share_permille == CS_SHARE_ONE)
-    {
-      if (old_is_idle (m))
-        write_step (m, CS_SHARE_ONE, CS_MOVE_DONE);
-    }
-  else if (step.kind == CS_STEP_FINISH)
-    write_step (m, CS_SHARE_ONE, CS_MOVE_RUNNING);
-  else if (step.kind == CS_STEP_RAISE)
-    write_step (m, step.share_permille, CS_MOVE_RUNNING);
+  move_write (m, &wanted);
 }
 
 static void
@@ -667,7 +407,7 @@
     return;
   if (conducts)
     {
-      conduct (m, now);
+      move_conduct (m, now);
       return;
     }
   bool begun = m->has_state && m->state.order == m->order_revision;
--- a/source/stream/frames.c
+++ b/source/stream/frames.c
@@ -34,8 +34,8 @@
   cs_pack_number (pack, m->born_ms);
 }
 
-static void
-take_name (cs_cursor_t *cursor, char name[CS_LIFE_TEXT])
+void
+cs_name_take (cs_cursor_t *cursor, char name[CS_LIFE_TEXT])
 {
   cs_str_t text = cs_take_str (cursor);
   if (text.len >= CS_LIFE_TEXT
@@ -54,17 +54,17 @@
 {
   cs_cursor_t in = cs_take_array (cursor);
   *m = (cs_member_t){ 0 };
-  take_name (&in, m->name);
-  take_name (&in, m->dc);
-  take_name (&in, m->region);
-  take_name (&in, m->address);
+  cs_name_take (&in, m->name);
+  cs_name_take (&in, m->dc);
+  cs_name_take (&in, m->region);
+  cs_name_take (&in, m->address);
   m->boot = cs_take_number (&in);
   m->change = cs_take_number (&in);
   m->stopping = cs_take_number (&in) != 0;
   int64_t state = cs_take_number (&in);
-  take_name (&in, m->service);
-  take_name (&in, m->version);
-  take_name (&in, m->instance);
+  cs_name_take (&in, m->service);
+  cs_name_take (&in, m->version);
+  cs_name_take (&in, m->instance);
   m->slots = cs_take_number (&in);
   m->born_ms = cs_take_number (&in);
   if (in.bad || state < CS_LIFE_NONE || state > CS_LIFE_LOST || !m->name[0]
