--- a/Makefile
+++ b/Makefile
@@ -119,7 +119,7 @@
 
 # The sidecar: event loop and platform adapter, without the blocking path.
 SIDECAR_SRC = source/sidecar/main.c source/sidecar/control.c \
-  source/sidecar/entry.c source/sidecar/rows.c source/sidecar/moves.c source/sidecar/resume.c \
+  source/sidecar/entry.c source/sidecar/rows.c source/sidecar/start.c source/sidecar/moves.c source/sidecar/resume.c \
   source/sidecar/evidence.c source/sidecar/conductor.c \
   source/sidecar/settings.c $(EVENT_SRC) $(wildcard platform/*.c) \
   source/kernel/str.c source/kernel/context.c source/kernel/clock.c \
--- a/source/sidecar/control.h
+++ b/source/sidecar/control.h
@@ -91,6 +91,30 @@
 unsigned rows_rank (const control_t *c);
 void control_note_table (control_t *c, cs_status_t status);
 
+/* Ask NODE for its rows, now and then at most.  */
+void rows_ask (control_t *c, const char *node);
+/* A call of the table has failed: wait before the next one.  */
+void rows_note_failure (control_t *c);
+/* A cs_table_done_t for a reading of all orders.  */
+void rows_on_orders (void *user, cs_status_t status, GPtrArray *entries,
+                     int64_t revision);
+
+/* start.c */
+enum
+{
+  STEP_MESH,
+  STEP_REGISTER,
+  STEP_ORDERS
+};
+
+/* Write the node's row after each change of the server beside it.  */
+void start_keep_node (control_t *c, cs_usec_t now);
+/* Ask a node of the region for the rows, another one each time; false when
+   there is none.  */
+bool start_want_rows (control_t *c);
+/* Take the next step; RANK is that of rows_rank.  */
+void start_take_step (control_t *c, unsigned rank, cs_usec_t now);
+
 /* resume.c */
 void resume_later (control_t *c, const cs_member_t *member);
 void resume_tick (control_t *c);
