--- a/include/cardamom/client.h
+++ b/include/cardamom/client.h
@@ -43,8 +43,7 @@
    be closed by the server by NOW.  */
 bool cs_client_usable (const cs_client_t *client, cs_usec_t now);
 
-/* Whether a connection stands, and since when it has been idle.  */
-bool cs_client_connected (const cs_client_t *client);
+/* Since when the connection has been idle.  */
 cs_usec_t cs_client_idle_since (const cs_client_t *client);
 
 /* Whether the server has closed CLIENT or spoiled it; drop it then.  */
--- a/source/call/call.h
+++ b/source/call/call.h
@@ -28,7 +28,7 @@
   unsigned fulls;    /* Refusals for want of room.  */
   cs_usec_t wait;    /* Shortest expected wait of those that refused.  */
   cs_refused_t reason;
-  bool wants_trial, refused, timed;
+  bool wants_trial, refused;
 };
 
 /* choose.c: the node that CALL goes to next, among those not tried yet; NULL
--- a/source/call/traffic.h
+++ b/source/call/traffic.h
@@ -35,7 +35,7 @@
   cs_member_t member;
   bool self;
   cs_distance_t distance;
-  cs_usec_t round_trip; /* Guessed from the distance, then measured.  */
+  cs_usec_t round_trip; /* By the distance.  */
   cs_stream_t *stream;  /* To it; NULL while apart.  */
   bool greeted;         /* It has said who it is on STREAM.  */
   int64_t greeted_boot; /* Life of the process that greeted.  */
--- a/source/http1/client.c
+++ b/source/http1/client.c
@@ -222,12 +222,6 @@
   return !c->busy && !c->dead && now < c->idle_until;
 }
 
-bool
-cs_client_connected (const cs_client_t *c)
-{
-  return c->connected;
-}
-
 cs_usec_t
 cs_client_idle_since (const cs_client_t *c)
 {
