Use four fifths of the repeat budget; charge calls of repeated runs; a shed with slots free is told to come back soon

Half of the allowance was used, because calls made by a repeated run count as repeats where they go and no node saw them; and who was turned away was told to come back after a whole run time (400 ms), though the next server had room, and then ended late.

A server that turns work away with slots free makes Retry-After 50 ms.

--- a/include/cardamom/budget.h
+++ b/include/cardamom/budget.h
@@ -2,7 +2,10 @@
    a store: every node keeps to its share of what all nodes may send.
 
    The load pattern it answers: a part of the upstreams fails or sheds, and
-   repeats of all nodes together must not become a load of their own.  */
+   repeats of all nodes together must not become a load of their own.  A run
+   that is itself a repeat makes its calls again, and these count as repeats
+   where they go; no node sees which they are, but each knows what part of the
+   calling service's runs are repeats, and charges that part of each call.  */
 #ifndef CARDAMOM_BUDGET_H
 #define CARDAMOM_BUDGET_H
 
@@ -22,7 +25,8 @@
 typedef struct
 {
   int64_t slice; /* Number of the newest slice.  */
-  unsigned requests[CS_BUDGET_SLICES], repeats[CS_BUDGET_SLICES];
+  unsigned requests[CS_BUDGET_SLICES];
+  double repeats[CS_BUDGET_SLICES];
   double failing; /* Moving average of runs that failed.  */
 } cs_budget_t;
 
@@ -34,9 +38,14 @@
    is short of room, a second run only adds to that.  */
 bool cs_budget_may_help (const cs_budget_t *budget);
 
-/* A request for the service has come in.  */
+/* What part of the service's runs in the window were repeats.  */
+double cs_budget_part (cs_budget_t *budget, const cs_budget_terms_t *terms,
+                       cs_usec_t now);
+
+/* A request for the service has come in, made by a run of a service of whose
+   runs CALLER_PART are repeats (0: by a client).  */
 void cs_budget_request (cs_budget_t *budget, const cs_budget_terms_t *terms,
-                        cs_usec_t now);
+                        double caller_part, cs_usec_t now);
 
 /* Whether one more repeat may be sent by one of NODES nodes; it is counted. */
 bool cs_budget_repeat (cs_budget_t *budget, const cs_budget_terms_t *terms,
--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -18,6 +18,8 @@
 #define START_RETRY_AFTER (300 * CS_MSEC)
 /* Without a server, or with one that leaves, the next report may tell.  */
 #define GONE_RETRY_AFTER (150 * CS_MSEC)
+/* A server turned it away with slots free: the next one may take it.  */
+#define SHED_RETRY_AFTER (50 * CS_MSEC)
 #define RETRY_AFTER_MIN (40 * CS_MSEC)
 #define RETRY_AFTER_MAX (2 * CS_SEC)
 #define RETRY_AFTER_STEP (30 * CS_MSEC) /* For each rank of priority.  */
@@ -67,7 +69,9 @@
 retry_after (call_t *call)
 {
   cs_usec_t wait = call->wait + call->route->priority * RETRY_AFTER_STEP;
-  if (call->wait <= 0 && call->reason != CS_REFUSED_FULL)
+  if (call->wait <= 0 && call->reason == CS_REFUSED_SHED)
+    wait += SHED_RETRY_AFTER;
+  else if (call->wait <= 0 && call->reason != CS_REFUSED_FULL)
     wait += GONE_RETRY_AFTER;
   double spread = g_rand_double_range (call->traffic->ctx->random, 0.7, 1.3);
   return CLAMP ((cs_usec_t)((double)wait * spread), RETRY_AFTER_MIN,
@@ -399,6 +403,22 @@
                                            : call->limit - call->arrived;
 }
 
+/* The backend server beside this node calls through it, as clients do, and
+   nothing tells them apart: each request for another service may be made by a
+   run of the server's own.  */
+static void
+note_request (call_t *call)
+{
+  cs_traffic_t *t = call->traffic;
+  const char *own = t->self->member.service;
+  double part = 0;
+  if (own[0] && strcmp (own, call->service) != 0)
+    part = cs_budget_part (&pool_of (t, own)->budget, &t->budget,
+                           call->arrived);
+  cs_budget_request (&pool_of (t, call->service)->budget, &t->budget, part,
+                     call->arrived);
+}
+
 void
 calls_request (void *user, cs_exchange_t *exchange)
 {
@@ -433,8 +453,7 @@
   t->calls++;
   set_times (call, request);
   choose_version (call);
-  cs_budget_request (&pool_of (t, call->service)->budget, &t->budget,
-                     call->arrived);
+  note_request (call);
   uv_timer_init (&t->loop, &call->timer);
   call->timer.data = call;
   uv_timer_start (
--- a/source/run/run.c
+++ b/source/run/run.c
@@ -253,7 +253,9 @@
     {
       outcome.kind = CS_OUTCOME_REFUSED;
       outcome.reason = status == 421 ? CS_REFUSED_OTHER : CS_REFUSED_SHED;
-      outcome.wait = cs_speed_slot (&r->speed, run->waiter.work);
+      /* One that turns work away with slots free is not short of room.  */
+      if (r->active.length >= r->life.report.slots)
+        outcome.wait = cs_speed_slot (&r->speed, run->waiter.work);
       if (status != 421)
         note_failing (r, true);
     }
--- a/tests/test-decide.c
+++ b/tests/test-decide.c
@@ -274,7 +274,7 @@
       {
         cs_usec_t now = 100 * CS_SEC + ms * MS;
         if (ms % 100 == 0)
-          cs_budget_request (&budgets[node], &terms, now);
+          cs_budget_request (&budgets[node], &terms, 0, now);
         sent += cs_budget_repeat (&budgets[node], &terms, 12, now);
       }
   g_assert_cmpuint (sent, <=, (unsigned)(0.2 * 1200 + 60));
@@ -287,6 +287,51 @@
 
 /* One server of eight fails half of its runs: another may do better.  A
    service of which every second run fails is not helped by running more.  */
+/* A service and one that each of its runs calls turn 45% away at once: the
+   calls of repeated runs count where they go, and the sum stays within the
+   allowance though no node sees it.  */
+static void
+test_budget_nested (void)
+{
+  enum
+  {
+    NODES = 12,
+    REQUESTS = 1200
+  };
+  static const cs_budget_terms_t terms
+      = { .ratio = 0.2, .slack = 60, .window = 10 * CS_SEC };
+  cs_budget_t callers[NODES] = { 0 }, called[NODES] = { 0 };
+  GRand *random = g_rand_new_with_seed (7);
+  unsigned calls = 0, first_calls = 0, repeats = 0;
+  for (int i = 0; i < REQUESTS; i++)
+    {
+      cs_usec_t now = 100 * CS_SEC + (cs_usec_t)i * 10 * CS_SEC / REQUESTS;
+      cs_budget_t *caller = &callers[i % NODES];
+      bool shed, again = false;
+      cs_budget_request (caller, &terms, 0, now);
+      while ((shed = g_rand_double (random) < 0.45)
+             && cs_budget_repeat (caller, &terms, NODES, now))
+        again = true;
+      if (shed)
+        continue;
+      /* It runs at any node, and calls from there.  */
+      int node = g_rand_int_range (random, 0, NODES);
+      double part = cs_budget_part (&callers[node], &terms, now);
+      cs_budget_request (&called[node], &terms, part, now);
+      calls++;
+      first_calls += !again;
+      repeats += again;
+      while (g_rand_double (random) < 0.45
+             && cs_budget_repeat (&called[node], &terms, NODES, now))
+        repeats++;
+    }
+  g_rand_free (random);
+  g_test_message ("%u calls, %u first ones, %u repeats", calls, first_calls,
+                  repeats);
+  g_assert_cmpuint (repeats, <=, (unsigned)(0.2 * calls + 60));
+  g_assert_cmpuint (repeats, >=, (unsigned)((0.2 * calls + 60) / 2));
+}
+
 static void
 test_budget_whole (void)
 {
@@ -594,6 +639,7 @@
   g_test_add_func ("/decide/waiting-priority", test_waiting_priority);
   g_test_add_func ("/decide/waiting-near-target", test_waiting_near_target);
   g_test_add_func ("/decide/budget", test_budget);
+  g_test_add_func ("/decide/budget-nested", test_budget_nested);
   g_test_add_func ("/decide/budget-whole", test_budget_whole);
   g_test_add_func ("/decide/rotation", test_rotation);
   g_test_add_func ("/decide/life", test_life);
