One HTTP reader, server and client: neon and libmicrohttpd are gone

Cause: cardamomd kept a thread for each caller's connection (55 KB each) and a client of its own whose time limits are whole seconds; two HTTP implementations refused different things. Run on the event loop's server, tests/hostile.t found two holes of that one, which the sidecar had as well: "Transfer-Encoding: gzip, chunked" was taken for chunked, and an unknown method was answered 400.

Mended: source/platform/httpd.c keeps connections on an event loop and takes a thread for each request that runs (ended after 5 s without work); source/platform/http.c puts a blocking face on the loop's client. Codings other than one "chunked" are refused with 400, unknown methods with 501; both fail in tests/test-message.c without the change. The read buffer of a loop's thread ends with the thread (address sanitizer, tests/mesh-drain.t).

The mutant on neon's second sending has gone with neon; one that always uses connections again takes its place, and own-connections now leaves the first connection open, without which it did not see it.

--- a/Makefile
+++ b/Makefile
@@ -3,12 +3,12 @@
 BUILD ?= release
 CC = gcc
 PREFIX ?= /usr/local
-PACKAGES = libmsgpack-dev libneon27-gnutls-dev libmicrohttpd-dev \
+PACKAGES = libmsgpack-dev \
   liburcu-dev libargtable2-dev libglib2.0-dev libjansson-dev \
   libxxhash-dev libsodium-dev libuv1-dev libhttp-parser-dev \
   libzstd-dev \
   pkg-config curl
-PC = msgpack neon libmicrohttpd liburcu glib-2.0 jansson libxxhash \
+PC = msgpack liburcu glib-2.0 jansson libxxhash \
   libsodium argtable2 libuv liburcu-mb libzstd
 
 OUT = build/$(BUILD)
--- a/include/cardamom/client.h
+++ b/include/cardamom/client.h
@@ -12,6 +12,7 @@
   CS_CLIENT_UNREACHABLE, /* Not connected; nothing was sent.  */
   CS_CLIENT_RESET,       /* The connection broke.  */
   CS_CLIENT_ENDED,       /* It ended before a whole answer.  */
+  CS_CLIENT_TOO_LARGE,   /* The body exceeds the bound.  */
   CS_CLIENT_GARBLED      /* What came is no answer.  */
 } cs_client_fault_t;
 
@@ -34,6 +35,9 @@
                             const struct sockaddr_in *address,
                             cs_usec_t silence);
 
+/* Bound the bodies of answers from now on, in bytes.  */
+void cs_client_limit (cs_client_t *client, size_t body_max);
+
 /* Send REQUEST, which is taken over; HEAD tells that its answer has no body.
    CLIENT must be idle.  HANDLER's FAILED may be called before the return.  */
 void cs_client_send (cs_client_t *client, GString *request, bool head,
--- a/include/cardamom/http.h
+++ b/include/cardamom/http.h
@@ -1,4 +1,5 @@
-/* An HTTP client connection on top of neon.  */
+/* An HTTP client connection for threads that may block, over that of the event
+   loop.  */
 #ifndef CARDAMOM_HTTP_H
 #define CARDAMOM_HTTP_H
 
@@ -50,15 +51,14 @@
 typedef struct cs_http cs_http_t;
 
 /* A connection to HOST (an IP number) and PORT, opened on first use.  It
-   belongs to one thread at a time.  TIMEOUT_S bounds each wait for bytes, in
-   whole seconds as neon counts them.  */
+   belongs to one thread at a time.  TIMEOUT bounds each call.  */
 cs_http_t *cs_http_new (cs_ctx_t *ctx, const char *host, unsigned port,
-                        int timeout_s);
+                        cs_usec_t timeout);
 
 /* Close HTTP; NULL is allowed.  */
 void cs_http_drop (cs_ctx_t *ctx, cs_http_t *http);
 
-/* Send REQUEST once: neon's own second sending is kept off.  ANSWER is filled
+/* Send REQUEST once.  ANSWER is filled
    on CS_OK, whatever the HTTP status, and cleared by the caller.
    CS_UNAVAILABLE: the request was not sent.  CS_UNKNOWN: it was sent and no
    whole answer came.  CS_LIMIT: the answer exceeds its bound.  */
--- a/include/cardamom/httpd.h
+++ b/include/cardamom/httpd.h
@@ -1,5 +1,6 @@
-/* An HTTP server on top of libmicrohttpd: one thread per connection, bodies
-   held whole and bounded, ambiguous framing refused.  */
+/* An HTTP server whose handlers may block: connections are kept by one event
+   loop, a thread is taken for each request that runs.  Bodies are held whole
+   and bounded, ambiguous framing is refused.  */
 #ifndef CARDAMOM_HTTPD_H
 #define CARDAMOM_HTTPD_H
 
@@ -23,7 +24,7 @@
   bool abort;         /* Break the connection instead of answering.  */
 } cs_httpd_answer_t;
 
-/* Answer REQUEST; runs in the connection's thread and may block.  */
+/* Answer REQUEST; runs in a thread of its own and may block.  */
 typedef void (*cs_httpd_handler_t) (void *user,
                                     const cs_httpd_request_t *request,
                                     cs_httpd_answer_t *answer);
@@ -33,7 +34,7 @@
   const char *host; /* IP number to listen on.  */
   unsigned port;
   size_t body_max;          /* Bytes; larger bodies get 413.  */
-  unsigned connections_max; /* Further ones wait or are refused.  */
+  unsigned connections_max; /* Further ones are closed.  */
   unsigned idle_s;          /* Silent connections are closed.  */
 } cs_httpd_options_t;
 
--- a/include/cardamom/net.h
+++ b/include/cardamom/net.h
@@ -39,4 +39,8 @@
 void cs_mailbox_post (cs_mailbox_t *box, void (*run) (void *user, void *arg),
                       void *user, void *arg);
 
+/* Run what was posted and take no more.  For BOX's thread, when no other one
+   posts any more.  */
+void cs_mailbox_close (cs_mailbox_t *box);
+
 #endif
--- a/include/cardamom/server.h
+++ b/include/cardamom/server.h
@@ -34,12 +34,15 @@
   void (*left) (void *user, cs_exchange_t *exchange);
   /* See WANTS_TURN.  NULL when no request asks for it.  */
   void (*turn) (void *user, cs_exchange_t *exchange);
+  /* Whole lines for refusals of the server's own; NULL for none.  */
+  const char *refusal_fields;
 } cs_server_handler_t;
 
 /* What a caller may send, and how long it may take.  */
 typedef struct
 {
   size_t head_max, body_max; /* Bytes.  */
+  unsigned connections_max;  /* Further ones are closed; 0: no bound.  */
   cs_usec_t head_timeout;    /* For a whole head once begun.  */
   cs_usec_t idle_timeout;    /* Between requests, and between reads.  */
 } cs_server_limits_t;
@@ -57,6 +60,10 @@
 void cs_exchange_answer (cs_exchange_t *exchange, unsigned status,
                          const char *fields, cs_str_t body, bool close);
 
+/* Break the connection of EXCHANGE, which ends with this call, instead of
+   answering.  */
+void cs_exchange_abort (cs_exchange_t *exchange);
+
 /* From now on every answer closes its connection, and idle connections are
    closed.  */
 void cs_server_drain (cs_server_t *server);
@@ -67,6 +74,10 @@
 /* Stop listening.  */
 void cs_server_stop (cs_server_t *server);
 
+/* Stop listening and close every connection; exchanges under way end without
+   a word.  Its loop has to run once more; SERVER is freed by it.  */
+void cs_server_close (cs_server_t *server);
+
 /* Connections open.  */
 unsigned cs_server_connections (const cs_server_t *server);
 
--- a/source/http1/client.c
+++ b/source/http1/client.c
@@ -21,6 +21,7 @@
   cs_message_t answer;
   GString *request; /* Until connected.  */
   cs_usec_t idle_since, idle_until;
+  size_t body_max;
   bool opened, connected, busy, spoiled, dead, dropped, closing, head;
 };
 
@@ -94,8 +95,7 @@
   if (!keeps)
     shut (c);
   cs_message_t answer = c->answer;
-  cs_message_init (&c->answer, HTTP_RESPONSE, ANSWER_HEAD_MAX,
-                   ANSWER_BODY_MAX);
+  cs_message_init (&c->answer, HTTP_RESPONSE, ANSWER_HEAD_MAX, c->body_max);
   answer.parser.data = &answer;
   c->handler.answer (c->user, &answer);
   cs_message_clear (&answer);
@@ -119,7 +119,8 @@
       used += cs_message_feed (&c->answer, data + used, len - used);
       if (c->answer.fault)
         {
-          fail (c, CS_CLIENT_GARBLED);
+          fail (c, c->answer.fault == 413 ? CS_CLIENT_TOO_LARGE
+                                          : CS_CLIENT_GARBLED);
           return;
         }
       if (!c->answer.done)
@@ -188,13 +189,19 @@
   c->silence = silence;
   c->tcp.data = c->connect.data = c;
   c->idle_until = INT64_MAX;
-  cs_message_init (&c->answer, HTTP_RESPONSE, ANSWER_HEAD_MAX,
-                   ANSWER_BODY_MAX);
+  c->body_max = ANSWER_BODY_MAX;
+  cs_message_init (&c->answer, HTTP_RESPONSE, ANSWER_HEAD_MAX, c->body_max);
   uv_tcp_init (loop, &c->tcp);
   c->opened = true;
   return c;
 }
 
+void
+cs_client_limit (cs_client_t *c, size_t body_max)
+{
+  c->body_max = c->answer.body_max = body_max;
+}
+
 void
 cs_client_send (cs_client_t *c, GString *request, bool head,
                 const cs_client_handler_t *handler, void *user)
--- a/source/http1/message.c
+++ b/source/http1/message.c
@@ -78,6 +78,12 @@
   if (count_field (m, "transfer-encoding")
       && count_field (m, "content-length"))
     return refuse (m, 400, "two framings"), -1;
+  unsigned codings = count_field (m, "transfer-encoding");
+  if (codings > 1
+      || (codings
+          && !cs_str_is (cs_message_field (m, "transfer-encoding"),
+                         "chunked")))
+    return refuse (m, 400, "unknown transfer coding"), -1;
   if (request
       && (count_field (m, "host") > 1
           || (!count_field (m, "host")
@@ -215,12 +221,24 @@
       refuse (m, 400, "NUL in the head");
 }
 
+/* Whether the request begins with a method's name, known or not.  */
+static bool
+names_method (const cs_message_t *m)
+{
+  const char *at = m->head->str;
+  while (g_ascii_isupper (*at))
+    at++;
+  return at > m->head->str && *at == ' ';
+}
+
 static size_t
 parse (cs_message_t *m, const char *data, size_t len)
 {
   size_t used = http_parser_execute (&m->parser, &settings, data, len);
   enum http_errno error = HTTP_PARSER_ERRNO (&m->parser);
-  if (error != HPE_OK && error != HPE_PAUSED)
+  if (error == HPE_INVALID_METHOD && names_method (m))
+    refuse (m, 501, "unknown method");
+  else if (error != HPE_OK && error != HPE_PAUSED)
     refuse (m, 400, http_errno_description (error));
   return used;
 }
--- a/source/http1/net.c
+++ b/source/http1/net.c
@@ -65,10 +65,14 @@
 void
 cs_alloc_read (uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
-  static __thread char *bytes;
+  static GPrivate kept = G_PRIVATE_INIT (g_free);
+  char *bytes = g_private_get (&kept);
   (void)handle, (void)suggested;
   if (!bytes)
-    bytes = g_malloc (READ_BYTES);
+    {
+      bytes = g_malloc (READ_BYTES);
+      g_private_set (&kept, bytes);
+    }
   *buf = uv_buf_init (bytes, READ_BYTES);
 }
 
@@ -125,3 +129,10 @@
   uv_mutex_unlock (&box->lock);
   uv_async_send (&box->wake);
 }
+
+void
+cs_mailbox_close (cs_mailbox_t *box)
+{
+  run_letters (&box->wake);
+  uv_close ((uv_handle_t *)&box->wake, NULL);
+}
--- a/source/http1/server.c
+++ b/source/http1/server.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "cardamom/counters.h"
 #include "cardamom/server.h"
 
 #define BACKLOG 511
@@ -16,7 +17,7 @@
   void *user;
   cs_server_limits_t limits;
   GQueue conns;
-  bool draining, stopped;
+  bool draining, stopped, unbound, closing;
 };
 
 typedef struct
@@ -199,7 +200,9 @@
   g_queue_push_tail (&conn->exchanges, exchange);
   exchange->handed = true;
   conn->paused = true;
-  cs_exchange_answer (exchange, status, NULL, CS_STR (""), true);
+  cs_count (CS_C_REFUSED_INPUT, 1);
+  cs_exchange_answer (exchange, status, conn->server->handler.refusal_fields,
+                      CS_STR (""), true);
 }
 
 static void
@@ -288,7 +291,9 @@
   conn->since = server->clock->monotonic (server->clock);
   uv_tcp_init (listener->loop, &conn->tcp);
   g_queue_push_tail_link (&server->conns, &conn->link);
+  unsigned max = server->limits.connections_max;
   if (uv_accept (listener, (uv_stream_t *)&conn->tcp) != 0
+      || (max && cs_server_connections (server) > max)
       || uv_read_start ((uv_stream_t *)&conn->tcp, cs_alloc_read, on_read)
              != 0)
     {
@@ -387,13 +392,49 @@
     }
 }
 
+static void
+free_server (uv_handle_t *handle)
+{
+  g_free (handle->data);
+}
+
+static void
+on_unbound (uv_handle_t *listener)
+{
+  cs_server_t *server = listener->data;
+  server->unbound = true;
+  if (server->closing)
+    uv_close ((uv_handle_t *)&server->sweep, free_server);
+}
+
 void
 cs_server_stop (cs_server_t *server)
 {
   if (server->stopped)
     return;
   server->stopped = true;
-  uv_close ((uv_handle_t *)&server->tcp, NULL);
+  uv_close ((uv_handle_t *)&server->tcp, on_unbound);
+}
+
+void
+cs_exchange_abort (cs_exchange_t *exchange)
+{
+  exchange->answered = true; /* Its handler knows.  */
+  close_conn (exchange->conn);
+}
+
+void
+cs_server_close (cs_server_t *server)
+{
+  conn_t *conn;
+  server->handler.left = NULL;
+  server->closing = true;
+  while ((conn = g_queue_peek_head (&server->conns)))
+    close_conn (conn);
+  if (server->unbound)
+    uv_close ((uv_handle_t *)&server->sweep, free_server);
+  else
+    cs_server_stop (server);
 }
 
 unsigned
--- a/source/node/serve.c
+++ b/source/node/serve.c
@@ -10,8 +10,8 @@
 #include "node.h"
 #include "strikes.h"
 
-#define CONNECTIONS_MAX 100 /* Of one upstream, by the brief.  */
-#define READ_TIMEOUT_S 60   /* Longest silence of a running request.  */
+#define CONNECTIONS_MAX 100   /* Of one upstream, by the brief.  */
+#define RUN_MAX (60 * CS_SEC) /* Longest run of a request.  */
 
 typedef struct
 {
@@ -364,7 +364,7 @@
     {
       cs_http_drop (ctx, link->http);
       link->http = cs_http_new (ctx, s->node->settings.host, life->about.port,
-                                READ_TIMEOUT_S);
+                                RUN_MAX);
     }
   life_drop (link->life);
   link->life = life;
--- a/source/platform/http.c
+++ b/source/platform/http.c
@@ -1,38 +1,38 @@
 #include <arpa/inet.h>
-#include <neon/ne_request.h>
-#include <neon/ne_session.h>
-#include <neon/ne_socket.h>
-#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "cardamom/client.h"
 #include "cardamom/http.h"
 
 /* An idle connection older than this is opened anew.  */
 #define IDLE_REUSE_MAX (1 * CS_SEC)
-#define BLOCK_BYTES 8192
+#define SILENCE (10 * CS_SEC) /* Bytes unacknowledged.  */
+
+/* What became of the call under way.  */
+typedef enum
+{
+  CALL_RUNS,
+  CALL_ANSWERED,
+  CALL_FAILED,
+  CALL_TIMED_OUT
+} call_end_t;
 
 struct cs_http
 {
-  ne_session *session;
-  ne_inet_addr *nowhere;
-  bool open; /* A connection stands, left by an earlier request.  */
+  uv_loop_t loop;
+  uv_timer_t timer;
+  struct sockaddr_in address;
+  bool has_address;
+  cs_usec_t timeout;
+  cs_client_t *client; /* NULL: none is open.  */
   cs_usec_t last_used;
+  call_end_t end;
+  cs_client_fault_t fault;
+  bool unframed;
+  cs_http_answer_t *answer;
 };
 
-/* An address of no host (RFC 5737).  Bound to it, a connection cannot be
-   opened: so neon cannot send a request again when a reused connection
-   breaks.  */
-static const unsigned char nowhere[4] = { 192, 0, 2, 1 };
-
-static pthread_once_t socket_once = PTHREAD_ONCE_INIT;
-
-static void
-init_sockets (void)
-{
-  ne_sock_init ();
-}
-
 static void
 free_header (gpointer data)
 {
@@ -91,150 +91,172 @@
   memset (answer, 0, sizeof *answer);
 }
 
-static void
-on_status (void *user, ne_session_status status,
-           const ne_session_status_info *info)
-{
-  cs_http_t *http = user;
-  (void)info;
-  if (status == ne_status_connected)
-    http->open = true;
-  else if (status == ne_status_disconnected)
-    http->open = false;
-}
-
 cs_http_t *
-cs_http_new (cs_ctx_t *ctx, const char *host, unsigned port, int timeout_s)
+cs_http_new (cs_ctx_t *ctx, const char *host, unsigned port, cs_usec_t timeout)
 {
-  pthread_once (&socket_once, init_sockets);
   cs_http_t *http = cs_calloc (ctx, sizeof *http);
-  http->session = ne_session_create ("http", host, port);
-  ne_set_useragent (http->session, "cardamomswitch");
-  ne_set_read_timeout (http->session, timeout_s);
-  ne_set_connect_timeout (http->session, timeout_s);
-  /* Without this, neon opens a connection for every request that is not
-     flagged idempotent.  */
-  ne_set_session_flag (http->session, NE_SESSFLAG_CONNAUTH, 1);
-  ne_set_notifier (http->session, on_status, http);
-  http->nowhere = ne_iaddr_make (ne_iaddr_ipv4, nowhere);
+  uv_loop_init (&http->loop);
+  uv_timer_init (&http->loop, &http->timer);
+  http->timer.data = http;
+  http->has_address = uv_ip4_addr (host, (int)port, &http->address) == 0;
+  http->timeout = timeout;
   return http;
 }
 
+static void
+close_client (cs_http_t *http)
+{
+  cs_client_drop (http->client);
+  http->client = NULL;
+  uv_run (&http->loop, UV_RUN_NOWAIT);
+}
+
 void
 cs_http_drop (cs_ctx_t *ctx, cs_http_t *http)
 {
   if (!http)
     return;
-  ne_session_destroy (http->session);
-  ne_iaddr_free (http->nowhere);
+  cs_client_drop (http->client);
+  uv_close ((uv_handle_t *)&http->timer, NULL);
+  uv_run (&http->loop, UV_RUN_DEFAULT);
+  uv_loop_close (&http->loop);
   cs_free (ctx, http);
 }
 
-static ne_request *
-make_request (cs_http_t *http, const cs_http_request_t *request)
+static GString *
+make_request (const cs_http_t *http, const cs_http_request_t *request)
 {
-  ne_request *req
-      = ne_request_create (http->session, request->method, request->path);
-  ne_set_request_flag (req, NE_REQFLAG_IDEMPOTENT, 0);
+  char host[INET_ADDRSTRLEN] = "";
+  GString *out = g_string_sized_new (512 + request->body.len);
+  uv_ip4_name (&http->address, host, sizeof host);
+  g_string_append_printf (out, "%s %s HTTP/1.1\r\nHost: %s:%u\r\n",
+                          request->method, request->path, host,
+                          ntohs (http->address.sin_port));
   for (guint i = 0; request->headers && i < request->headers->len; i++)
     {
       const cs_header_t *h = request->headers->pdata[i];
-      ne_add_request_header (req, h->name, h->value);
+      g_string_append_printf (out, "%s: %s\r\n", h->name, h->value);
     }
-  if (request->body.len)
-    ne_set_request_body_buffer (req, request->body.data, request->body.len);
-  return req;
+  if (request->body.len || strcmp (request->method, "GET") != 0)
+    g_string_append_printf (out, "Content-Length: %zu\r\n", request->body.len);
+  g_string_append (out, "\r\n");
+  g_string_append_len (out, request->body.data, (gssize)request->body.len);
+  return out;
 }
 
-/* A body without a length or chunks ends when the connection does, which a
-   broken connection does as well.  */
-static bool
-body_is_delimited (ne_request *req, const char *method, int status)
+static void
+on_answer (void *user, cs_message_t *message)
 {
-  if (status == 204 || status == 304 || strcmp (method, "HEAD") == 0)
-    return true;
-  return ne_get_response_header (req, "Content-Length")
-         || ne_get_response_header (req, "Transfer-Encoding");
+  cs_http_t *http = user;
+  cs_http_answer_t *answer = http->answer;
+  answer->status = (int)message->parser.status_code;
+  answer->headers = cs_headers_new ();
+  for (guint i = 0; i < message->fields->len; i++)
+    {
+      const cs_field_t *f = &g_array_index (message->fields, cs_field_t, i);
+      char *name = cs_str_dup (f->name), *value = cs_str_dup (f->value);
+      cs_headers_add (answer->headers, name, value);
+      g_free (name);
+      g_free (value);
+    }
+  answer->body
+      = g_string_new_len (message->body->str, (gssize)message->body->len);
+  http->unframed = message->to_eof;
+  http->end = CALL_ANSWERED;
 }
 
 static void
-copy_headers (ne_request *req, GPtrArray *headers)
+on_failed (void *user, cs_client_fault_t fault, bool partial)
 {
-  void *cursor = NULL;
-  const char *name, *value;
-  while ((cursor = ne_response_header_iterate (req, cursor, &name, &value)))
-    cs_headers_add (headers, name, value);
+  cs_http_t *http = user;
+  (void)partial;
+  http->fault = fault;
+  http->end = CALL_FAILED;
 }
 
-static cs_status_t
-read_body (cs_ctx_t *ctx, ne_request *req, size_t max, GString *body)
+static void
+on_timeout (uv_timer_t *timer)
 {
-  char block[BLOCK_BYTES];
-  ssize_t got;
-  while ((got = ne_read_response_block (req, block, sizeof block)) > 0)
-    {
-      if (body->len + (size_t)got > max)
-        return cs_fail (ctx, CS_LIMIT,
-                        "the answer exceeds %zu bytes; raise --body-max", max);
-      g_string_append_len (body, block, got);
-    }
-  if (got < 0)
-    return cs_fail (ctx, CS_UNKNOWN, "the answer broke off before its end");
-  return CS_OK;
+  cs_http_t *http = timer->data;
+  http->end = CALL_TIMED_OUT;
 }
 
-static cs_status_t
-fail_of_neon (cs_ctx_t *ctx, cs_http_t *http, int code, bool reused)
+/* The connection left by an earlier request, if it still stands, or a new
+   one.  */
+static void
+use_client (cs_http_t *http, cs_ctx_t *ctx, bool reuse)
 {
-  const char *why = ne_get_error (http->session);
-  if (!reused && (code == NE_CONNECT || code == NE_LOOKUP))
-    return cs_fail (ctx, CS_UNAVAILABLE, "cannot connect: %s", why);
-  return cs_fail (ctx, CS_UNKNOWN, "no whole answer: %s", why);
+  cs_usec_t now = cs_now (ctx);
+  /* An end that has arrived is seen before anything is sent.  */
+  uv_run (&http->loop, UV_RUN_NOWAIT);
+  if (http->client && reuse && now - http->last_used <= IDLE_REUSE_MAX
+      && cs_client_usable (http->client, now))
+    return;
+  if (http->client)
+    close_client (http);
+  http->client
+      = cs_client_new (&http->loop, ctx->clock, &http->address, SILENCE);
 }
 
 static cs_status_t
-run_request (cs_ctx_t *ctx, cs_http_t *http, ne_request *req,
-             const cs_http_request_t *request, bool reused,
-             cs_http_answer_t *answer)
+status_of (cs_ctx_t *ctx, const cs_http_t *http,
+           const cs_http_request_t *request)
 {
-  int code = ne_begin_request (req);
-  if (code != NE_OK)
-    return fail_of_neon (ctx, http, code, reused);
-  answer->status = ne_get_status (req)->code;
-  answer->headers = cs_headers_new ();
-  answer->body = g_string_new (NULL);
-  copy_headers (req, answer->headers);
-  if (!body_is_delimited (req, request->method, answer->status))
+  static const char *const faults[] = {
+    [CS_CLIENT_UNREACHABLE] = "cannot connect",
+    [CS_CLIENT_RESET] = "the connection broke",
+    [CS_CLIENT_ENDED] = "the answer broke off before its end",
+    [CS_CLIENT_TOO_LARGE] = "it is too large",
+    [CS_CLIENT_GARBLED] = "what came is no answer",
+  };
+  if (http->end == CALL_TIMED_OUT)
+    return cs_fail (ctx, CS_UNKNOWN, "no whole answer within %lld ms",
+                    (long long)(http->timeout / CS_MSEC));
+  if (http->end == CALL_ANSWERED && http->unframed)
     return cs_fail (ctx, CS_UNKNOWN,
                     "the answer has neither a length nor chunks; its end "
                     "cannot be told from a broken connection");
-  cs_status_t status = read_body (ctx, req, request->answer_max, answer->body);
-  if (status != CS_OK)
-    return status;
-  code = ne_end_request (req);
-  return code == NE_OK || code == NE_RETRY
-             ? CS_OK
-             : fail_of_neon (ctx, http, code, reused);
+  if (http->end == CALL_ANSWERED)
+    return CS_OK;
+  if (http->fault == CS_CLIENT_TOO_LARGE)
+    return cs_fail (ctx, CS_LIMIT,
+                    "the answer exceeds %zu bytes; raise --body-max",
+                    request->answer_max);
+  if (http->fault == CS_CLIENT_UNREACHABLE)
+    return cs_fail (ctx, CS_UNAVAILABLE,
+                    "cannot connect to the server; see "
+                    "whether it listens");
+  return cs_fail (ctx, CS_UNKNOWN, "no whole answer: %s", faults[http->fault]);
 }
 
 cs_status_t
 cs_http_call (cs_ctx_t *ctx, cs_http_t *http, const cs_http_request_t *request,
               cs_http_answer_t *answer)
 {
+  static const cs_client_handler_t handler
+      = { .answer = on_answer, .failed = on_failed };
   memset (answer, 0, sizeof *answer);
-  cs_usec_t now = cs_now (ctx);
-  if (!request->reuse || now - http->last_used > IDLE_REUSE_MAX)
-    ne_close_connection (http->session);
-  bool reused = http->open;
-  ne_set_localaddr (http->session, reused ? http->nowhere : NULL);
-  ne_request *req = make_request (http, request);
-  cs_status_t status = run_request (ctx, http, req, request, reused, answer);
-  ne_request_destroy (req);
+  if (!http->has_address)
+    return cs_fail (ctx, CS_BAD_INPUT, "the server's address is no IP number");
+  use_client (http, ctx, request->reuse);
+  http->answer = answer;
+  http->end = CALL_RUNS;
+  http->unframed = false;
+  cs_client_limit (http->client, request->answer_max);
+  uv_update_time (&http->loop);
+  uv_timer_start (&http->timer, on_timeout,
+                  (uint64_t)(http->timeout / CS_MSEC), 0);
+  cs_client_send (http->client, make_request (http, request),
+                  strcmp (request->method, "HEAD") == 0, &handler, http);
+  while (http->end == CALL_RUNS)
+    uv_run (&http->loop, UV_RUN_ONCE);
+  uv_timer_stop (&http->timer);
   http->last_used = cs_now (ctx);
+  cs_status_t status = status_of (ctx, http, request);
   if (status != CS_OK)
     {
       cs_http_answer_clear (answer);
-      ne_close_connection (http->session);
+      close_client (http);
     }
   return status;
 }
--- a/source/platform/httpd.c
+++ b/source/platform/httpd.c
@@ -1,34 +1,45 @@
-#include <arpa/inet.h>
-#include <errno.h>
-#include <microhttpd.h>
-#include <stdlib.h>
+#include <pthread.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
-#include "cardamom/counters.h"
 #include "cardamom/httpd.h"
+#include "cardamom/queue.h"
+#include "cardamom/server.h"
 
 #define THREAD_STACK_BYTES ((size_t)256 * 1024)
-#define MEMORY_BYTES ((size_t)32 * 1024) /* For headers, per connection.  */
+#define HEAD_MAX 32768 /* Bytes of a request's head.  */
+#define HEAD_TIMEOUT (10 * CS_SEC)
+/* A thread without work for so long ends: bursts come in seconds.  */
+#define WORKER_IDLE (5 * CS_SEC)
 
 struct cs_httpd
 {
-  struct MHD_Daemon *daemon;
-  int listener;
+  cs_ctx_t *ctx; /* Of the loop's thread.  */
+  uv_loop_t loop;
+  cs_mailbox_t box;
+  cs_server_t *server;
   cs_httpd_options_t options;
   cs_httpd_handler_t handler;
   void *user;
+  pthread_t thread;
+  cs_queue_t jobs; /* job_t *; QUIT ends a thread.  */
+  /* Of the loop's thread.  */
+  GArray *workers; /* pthread_t.  */
+  guint busy;      /* Jobs that are queued or run.  */
+  bool stopping;
 };
 
-/* One request being received.  */
+/* One request on its way through a worker.  */
 typedef struct
 {
-  char *target;
+  cs_httpd_t *httpd;
+  cs_exchange_t *exchange; /* NULL once the caller has left; the loop's.  */
+  char *method, *target, *host;
+  GPtrArray *headers;
   GString *body;
-  bool started;
-  int refuse; /* Status to refuse it with; 0: none.  */
-} incoming_t;
+  cs_httpd_answer_t answer;
+} job_t;
+
+static job_t quit;
 
 void
 cs_httpd_text (cs_httpd_answer_t *answer, int status, const char *type,
@@ -41,249 +52,267 @@
   cs_headers_add (answer->headers, "Content-Type", type);
 }
 
-static void *
-on_target (void *user, const char *target, struct MHD_Connection *connection)
+static void
+free_job (job_t *job)
 {
-  (void)user;
-  (void)connection;
-  incoming_t *in = g_new0 (incoming_t, 1);
-  in->target = g_strdup (target);
-  in->body = g_string_new (NULL);
-  return in;
+  g_free (job->method);
+  g_free (job->target);
+  g_free (job->host);
+  g_ptr_array_unref (job->headers);
+  g_string_free (job->body, TRUE);
+  if (job->answer.headers)
+    g_ptr_array_unref (job->answer.headers);
+  if (job->answer.body)
+    g_string_free (job->answer.body, TRUE);
+  g_free (job);
 }
 
 static void
-on_completed (void *user, struct MHD_Connection *connection, void **state,
-              enum MHD_RequestTerminationCode code)
+send_answer (cs_exchange_t *exchange, const cs_httpd_answer_t *answer)
 {
-  incoming_t *in = *state;
-  (void)user;
-  (void)connection;
-  (void)code;
-  if (!in)
-    return;
-  g_free (in->target);
-  g_string_free (in->body, TRUE);
-  g_free (in);
-  *state = NULL;
+  GString *fields = g_string_new (NULL);
+  for (guint i = 0; answer->headers && i < answer->headers->len; i++)
+    {
+      const cs_header_t *h = answer->headers->pdata[i];
+      g_string_append_printf (fields, "%s: %s\r\n", h->name, h->value);
+    }
+  cs_exchange_answer (exchange, (unsigned)answer->status, fields->str,
+                      answer->body ? cs_str_of_gstring (answer->body)
+                                   : CS_STR (""),
+                      answer->close);
+  g_string_free (fields, TRUE);
 }
 
-static enum MHD_Result
-copy_header (void *user, enum MHD_ValueKind kind, const char *name,
-             const char *value)
+/* In the loop's thread: JOB has its answer.  */
+static void
+end_job (void *user, void *arg)
 {
-  (void)kind;
-  cs_headers_add (user, name, value ? value : "");
-  return MHD_YES;
+  cs_httpd_t *httpd = user;
+  job_t *job = arg;
+  httpd->busy--;
+  if (job->exchange && job->answer.abort)
+    cs_exchange_abort (job->exchange);
+  else if (job->exchange)
+    send_answer (job->exchange, &job->answer);
+  free_job (job);
 }
 
-static unsigned
-count_header (const GPtrArray *headers, const char *name)
+static void *run_jobs (void *arg);
+
+static void
+start_worker (cs_httpd_t *httpd)
 {
-  unsigned count = 0;
-  for (guint i = 0; i < headers->len; i++)
-    count
-        += g_ascii_strcasecmp (((cs_header_t *)headers->pdata[i])->name, name)
-           == 0;
-  return count;
+  pthread_attr_t attr;
+  pthread_t thread;
+  pthread_attr_init (&attr);
+  pthread_attr_setstacksize (&attr, THREAD_STACK_BYTES);
+  if (pthread_create (&thread, &attr, run_jobs, httpd) == 0)
+    g_array_append_val (httpd->workers, thread);
+  else if (!httpd->workers->len)
+    abort ();
+  pthread_attr_destroy (&attr);
 }
 
-/* The status to refuse the framing with, 0 when it is sound.  */
-static int
-check_framing (const cs_httpd_t *httpd, const GPtrArray *headers)
+/* In the loop's thread: the worker ARG has ended for want of work, which may
+   have come since.  */
+static void
+join_worker (void *user, void *arg)
 {
-  unsigned lengths = count_header (headers, "Content-Length");
-  unsigned codings = count_header (headers, "Transfer-Encoding");
-  const char *length = cs_headers_get (headers, "Content-Length");
-  const char *coding = cs_headers_get (headers, "Transfer-Encoding");
-  if (lengths + codings > 1 || count_header (headers, "Host") > 1)
-    return 400;
-  if (coding && g_ascii_strcasecmp (coding, "chunked") != 0)
-    return 400;
-  if (!length)
-    return 0;
-  char *end;
-  guint64 bytes = g_ascii_strtoull (length, &end, 10);
-  if (!g_ascii_isdigit (*length) || *end)
-    return 400;
-  return bytes > httpd->options.body_max ? 413 : 0;
+  cs_httpd_t *httpd = user;
+  pthread_t *thread = arg;
+  for (guint i = 0; i < httpd->workers->len; i++)
+    if (pthread_equal (g_array_index (httpd->workers, pthread_t, i), *thread))
+      {
+        g_array_remove_index_fast (httpd->workers, i);
+        pthread_join (*thread, NULL);
+        break;
+      }
+  g_free (thread);
+  if (httpd->busy > httpd->workers->len && !httpd->stopping)
+    start_worker (httpd);
 }
 
-static struct MHD_Response *
-make_response (const cs_httpd_answer_t *answer)
+static void *
+run_jobs (void *arg)
 {
-  struct MHD_Response *response = MHD_create_response_from_buffer (
-      answer->body ? answer->body->len : 0,
-      answer->body ? answer->body->str : NULL, MHD_RESPMEM_MUST_COPY);
-  for (guint i = 0; answer->headers && i < answer->headers->len; i++)
+  cs_httpd_t *httpd = arg;
+  const cs_ctx_t *ctx = httpd->ctx;
+  job_t *job;
+  while ((job = cs_queue_pop_until (&httpd->jobs, cs_now (ctx) + WORKER_IDLE))
+         != &quit)
     {
-      const cs_header_t *h = answer->headers->pdata[i];
-      MHD_add_response_header (response, h->name, h->value);
+      if (!job)
+        {
+          pthread_t *self = g_new (pthread_t, 1);
+          *self = pthread_self ();
+          cs_mailbox_post (&httpd->box, join_worker, httpd, self);
+          return NULL;
+        }
+
+      cs_httpd_request_t request = { .method = job->method,
+                                     .target = job->target,
+                                     .host = job->host,
+                                     .headers = job->headers,
+                                     .body = cs_str_of_gstring (job->body) };
+      job->answer.status = 500;
+      httpd->handler (httpd->user, &request, &job->answer);
+      cs_mailbox_post (&httpd->box, end_job, httpd, job);
     }
-  if (answer->close)
-    MHD_add_response_header (response, "Connection", "close");
-  return response;
+  return NULL;
 }
 
-static enum MHD_Result
-send_answer (struct MHD_Connection *connection, cs_httpd_answer_t *answer)
+static job_t *
+new_job (cs_httpd_t *httpd, cs_exchange_t *exchange)
 {
-  enum MHD_Result result = MHD_NO;
-  if (!answer->abort)
+  const cs_message_t *m = &exchange->request;
+  cs_str_t host = cs_message_field (m, "host");
+  job_t *job = g_new0 (job_t, 1);
+  job->httpd = httpd;
+  job->exchange = exchange;
+  job->method
+      = g_strdup (http_method_str ((enum http_method)m->parser.method));
+  job->target = cs_str_dup (m->target);
+  job->host = cs_str_dup (host);
+  job->host[strcspn (job->host, ":")] = '\0';
+  job->headers = cs_headers_new ();
+  for (guint i = 0; i < m->fields->len; i++)
     {
-      struct MHD_Response *response = make_response (answer);
-      result = MHD_queue_response (connection, (unsigned)answer->status,
-                                   response);
-      MHD_destroy_response (response);
+      const cs_field_t *f = &g_array_index (m->fields, cs_field_t, i);
+      char *name = cs_str_dup (f->name), *value = cs_str_dup (f->value);
+      cs_headers_add (job->headers, name, value);
+      g_free (name);
+      g_free (value);
     }
-  if (answer->headers)
-    g_ptr_array_unref (answer->headers);
-  if (answer->body)
-    g_string_free (answer->body, TRUE);
-  return result;
-}
-
-static enum MHD_Result
-refuse (struct MHD_Connection *connection, int status)
-{
-  cs_httpd_answer_t answer = { .close = true };
-  cs_count (CS_C_REFUSED_INPUT, 1);
-  cs_httpd_text (&answer, status, "text/plain",
-                 status == 413 ? "the body is too large\n"
-                               : "the request's framing is ambiguous or "
-                                 "malformed\n");
-  cs_headers_add (answer.headers, "Cardamom-Outcome", "not-run");
-  return send_answer (connection, &answer);
+  job->body = g_string_new_len (m->body->str, (gssize)m->body->len);
+  return job;
 }
 
-static char *
-host_name (const GPtrArray *headers)
+/* A request that does not run yet is run only in its turn: one before it on
+   the connection may close that.  */
+static void
+queue_job (cs_httpd_t *httpd, cs_exchange_t *exchange)
 {
-  const char *host = cs_headers_get (headers, "Host");
-  return g_strndup (host ? host : "", host ? strcspn (host, ":") : 0);
+  job_t *job = new_job (httpd, exchange);
+  exchange->user = job;
+  httpd->busy++;
+  if (httpd->busy > httpd->workers->len
+      && httpd->workers->len < httpd->options.connections_max)
+    start_worker (httpd);
+  cs_queue_push (&httpd->jobs, job);
 }
 
-static enum MHD_Result
-run_handler (cs_httpd_t *httpd, struct MHD_Connection *connection,
-             const char *method, incoming_t *in, GPtrArray *headers)
+static void
+on_request (void *user, cs_exchange_t *exchange)
 {
-  char *host = host_name (headers);
-  cs_httpd_request_t request = { .method = method,
-                                 .target = in->target,
-                                 .host = host,
-                                 .headers = headers,
-                                 .body = cs_str_of_gstring (in->body) };
-  cs_httpd_answer_t answer = { .status = 500 };
-  httpd->handler (httpd->user, &request, &answer);
-  g_free (host);
-  return send_answer (connection, &answer);
+  if (cs_exchange_is_behind (exchange))
+    exchange->wants_turn = true;
+  else
+    queue_job (user, exchange);
 }
 
 static void
-take_part (const cs_httpd_t *httpd, incoming_t *in, const char *data,
-           size_t size)
+on_turn (void *user, cs_exchange_t *exchange)
 {
-  if (in->body->len + size > httpd->options.body_max)
-    in->refuse = 413;
-  else if (!in->refuse)
-    g_string_append_len (in->body, data, (gssize)size);
+  queue_job (user, exchange);
 }
 
-static enum MHD_Result
-on_request (void *user, struct MHD_Connection *connection, const char *url,
-            const char *method, const char *version, const char *data,
-            size_t *size, void **state)
+static void
+on_left (void *user, cs_exchange_t *exchange)
 {
-  cs_httpd_t *httpd = user;
-  incoming_t *in = *state;
-  (void)url;
-  (void)version;
-  if (*size)
-    {
-      take_part (httpd, in, data, *size);
-      *size = 0;
-      return MHD_YES;
-    }
-  if (in->started && in->refuse)
-    return refuse (connection, in->refuse);
-  GPtrArray *headers = cs_headers_new ();
-  MHD_get_connection_values (connection, MHD_HEADER_KIND, copy_header,
-                             headers);
-  enum MHD_Result result = MHD_YES;
-  if (!in->started)
-    {
-      in->started = true;
-      in->refuse = check_framing (httpd, headers);
-      if (in->refuse)
-        result = refuse (connection, in->refuse);
-    }
-  else
-    result = run_handler (httpd, connection, method, in, headers);
-  g_ptr_array_unref (headers);
-  return result;
+  job_t *job = exchange->user;
+  (void)user;
+  if (job)
+    job->exchange = NULL;
 }
 
-static int
-open_listener (const cs_httpd_options_t *options)
+static void *
+run_loop (void *arg)
 {
-  struct sockaddr_in sa
-      = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)options->port) };
-  int one = 1;
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-  if (fd >= 0 && inet_pton (AF_INET, options->host, &sa.sin_addr) == 1
-      && bind (fd, (struct sockaddr *)&sa, sizeof sa) == 0
-      && listen (fd, SOMAXCONN) == 0)
-    return fd;
-  if (fd >= 0)
-    close (fd);
-  return -1;
+  cs_httpd_t *httpd = arg;
+  uv_run (&httpd->loop, UV_RUN_DEFAULT);
+  return NULL;
 }
 
 cs_status_t
 cs_httpd_start (cs_ctx_t *ctx, const cs_httpd_options_t *options,
                 cs_httpd_handler_t handler, void *user, cs_httpd_t **httpd)
 {
-  int fd = open_listener (options);
-  if (fd < 0)
-    return cs_fail (ctx, CS_UNAVAILABLE,
-                    "cannot listen on %s:%u: %s; choose another port",
-                    options->host, options->port, strerror (errno));
+  static const cs_server_handler_t server_handler
+      = { .request = on_request,
+          .left = on_left,
+          .turn = on_turn,
+          .refusal_fields = "Content-Type: text/plain\r\n"
+                            "Cardamom-Outcome: not-run\r\n" };
+  cs_server_limits_t limits = { .head_max = HEAD_MAX,
+                                .body_max = options->body_max,
+                                .connections_max = options->connections_max,
+                                .head_timeout = HEAD_TIMEOUT,
+                                .idle_timeout = options->idle_s * CS_SEC };
   cs_httpd_t *made = g_new0 (cs_httpd_t, 1);
+  char *address = g_strdup_printf ("%s:%u", options->host, options->port);
+  made->ctx = cs_ctx_clone (ctx);
   made->options = *options;
   made->handler = handler;
   made->user = user;
-  made->listener = fd;
-  made->daemon = MHD_start_daemon (
-      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD
-          | MHD_USE_POLL | MHD_USE_ITC,
-      0, NULL, NULL, on_request, made, MHD_OPTION_LISTEN_SOCKET, fd,
-      MHD_OPTION_URI_LOG_CALLBACK, on_target, NULL,
-      MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
-      MHD_OPTION_CONNECTION_LIMIT, options->connections_max,
-      MHD_OPTION_CONNECTION_TIMEOUT, options->idle_s,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, MEMORY_BYTES,
-      MHD_OPTION_THREAD_STACK_SIZE, THREAD_STACK_BYTES,
-      MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
-  if (!made->daemon)
+  uv_loop_init (&made->loop);
+  cs_status_t status = cs_server_new (made->ctx, &made->loop, address,
+                                      &server_handler, made, &made->server);
+  g_free (address);
+  if (status != CS_OK)
     {
-      close (fd);
+      cs_fail (ctx, status, "%s", cs_message (made->ctx));
+      uv_run (&made->loop, UV_RUN_DEFAULT);
+      uv_loop_close (&made->loop);
+      cs_ctx_drop (made->ctx);
       g_free (made);
-      return cs_fail (ctx, CS_UNAVAILABLE,
-                      "the HTTP server on port %u did not start; look for "
-                      "limits on threads and files",
-                      options->port);
+      return status;
     }
+  cs_server_limit (made->server, &limits);
+  cs_mailbox_init (&made->box, &made->loop);
+  cs_queue_init (&made->jobs);
+  made->workers = g_array_new (FALSE, FALSE, sizeof (pthread_t));
+  pthread_create (&made->thread, NULL, run_loop, made);
   *httpd = made;
   return CS_OK;
 }
 
+static void
+stop_listening (void *user, void *arg)
+{
+  cs_httpd_t *httpd = user;
+  (void)arg;
+  cs_server_stop (httpd->server);
+}
+
 void
 cs_httpd_quiesce (cs_httpd_t *httpd)
 {
-  if (httpd->listener >= 0)
-    close (MHD_quiesce_daemon (httpd->daemon));
-  httpd->listener = -1;
+  cs_mailbox_post (&httpd->box, stop_listening, httpd, NULL);
+}
+
+static void
+close_all (void *user, void *arg)
+{
+  cs_httpd_t *httpd = user;
+  (void)arg;
+  cs_server_close (httpd->server);
+  cs_mailbox_close (&httpd->box);
+}
+
+/* No request is read meanwhile.  */
+static void
+end_workers (void *user, void *arg)
+{
+  cs_httpd_t *httpd = user;
+  (void)arg;
+  for (guint i = 0; i < httpd->workers->len; i++)
+    cs_queue_push (&httpd->jobs, &quit);
+  for (guint i = 0; i < httpd->workers->len; i++)
+    pthread_join (g_array_index (httpd->workers, pthread_t, i), NULL);
+  g_array_set_size (httpd->workers, 0);
+  httpd->stopping = true;
+  /* Behind the last answers.  */
+  cs_mailbox_post (&httpd->box, close_all, httpd, NULL);
 }
 
 void
@@ -291,6 +320,11 @@
 {
   if (!httpd)
     return;
-  MHD_stop_daemon (httpd->daemon);
+  cs_mailbox_post (&httpd->box, end_workers, httpd, NULL);
+  pthread_join (httpd->thread, NULL);
+  uv_loop_close (&httpd->loop);
+  cs_queue_clear (&httpd->jobs);
+  g_array_unref (httpd->workers);
+  cs_ctx_drop (httpd->ctx);
   g_free (httpd);
 }
--- a/source/platform/remote.c
+++ b/source/platform/remote.c
@@ -7,7 +7,7 @@
 #include "cardamom/platform.h"
 #include "cardamom/registry.h"
 
-#define TIMEOUT_S 2
+#define TIMEOUT (2 * CS_SEC) /* A slow platform takes some hundred ms.  */
 #define READ_TRIES 3
 
 typedef struct
@@ -28,7 +28,7 @@
     return status;
   remote_t *remote = cs_calloc (ctx, sizeof *remote);
   remote->base.vtable = &remote_vtable;
-  remote->http = cs_http_new (ctx, host, port, TIMEOUT_S);
+  remote->http = cs_http_new (ctx, host, port, TIMEOUT);
   g_free (host);
   *platform = &remote->base;
   return CS_OK;
--- a/source/tools/mesh.c
+++ b/source/tools/mesh.c
@@ -116,7 +116,7 @@
   cs_status_t status = cs_address_parse (ctl->ctx, address, &host, &port);
   if (status != CS_OK)
     return status;
-  cs_http_t *http = cs_http_new (ctl->ctx, host, port, 5);
+  cs_http_t *http = cs_http_new (ctl->ctx, host, port, 5 * CS_SEC);
   cs_http_request_t request
       = { .method = "GET", .path = "/counters", .answer_max = 1u << 20 };
   status = cs_http_call (ctl->ctx, http, &request, &answer);
--- a/source/tools/session.c
+++ b/source/tools/session.c
@@ -8,7 +8,7 @@
 
 #include "ctl.h"
 
-#define TIMEOUT_S 10
+#define TIMEOUT (10 * CS_SEC) /* Of one call of an operator.  */
 #define ANSWER_MAX ((size_t)32 << 20)
 #define POLL_MS 20
 #define UNKNOWN_TRIES 3 /* Repeats of a change whose answer was lost.  */
@@ -71,7 +71,7 @@
   char *bearer = g_strconcat ("Bearer ", ctl->settings.token, NULL);
   cs_headers_add (headers, "Authorization", bearer);
   char *text = body ? json_dumps (body, JSON_COMPACT) : NULL;
-  cs_http_t *http = cs_http_new (ctl->ctx, host, port, TIMEOUT_S);
+  cs_http_t *http = cs_http_new (ctl->ctx, host, port, TIMEOUT);
   cs_http_request_t request = { .method = method,
                                 .path = path,
                                 .headers = headers,
--- a/tests/measure/common.sh
+++ b/tests/measure/common.sh
@@ -31,6 +31,9 @@
 
 rss_kb () { awk '/^VmRSS/ { print $2 }' "/proc/${MESH_PIDS[$1]}/status"; }
 
+# Processor time of a process, in milliseconds.
+cpu_ms () { awk '{ print ($14 + $15) * 10 }' "/proc/${MESH_PIDS[$1]}/stat"; }
+
 now_ms () { date +%s%3N; }
 
 write_service () { # TEAM SERVICE PREFIX [EXTRA FIELDS]
--- a/tests/mesh-crash.t
+++ b/tests/mesh-crash.t
@@ -43,11 +43,15 @@
 for i in $left; do
   mesh_post "$MESH_HOST:$(mesh_backend_port $i)/standin/control" '{"latency_ms": 400}' >/dev/null
 done
-for n in 1 2 3 4 5 6 7 8; do ask 0 innocent GET >"$MESH_DIR/in$n" & done
+asking=
+for n in 1 2 3 4 5 6 7 8; do
+  ask 0 innocent GET >"$MESH_DIR/in$n" &
+  asking="$asking $!"
+done
 sleep 0.2
 victim=$(set -- $left; echo "$1")
 mesh_kill "backend$victim"
-wait $(jobs -p | tail -8) 2>/dev/null
+wait $asking 2>/dev/null
 sleep 1
 is "a request whose backend server happened to die runs later" "200 done" "$(ask 0 innocent GET)"
 is "and again" "200 done" "$(ask 4 innocent GET)"
--- a/tests/standins/standin-backend.c
+++ b/tests/standins/standin-backend.c
@@ -233,7 +233,7 @@
   unsigned port;
   if (cs_address_parse (ctx, b->settings.node_admin, &host, &port) != CS_OK)
     return NULL;
-  cs_http_t *http = cs_http_new (ctx, host, port, 2);
+  cs_http_t *http = cs_http_new (ctx, host, port, 2 * CS_SEC);
   for (;;)
     {
       pthread_mutex_lock (&b->lock);
--- a/tests/standins/standin-load.c
+++ b/tests/standins/standin-load.c
@@ -248,7 +248,7 @@
           fprintf (stderr, "standin-load: %s\n", cs_message (w->ctx));
           exit (2);
         }
-      w->http[i] = cs_http_new (w->ctx, host, port, 60);
+      w->http[i] = cs_http_new (w->ctx, host, port, 60 * CS_SEC);
       g_free (host);
     }
 }
--- a/tests/test-http.c
+++ b/tests/test-http.c
@@ -14,6 +14,7 @@
   unsigned port;
   const char *answers[3]; /* On one connection after another; NULL ends.  */
   bool keep_open;         /* Answer all on the first connection.  */
+  bool leave_open;        /* Answer one on each, which stays open.  */
   _Atomic int requests;
   pthread_t thread;
 } server_t;
@@ -40,7 +41,7 @@
 run_server (void *arg)
 {
   server_t *s = arg;
-  int fd = -1;
+  int fd = -1, left[3], left_count = 0;
   for (int i = 0; i < 3 && s->answers[i]; i++)
     {
       if (fd < 0)
@@ -52,7 +53,12 @@
           s->requests++;
           (void)!write (fd, s->answers[i], strlen (s->answers[i]));
         }
-      if (!s->keep_open)
+      if (s->leave_open)
+        {
+          left[left_count++] = fd;
+          fd = -1;
+        }
+      else if (!s->keep_open)
         {
           close (fd);
           fd = -1;
@@ -60,6 +66,8 @@
     }
   if (fd >= 0)
     close (fd);
+  while (left_count > 0)
+    close (left[--left_count]);
   return NULL;
 }
 
@@ -118,7 +126,7 @@
   cs_ctx_t *ctx = cs_ctx_new (NULL, cs_clock_system (), 1);
   server_t server = { .answers = { cases[i].answer } };
   start_server (&server);
-  cs_http_t *http = cs_http_new (ctx, "127.0.0.1", server.port, 5);
+  cs_http_t *http = cs_http_new (ctx, "127.0.0.1", server.port, 5 * CS_SEC);
   cs_http_request_t request
       = { .method = "POST", .path = "/x", .answer_max = 10 };
   cs_http_answer_t answer;
@@ -142,7 +150,7 @@
   server_t server = { .keep_open = true,
                       .answers = { OK "Content-Length: 3\r\n\r\nabc", "" } };
   start_server (&server);
-  cs_http_t *http = cs_http_new (ctx, "127.0.0.1", server.port, 5);
+  cs_http_t *http = cs_http_new (ctx, "127.0.0.1", server.port, 5 * CS_SEC);
   cs_http_request_t request
       = { .method = "GET", .path = "/x", .answer_max = 10, .reuse = true };
   cs_http_answer_t answer;
@@ -164,10 +172,11 @@
 test_own_connections (void)
 {
   cs_ctx_t *ctx = cs_ctx_new (NULL, cs_clock_system (), 1);
-  server_t server = { .answers = { OK "Content-Length: 3\r\n\r\nabc",
+  server_t server = { .leave_open = true,
+                      .answers = { OK "Content-Length: 3\r\n\r\nabc",
                                    OK "Content-Length: 3\r\n\r\ndef" } };
   start_server (&server);
-  cs_http_t *http = cs_http_new (ctx, "127.0.0.1", server.port, 5);
+  cs_http_t *http = cs_http_new (ctx, "127.0.0.1", server.port, 5 * CS_SEC);
   cs_http_request_t request
       = { .method = "POST", .path = "/x", .answer_max = 10 };
   cs_http_answer_t answer;
@@ -186,7 +195,7 @@
 test_nobody_listens (void)
 {
   cs_ctx_t *ctx = cs_ctx_new (NULL, cs_clock_system (), 1);
-  cs_http_t *http = cs_http_new (ctx, "127.0.0.1", 1, 5);
+  cs_http_t *http = cs_http_new (ctx, "127.0.0.1", 1, 5 * CS_SEC);
   cs_http_request_t request
       = { .method = "POST", .path = "/x", .answer_max = 10 };
   cs_http_answer_t answer;
--- a/tests/test-message.c
+++ b/tests/test-message.c
@@ -50,6 +50,17 @@
   { "unknown coding",
     "PUT / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\nabc", 400,
     "" },
+  { "another coding before the chunks",
+    "PUT / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+    "0\r\n\r\n",
+    400, "" },
+  { "two codings",
+    "PUT / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    400, "" },
+  { "unknown method", "BREW / HTTP/1.1\r\nHost: h\r\n\r\n", 501, "" },
+  { "a method in small letters", "get / HTTP/1.1\r\nHost: h\r\n\r\n", 400,
+    "" },
   { "space before the colon",
     "PUT / HTTP/1.1\r\nHost: h\r\nContent-Length : 3\r\n\r\nabc", 400, "" },
   { "folded line", "GET / HTTP/1.1\r\nHost: h\r\nA: b\r\n c\r\n\r\n", 400,
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -245,7 +245,7 @@
   unsigned port;
   cs_http_answer_t answer;
   cs_address_parse (ctx, getenv ("CARDAMOM_TEST_PLATFORM"), &host, &port);
-  cs_http_t *http = cs_http_new (ctx, host, port, 2);
+  cs_http_t *http = cs_http_new (ctx, host, port, 2 * CS_SEC);
   body = g_strdup_printf ("{\"mode\": \"%s\", \"count\": 1}", mode);
   cs_http_request_t request = { .method = "POST",
                                 .path = "/standin/fault",
