--- a/Makefile
+++ b/Makefile
@@ -32,18 +32,20 @@
 STANDIN_SRC = $(wildcard tests/standins/*.c)
 TEST_SRC = $(wildcard tests/test-*.c)
 BENCH_SRC = $(wildcard tests/bench-*.c)
+SOAK_SRC = $(wildcard tests/soak/*.c)
 SIDECAR_OWN = $(wildcard source/sidecar/*.c platform/*.c)
 ALL_SRC = $(LIB_SRC) $(SIDECAR_OWN) $(NODE_SRC) $(CTL_SRC) $(STANDIN_SRC) \
-  $(TEST_SRC) $(BENCH_SRC)
-HEADERS = $(wildcard include/cardamom/*.h source/*/*.h platform/*.h tests/*.h)
+  $(TEST_SRC) $(BENCH_SRC) $(SOAK_SRC)
+HEADERS = $(wildcard include/cardamom/*.h source/*/*.h platform/*.h tests/*.h \
+  tests/soak/*.h)
 
 obj = $(patsubst %.c,$(OUT)/%.o,$(1))
 LIB = $(OUT)/libcardamom.a
 PROGRAMS = $(OUT)/cardamomd $(OUT)/cardamomctl $(OUT)/cardamom-sidecar
 STANDINS = $(patsubst tests/standins/%.c,$(OUT)/%,$(STANDIN_SRC))
-TESTS = $(patsubst tests/%.c,$(OUT)/%,$(TEST_SRC) $(BENCH_SRC))
+TESTS = $(patsubst tests/%.c,$(OUT)/%,$(TEST_SRC) $(BENCH_SRC)) $(OUT)/soak
 
-.PHONY: all sidecar check check-sanitized mutants install clean deps run measure lint format tests
+.PHONY: all sidecar check check-sanitized mutants soak install clean deps run measure lint format tests
 .SECONDARY:
 
 all: $(LIB) $(PROGRAMS)
@@ -70,6 +72,8 @@
 $(OUT)/test-adapter: $(call obj,$(wildcard platform/*.c))
 $(OUT)/test-%: $(OUT)/tests/test-%.o $(LIB)
 	$(LINK)
+$(OUT)/soak: $(call obj,$(SOAK_SRC)) $(LIB)
+	$(LINK)
 $(OUT)/bench-%: $(OUT)/tests/bench-%.o $(LIB)
 	$(LINK)
 
@@ -113,6 +117,11 @@
 	@$(MAKE) --no-print-directory BUILD=tsan all
 	@CARDAMOM_SANITIZED=1 tests/run-checks $(OUT)
 
+# SEEDS seeds from FROM on, SECONDS_EACH seconds of faults each.
+soak: deps
+	@$(MAKE) --no-print-directory tests
+	@tests/run-soak $(OUT)
+
 mutants: deps
 	@$(MAKE) --no-print-directory tests
 	@tests/try-mutants
--- a/source/sidecar/control.c
+++ b/source/sidecar/control.c
@@ -220,7 +220,7 @@
   g_strlcpy (terms.self.name, s->node, CS_LIFE_TEXT);
   g_strlcpy (terms.self.dc, s->dc, CS_LIFE_TEXT);
   g_strlcpy (terms.self.region, s->region, CS_LIFE_TEXT);
-  g_strlcpy (terms.self.address, s->peers, CS_LIFE_TEXT);
+  g_strlcpy (terms.self.address, s->advertised, CS_LIFE_TEXT);
   c->traffic = cs_traffic_new (c->ctx, &terms, &handler, c);
   return c->traffic && entry_listen (c) == CS_OK
          && c->adapter->open_table (c->ctx, &c->loop, s->table, &c->table)
--- a/source/sidecar/settings.c
+++ b/source/sidecar/settings.c
@@ -32,6 +32,9 @@
   { "reports", TEXT, AT (reports), NULL,
     "IP:PORT for reports of the backend server" },
   { "peers", TEXT, AT (peers), NULL, "IP:PORT for other nodes" },
+  { "advertised", TEXT, AT (advertised), "",
+    "IP:PORT that other nodes are told instead of `peers`, behind address "
+    "translation; empty: the same" },
   { "metrics", TEXT, AT (metrics), "", "IP:PORT of counters; empty: none" },
   { "service", TEXT, AT (service), "", "service of the backend server" },
   { "server", TEXT, AT (server), "",
@@ -129,6 +132,8 @@
         }
     }
   json_decref (root);
+  if (!made.advertised[0])
+    g_strlcpy (made.advertised, made.peers, sizeof made.advertised);
   *out = made;
   return CS_OK;
 }
--- a/source/sidecar/settings.h
+++ b/source/sidecar/settings.h
@@ -9,17 +9,18 @@
 typedef struct
 {
   char node[CS_LIFE_TEXT], dc[CS_LIFE_TEXT], region[CS_LIFE_TEXT];
-  char callers[CS_LIFE_TEXT]; /* Where callers' requests come in.  */
-  char ready[CS_LIFE_TEXT];   /* Where readiness is asked, and metrics.  */
-  char reports[CS_LIFE_TEXT]; /* Where the server reports.  */
-  char peers[CS_LIFE_TEXT];   /* Where other nodes connect.  */
-  char metrics[CS_LIFE_TEXT]; /* Where counters are read; or empty.  */
-  char service[CS_LIFE_TEXT]; /* Of the server beside the node.  */
-  char server[CS_LIFE_TEXT];  /* IP:PORT of that server; or empty.  */
-  char table[CS_LIFE_TEXT];   /* Of the platform's table.  */
-  int64_t first_start;        /* 1: the whole mesh starts anew.  */
-  cs_usec_t grace;            /* From a stop signal to the end.  */
-  cs_budget_terms_t budget;   /* Of second sends.  */
+  char callers[CS_LIFE_TEXT];    /* Where callers' requests come in.  */
+  char ready[CS_LIFE_TEXT];      /* Where readiness is asked, and metrics.  */
+  char reports[CS_LIFE_TEXT];    /* Where the server reports.  */
+  char peers[CS_LIFE_TEXT];      /* Where other nodes connect.  */
+  char advertised[CS_LIFE_TEXT]; /* What they are told to connect to.  */
+  char metrics[CS_LIFE_TEXT];    /* Where counters are read; or empty.  */
+  char service[CS_LIFE_TEXT];    /* Of the server beside the node.  */
+  char server[CS_LIFE_TEXT];     /* IP:PORT of that server; or empty.  */
+  char table[CS_LIFE_TEXT];      /* Of the platform's table.  */
+  int64_t first_start;           /* 1: the whole mesh starts anew.  */
+  cs_usec_t grace;               /* From a stop signal to the end.  */
+  cs_budget_terms_t budget;      /* Of second sends.  */
 } node_settings_t;
 
 /* Read the file at PATH.  CS_BAD_INPUT names the first wrong key.  */
--- a/source/sidecar/start.c
+++ b/source/sidecar/start.c
@@ -52,7 +52,7 @@
   g_strlcpy (self.name, c->settings.node, sizeof self.name);
   g_strlcpy (self.dc, c->settings.dc, sizeof self.dc);
   g_strlcpy (self.region, c->settings.region, sizeof self.region);
-  g_strlcpy (self.address, c->settings.peers, sizeof self.address);
+  g_strlcpy (self.address, c->settings.advertised, sizeof self.address);
   g_strlcpy (self.service, r->service, sizeof self.service);
   g_strlcpy (self.version, r->version, sizeof self.version);
   g_strlcpy (self.instance, r->instance, sizeof self.instance);
@@ -108,7 +108,7 @@
     cs_traffic_learn (c->traffic, &member);
   else if (!in.bad)
     {
-      c->registered |= strcmp (member.address, c->settings.peers) == 0;
+      c->registered |= strcmp (member.address, c->settings.advertised) == 0;
       resume_later (c, &member);
     }
   cs_unpack_clear (&unpack);
