--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -96,6 +96,16 @@
   return true;
 }
 
+/* A server that has said that it leaves is watched until it has gone.  */
+static bool
+any_draining (void)
+{
+  for (unsigned i = 0; i < soak.host_count; i++)
+    if (soak.hosts[i].draining)
+      return true;
+  return false;
+}
+
 static bool
 any_left (void)
 {
@@ -136,7 +146,7 @@
     return;
   bool well = soak.window_asked
               && soak.window_served * 100 >= soak.window_asked * WELL_PERCENT
-              && all_probed ();
+              && all_probed () && !any_draining ();
   window_at = now;
   soak.window_asked = soak.window_served = 0;
   if (well)
