--- a/source/tools/ctl.h
+++ b/source/tools/ctl.h
@@ -95,6 +95,7 @@
 int cmd_upstreams (ctl_t *ctl);
 int cmd_counters (ctl_t *ctl);
 int cmd_report (ctl_t *ctl);
+int cmd_explain (ctl_t *ctl);
 int cmd_wait (ctl_t *ctl);
 int cmd_team (ctl_t *ctl);
 
--- a/source/tools/main.c
+++ b/source/tools/main.c
@@ -84,6 +84,9 @@
   { "counters", "[NODE]", "print counters, of all nodes summed or of one", 0,
     1, cmd_counters },
   { "report", "burn", "report how fast error budgets burn", 1, 1, cmd_report },
+  { "explain", "ID FILE...",
+    "tell from nodes' logs why the request ID was not served", 2, 1000,
+    cmd_explain },
   { "team", "add NAME", "give a team a new token (platform's operators)", 2, 2,
     cmd_team },
 };
--- a/tests/sidecar.t
+++ b/tests/sidecar.t
@@ -135,5 +135,31 @@
 is "a node stops in order" 0 $?
 ok "and says so" in_log 2 "event=stop step=ended"
 ok "its settings are checked by the program" "$MESH_OUT/cardamom-sidecar" --check --settings="$dir/n2.json"
+missing=0
+while IFS= read -r line; do
+  grep -qF -- "$line" "$(dirname "$0")/../docs/SIDECAR.md" || missing=$((missing + 1))
+done < <("$MESH_OUT/cardamom-sidecar" --reference)
+is "no setting and no event is missing from its page" 0 $missing
+cat >"$dir/a.log" <<'L'
+time=2026-12-04T06:00:01.000Z node=n1 event=config version=7 routes=3 services=1
+time=2026-12-04T06:00:03.500Z node=n1 event=failed id=ab12 route=r service=desk status=502 why="stream lost" node=n2 arrivals=1 held_ms=12.0
+time=2026-12-04T06:00:03.400Z node=n1 event=repeated id=ab12 route=r why=stream node=n3 arrivals=1
+time=2026-12-04T06:00:03.600Z node=n1 event=failed id=ab123 route=r
+L
+cat >"$dir/b.log" <<'L'
+time=2026-12-04T06:00:02.000Z node=n2 event=server state=ready instance=i2 service=desk
+time=2026-12-04T06:00:03.300Z node=n2 event=server state=lost instance=i2 why="connection refused"
+time=2026-12-04T06:00:09.000Z node=n2 event=server state=ready instance=i9 service=desk
+L
+is "a request is explained from the logs of several nodes" \
+'2026-12-04T06:00:03.400Z n1 repeated id=ab12 route=r why=stream node=n3 arrivals=1
+what n1 believed then:
+  2026-12-04T06:00:01.000Z n1 config version=7 routes=3 services=1
+what n3 believed then:
+2026-12-04T06:00:03.500Z n1 failed id=ab12 route=r service=desk status=502 why="stream lost" node=n2 arrivals=1 held_ms=12.0
+what n2 believed then:
+  2026-12-04T06:00:03.300Z n2 server state=lost instance=i2 why="connection refused"' \
+  "$("$MESH_OUT/cardamomctl" explain ab12 "$dir/a.log" "$dir/b.log")"
+is "one that no log names is told so" 1 "$("$MESH_OUT/cardamomctl" explain zz "$dir/a.log" >/dev/null; echo $?)"
 is "bad ones are named" 2 "$("$MESH_OUT/cardamom-sidecar" --check --settings="$dir/n1.json" >/dev/null 2>&1; echo $?)"
 done_testing
