--- a/include/cardamom/http.h
+++ b/include/cardamom/http.h
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "cardamom/context.h"
+#include "cardamom/message.h"
 #include "cardamom/str.h"
 
 typedef struct
@@ -17,6 +18,9 @@
 /* A list of headers that owns its texts.  */
 GPtrArray *cs_headers_new (void);
 
+/* Copies of MESSAGE's.  */
+GPtrArray *cs_headers_of (const cs_message_t *message);
+
 GPtrArray *cs_headers_copy (const GPtrArray *headers);
 
 /* Append a copy of NAME and VALUE to HEADERS.  */
--- a/source/platform/http.c
+++ b/source/platform/http.c
@@ -57,6 +57,21 @@
   g_ptr_array_add (headers, header);
 }
 
+GPtrArray *
+cs_headers_of (const cs_message_t *message)
+{
+  GPtrArray *headers = cs_headers_new ();
+  for (guint i = 0; i < message->fields->len; i++)
+    {
+      const cs_field_t *f = &g_array_index (message->fields, cs_field_t, i);
+      char *name = cs_str_dup (f->name), *value = cs_str_dup (f->value);
+      cs_headers_add (headers, name, value);
+      g_free (name);
+      g_free (value);
+    }
+  return headers;
+}
+
 GPtrArray *
 cs_headers_copy (const GPtrArray *headers)
 {
@@ -150,15 +165,7 @@
   cs_http_t *http = user;
   cs_http_answer_t *answer = http->answer;
   answer->status = (int)message->parser.status_code;
-  answer->headers = cs_headers_new ();
-  for (guint i = 0; i < message->fields->len; i++)
-    {
-      const cs_field_t *f = &g_array_index (message->fields, cs_field_t, i);
-      char *name = cs_str_dup (f->name), *value = cs_str_dup (f->value);
-      cs_headers_add (answer->headers, name, value);
-      g_free (name);
-      g_free (value);
-    }
+  answer->headers = cs_headers_of (message);
   answer->body
       = g_string_new_len (message->body->str, (gssize)message->body->len);
   http->unframed = message->to_eof;
--- a/source/platform/httpd.c
+++ b/source/platform/httpd.c
@@ -174,15 +174,7 @@
   job->target = cs_str_dup (m->target);
   job->host = cs_str_dup (host);
   job->host[strcspn (job->host, ":")] = '\0';
-  job->headers = cs_headers_new ();
-  for (guint i = 0; i < m->fields->len; i++)
-    {
-      const cs_field_t *f = &g_array_index (m->fields, cs_field_t, i);
-      char *name = cs_str_dup (f->name), *value = cs_str_dup (f->value);
-      cs_headers_add (job->headers, name, value);
-      g_free (name);
-      g_free (value);
-    }
+  job->headers = cs_headers_of (m);
   job->body = g_string_new_len (m->body->str, (gssize)m->body->len);
   return job;
 }
