Look at the port of a broken backend server for 50 ms before it counts as alive

Its logs show a server that died without a strike.

Ruled out: a strike lost on its way (the node beside the server logged none), a request called "not run" though it ran (it was answered "unknown").

Mended: five looks 10 ms apart (source/node/serve.c). tests/mesh-crash.t gets a server whose port closes 15 ms after its connection; with one look it fails, as does the mutant.

--- a/source/node/serve.c
+++ b/source/node/serve.c
@@ -10,7 +10,11 @@
 #include "node.h"
 #include "strikes.h"
 
-#define CONNECTIONS_MAX 100   /* Of one upstream, by the brief.  */
+#define CONNECTIONS_MAX 100 /* Of one upstream, by the brief.  */
+/* Looks at the port of an upstream whose connection broke: 50 ms in all, far
+   above what a busy host takes to close it.  */
+#define GONE_LOOKS 5
+#define GONE_PAUSE (10 * CS_MSEC)
 #define RUN_MAX (60 * CS_SEC) /* Longest run of a request.  */
 
 typedef struct
@@ -251,9 +255,9 @@
   cs_headers_add (headers, name, text);
 }
 
-/* Whether nothing listens on the upstream's port any more.  */
+/* Whether nothing listens on the upstream's port now.  */
 static bool
-is_gone (const char *host, unsigned port)
+refuses (const char *host, unsigned port)
 {
   struct sockaddr_in sa
       = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
@@ -267,6 +271,21 @@
   return refused;
 }
 
+/* Whether nothing listens on the upstream's port any more.  The kernel closes
+   what a process leaves in no promised order: its connections may end some
+   time before its port does.  */
+static bool
+is_gone (const char *host, unsigned port)
+{
+  for (int look = 0; look < GONE_LOOKS; look++)
+    {
+      if (refuses (host, port))
+        return true;
+      g_usleep (GONE_PAUSE);
+    }
+  return false;
+}
+
 static result_t *
 result_of_failure (serve_t *s, cs_ctx_t *ctx, cs_status_t status,
                    unsigned port, uint64_t print)
--- a/tests/mesh-crash.t
+++ b/tests/mesh-crash.t
@@ -55,4 +55,11 @@
 sleep 1
 is "a request whose backend server happened to die runs later" "200 done" "$(ask 0 innocent GET)"
 is "and again" "200 done" "$(ask 4 innocent GET)"
+
+# A process may end its connections before its port closes.
+strikes () { cat "$MESH_DIR"/node*.log | grep -c 'event=strike'; }
+struck=$(strikes)
+ask 0 crash-late GET >/dev/null
+more () { [ "$(strikes)" -gt "$struck" ]; }
+ok "a crash is known though the port closes after the connection" mesh_until 10 more
 done_testing
--- a/tests/standins/standin-backend.c
+++ b/tests/standins/standin-backend.c
@@ -4,7 +4,8 @@
    GET /standin/stats: runs, ids that ran more than once.
    POST /standin/control {"latency_ms", "error_permille",
    "bad_path", "state", "announce"}: change its behaviour.
-   A request whose path holds "crash" ends the process.  */
+   A request whose path holds "crash" ends the process, one with
+   "crash-late" some time after its connection.  */
 #include <jansson.h>
 #include <signal.h>
 #include <stdio.h>
@@ -161,6 +162,14 @@
   cs_httpd_text (out, 200, "application/json", "{}");
 }
 
+static void *
+exit_late (void *arg)
+{
+  (void)arg;
+  pause_ms (15);
+  _exit (3);
+}
+
 static void
 run_work (backend_t *b, const cs_httpd_request_t *in, cs_httpd_answer_t *out)
 {
@@ -172,6 +181,14 @@
   int64_t latency = bad ? b->latency_ms : b->settings.latency_ms;
   bool fails = bad && rand () % 1000 < b->error_permille;
   pthread_mutex_unlock (&b->lock);
+  if (strstr (in->target, "crash-late"))
+    {
+      /* The connection ends first, the port some time later.  */
+      pthread_t thread;
+      pthread_create (&thread, NULL, exit_late, NULL);
+      out->abort = true;
+      return;
+    }
   if (strstr (in->target, "crash"))
     _exit (3);
   pause_ms (latency);
