One greeting, one bare frame, one way to a node for control payloads

The greeting was packed at both ends of a stream and bare frames (ping, pong) twice; evidence was sent by making up a posted message only to take it apart. call_outcome had a parameter that nothing used, id_of only named a field, and cardamomd's HTTP server and client kept a back pointer and two texts that nothing reads.

--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -24,12 +24,6 @@
 #define RETRY_AFTER_MAX (2 * CS_SEC)
 #define RETRY_AFTER_STEP (30 * CS_MSEC) /* For each rank of priority.  */
 
-static cs_str_t
-id_of (const call_t *call)
-{
-  return call->id;
-}
-
 static void
 end_timer (uv_handle_t *handle)
 {
@@ -126,7 +120,7 @@
 {
   call_t *call = user;
   call->run = NULL;
-  call_outcome (call, call->peer, outcome);
+  call_outcome (call, outcome);
 }
 
 static void
@@ -135,7 +129,7 @@
   cs_traffic_t *t = call->traffic;
   cs_usec_t now = traffic_now (t);
   const http_parser *parser = &call->exchange->request.parser;
-  cs_job_t job = { .id = id_of (call),
+  cs_job_t job = { .id = call->id,
                    .route = cs_str_of (call->route->path),
                    .service = cs_str_of (call->service),
                    .version = cs_str_of (peer->member.version),
@@ -246,10 +240,9 @@
 }
 
 void
-call_outcome (call_t *call, peer_t *peer, const cs_outcome_t *outcome)
+call_outcome (call_t *call, const cs_outcome_t *outcome)
 {
   call->arrivals += outcome->arrived;
-  (void)peer;
   switch (outcome->kind)
     {
     case CS_OUTCOME_ANSWERED:
@@ -283,7 +276,7 @@
   cs_pack_array (&pack, 3);
   cs_pack_number (&pack, CS_FRAME_ASK);
   cs_pack_unsigned (&pack, call->number);
-  cs_pack_str (&pack, id_of (call));
+  cs_pack_str (&pack, call->id);
   peer_send (peer, &pack);
   cs_pack_clear (&pack);
 }
--- a/source/call/inbound.c
+++ b/source/call/inbound.c
@@ -235,33 +235,15 @@
 {
   cs_traffic_t *t = inbound->traffic;
   cs_member_t member;
-  cs_pack_t pack;
   int64_t version = cs_take_number (in);
   cs_member_take (in, &member);
   if (in->bad || version != CS_FRAMES_VERSION)
     return;
   g_strlcpy (inbound->name, member.name, sizeof inbound->name);
-  cs_pack_init (&pack);
-  cs_pack_array (&pack, 3);
-  cs_pack_number (&pack, CS_FRAME_HELLO);
-  cs_pack_number (&pack, CS_FRAMES_VERSION);
-  cs_member_pack (&pack, &t->self->member);
-  cs_stream_send (inbound->stream, cs_pack_payload (&pack));
-  cs_pack_clear (&pack);
+  stream_send_hello (t, inbound->stream);
   peers_learn (t, &member);
 }
 
-static void
-answer_ping (inbound_t *inbound)
-{
-  cs_pack_t pack;
-  cs_pack_init (&pack);
-  cs_pack_array (&pack, 1);
-  cs_pack_number (&pack, CS_FRAME_PONG);
-  cs_stream_send (inbound->stream, cs_pack_payload (&pack));
-  cs_pack_clear (&pack);
-}
-
 static void
 take_member (inbound_t *inbound, cs_cursor_t *in)
 {
@@ -300,7 +282,7 @@
       take_ask (inbound, &in);
       break;
     case CS_FRAME_PING:
-      answer_ping (inbound);
+      stream_send_bare (inbound->stream, CS_FRAME_PONG);
       break;
     case CS_FRAME_MEMBER:
       take_member (inbound, &in);
--- a/source/call/peers.c
+++ b/source/call/peers.c
@@ -47,13 +47,28 @@
     cs_stream_send (peer->stream, cs_pack_payload (pack));
 }
 
-static void
-pack_hello (cs_traffic_t *t, cs_pack_t *pack)
+void
+stream_send_hello (cs_traffic_t *t, cs_stream_t *stream)
 {
-  cs_pack_array (pack, 3);
-  cs_pack_number (pack, CS_FRAME_HELLO);
-  cs_pack_number (pack, CS_FRAMES_VERSION);
-  cs_member_pack (pack, &t->self->member);
+  cs_pack_t pack;
+  cs_pack_init (&pack);
+  cs_pack_array (&pack, 3);
+  cs_pack_number (&pack, CS_FRAME_HELLO);
+  cs_pack_number (&pack, CS_FRAMES_VERSION);
+  cs_member_pack (&pack, &t->self->member);
+  cs_stream_send (stream, cs_pack_payload (&pack));
+  cs_pack_clear (&pack);
+}
+
+void
+stream_send_bare (cs_stream_t *stream, cs_frame_t kind)
+{
+  cs_pack_t pack;
+  cs_pack_init (&pack);
+  cs_pack_array (&pack, 1);
+  cs_pack_number (&pack, kind);
+  cs_stream_send (stream, cs_pack_payload (&pack));
+  cs_pack_clear (&pack);
 }
 
 /* A service without a move on record: the version of the server that has run
@@ -181,13 +196,8 @@
 static void
 on_up (void *user, cs_stream_t *stream)
 {
-  peer_t *peer = user;
-  cs_pack_t pack;
-  (void)stream;
-  cs_pack_init (&pack);
-  pack_hello (peer->traffic, &pack);
-  peer_send (peer, &pack);
-  cs_pack_clear (&pack);
+  const peer_t *peer = user;
+  stream_send_hello (peer->traffic, stream);
 }
 
 /* Ask again for the calls whose fate an earlier stream left open.  */
@@ -250,7 +260,7 @@
     g_hash_table_remove (table, &number);
   peer_note_load (peer, &outcome.load);
   if (call)
-    call_outcome (call, peer, &outcome);
+    call_outcome (call, &outcome);
 }
 
 static void
@@ -382,13 +392,8 @@
 static void
 ping (peer_t *peer, cs_usec_t now)
 {
-  cs_pack_t pack;
   peer->pinged = now;
-  cs_pack_init (&pack);
-  cs_pack_array (&pack, 1);
-  cs_pack_number (&pack, CS_FRAME_PING);
-  peer_send (peer, &pack);
-  cs_pack_clear (&pack);
+  stream_send_bare (peer->stream, CS_FRAME_PING);
 }
 
 /* The more nodes, the more rarely each idle stream is checked: what a node
--- a/source/call/traffic.c
+++ b/source/call/traffic.c
@@ -200,21 +200,28 @@
   GString *payload;
 } outgoing_t;
 
+/* Send a control PAYLOAD to NODE, which may be this one.  */
+static void
+send_to (cs_traffic_t *t, const char *node, cs_str_t payload)
+{
+  const peer_t *peer = g_hash_table_lookup (t->peers, node);
+  if (peer && peer->self)
+    t->handler.control (t->user, peer->member.name,
+                        g_string_new_len (payload.data, (gssize)payload.len));
+  else if (peer && peer->stream && peer->greeted)
+    cs_stream_send (peer->stream, payload);
+}
+
 static void
 do_send (void *user, void *arg)
 {
   cs_traffic_t *t = user;
   outgoing_t *out = arg;
   cs_str_t payload = cs_str_of_gstring (out->payload);
-  const peer_t *peer
-      = out->node ? g_hash_table_lookup (t->peers, out->node) : NULL;
-  if (!out->node)
+  if (out->node)
+    send_to (t, out->node, payload);
+  else
     peers_broadcast (t, payload, out->region);
-  else if (peer && peer->self)
-    t->handler.control (t->user, peer->member.name,
-                        g_string_new_len (payload.data, (gssize)payload.len));
-  else if (peer && peer->stream && peer->greeted)
-    cs_stream_send (peer->stream, payload);
   g_string_free (out->payload, TRUE);
   g_free (out->node);
   g_free (out->region);
@@ -264,12 +271,9 @@
   cs_pack_t pack;
   cs_pack_init (&pack);
   pack_evidence (t, &pack);
-  cs_str_t payload = cs_pack_payload (&pack);
-  outgoing_t *out = g_new0 (outgoing_t, 1);
-  out->node = arg;
-  out->payload = g_string_new_len (payload.data, (gssize)payload.len);
+  send_to (t, arg, cs_pack_payload (&pack));
   cs_pack_clear (&pack);
-  do_send (t, out);
+  g_free (arg);
 }
 
 void
--- a/source/call/traffic.h
+++ b/source/call/traffic.h
@@ -114,6 +114,9 @@
 /* Have every node that is reachable know this node as it is now.  */
 void peers_announce (cs_traffic_t *t);
 void peer_send (peer_t *peer, cs_pack_t *pack);
+/* Who this node is; a frame that is nothing but its KIND.  */
+void stream_send_hello (cs_traffic_t *t, cs_stream_t *stream);
+void stream_send_bare (cs_stream_t *stream, cs_frame_t kind);
 void peers_broadcast (cs_traffic_t *t, cs_str_t payload, const char *region);
 
 /* inbound.c */
@@ -124,7 +127,7 @@
 void calls_request (void *user, cs_exchange_t *exchange);
 void calls_left (void *user, cs_exchange_t *exchange);
 void calls_turn (void *user, cs_exchange_t *exchange);
-void call_outcome (call_t *call, peer_t *peer, const cs_outcome_t *outcome);
+void call_outcome (call_t *call, const cs_outcome_t *outcome);
 /* The stream to PEER has ended under CALL.  */
 void call_stranded (call_t *call, peer_t *peer);
 void call_send_ask (call_t *call, peer_t *peer);
--- a/source/platform/http.c
+++ b/source/platform/http.c
@@ -210,10 +210,8 @@
            const cs_http_request_t *request)
 {
   static const char *const faults[] = {
-    [CS_CLIENT_UNREACHABLE] = "cannot connect",
     [CS_CLIENT_RESET] = "the connection broke",
     [CS_CLIENT_ENDED] = "the answer broke off before its end",
-    [CS_CLIENT_TOO_LARGE] = "it is too large",
     [CS_CLIENT_GARBLED] = "what came is no answer",
   };
   if (http->end == CALL_TIMED_OUT)
--- a/source/platform/httpd.c
+++ b/source/platform/httpd.c
@@ -31,7 +31,6 @@
 /* One request on its way through a worker.  */
 typedef struct
 {
-  cs_httpd_t *httpd;
   cs_exchange_t *exchange; /* NULL once the caller has left; the loop's.  */
   char *method, *target, *host;
   GPtrArray *headers;
@@ -148,7 +147,6 @@
           cs_mailbox_post (&httpd->box, join_worker, httpd, self);
           return NULL;
         }
-
       cs_httpd_request_t request = { .method = job->method,
                                      .target = job->target,
                                      .host = job->host,
@@ -162,12 +160,11 @@
 }
 
 static job_t *
-new_job (cs_httpd_t *httpd, cs_exchange_t *exchange)
+new_job (cs_exchange_t *exchange)
 {
   const cs_message_t *m = &exchange->request;
   cs_str_t host = cs_message_field (m, "host");
   job_t *job = g_new0 (job_t, 1);
-  job->httpd = httpd;
   job->exchange = exchange;
   job->method
       = g_strdup (http_method_str ((enum http_method)m->parser.method));
@@ -184,7 +181,7 @@
 static void
 queue_job (cs_httpd_t *httpd, cs_exchange_t *exchange)
 {
-  job_t *job = new_job (httpd, exchange);
+  job_t *job = new_job (exchange);
   exchange->user = job;
   httpd->busy++;
   if (httpd->busy > httpd->workers->len
