Log what a server leaves without an answer; fingerprints in jobs

Cause: not known yet: no log told which requests were at a server when it ended, so that "nobody knows what ended a server" could not be told from "a send that ended a server is not counted". Change: a line "unanswered" at the node beside the server, with the request's fingerprint; the calling node computes it and sends it with the job, as a last element that earlier releases ignore and that may be missing. One function computes fingerprints for both programs; it now covers the host, because routes of several hosts share paths. Why it works: only the node beside a server knows what was in flight there.

--- a/Makefile
+++ b/Makefile
@@ -135,6 +135,7 @@
   source/kernel/str.c source/kernel/context.c source/kernel/clock.c \
   source/kernel/counters.c source/kernel/pack.c source/kernel/registry.c \
   source/kernel/status.c source/kernel/event.c source/kernel/delta.c \
+  source/member/records.c source/idempotency/quarantine.c \
   source/config/snapshot.c \
   source/config/document.c source/config/docs.c source/move/owner.c \
   source/move/judges.c source/move/evaluation.c \
--- a/include/cardamom/client.h
+++ b/include/cardamom/client.h
@@ -18,6 +18,9 @@
   CS_HTTP1_ANSWER_MALFORMED  /* What came is not a valid answer.  */
 } cs_http1_client_error_t;
 
+/* ERROR in words, for logs; static.  */
+const char *cs_http1_client_error_text (cs_http1_client_error_t error);
+
 /* The memory that several clients share for bodies of answers that are still
    being received, in bytes.  */
 typedef struct
--- a/include/cardamom/dispatcher.h
+++ b/include/cardamom/dispatcher.h
@@ -29,6 +29,8 @@
   cs_usec_t latency_target;     /* The whole latency target of its route.  */
   cs_usec_t deadline_remaining; /* Time until the deadline.  */
   bool idempotent, method_is_head;
+  /* From cs_request_fingerprint; 0: not known.  */
+  uint64_t fingerprint;
 } cs_dispatch_request_t;
 
 /* Why a request has not run.  */
--- a/include/cardamom/event.h
+++ b/include/cardamom/event.h
@@ -24,6 +24,8 @@
   X (REFUSED, "refused", 10, "A request ended unserved, and has not run.")    \
   X (FAILED, "failed", 10, "A request ended in failure.")                     \
   X (REPEATED, "repeated", 10, "A request was sent once more.")               \
+  X (UNANSWERED, "unanswered", 40,                                            \
+     "The server beside the node left a request without an answer.")          \
   X (INPUT, "input", 5, "A caller's message was refused.")                    \
   X (MOVE, "move", 20, "A version move took a step.")                         \
   X (EVIDENCE, "move-evidence", 4,                                            \
--- a/include/cardamom/quarantine.h
+++ b/include/cardamom/quarantine.h
@@ -1,8 +1,9 @@
 /* Quarantine of requests that crash upstreams.  A request is identified by its
-   fingerprint, the hash of method, path and body.  Each crash of an upstream
-   while it ran a request is recorded; a success clears the crash records of
-   the fingerprint.  A request with one crash is run by one node at a time;
-   with crashes of two upstreams it is in quarantine and is not run at all.  */
+   fingerprint, the hash of method, host, path and body.  Each crash of an
+   upstream while it ran a request is recorded; a success clears the crash
+   records of the fingerprint.  A request with one crash is run by one node at
+   a time; with crashes of two upstreams it is in quarantine and is not run at
+   all.  */
 #ifndef CARDAMOM_QUARANTINE_H
 #define CARDAMOM_QUARANTINE_H
 
@@ -13,6 +14,11 @@
 /* Time until a crash record expires.  */
 #define CS_CRASH_RECORD_TTL_MS ((int64_t)600 * 1000)
 
+/* The fingerprint of a request; HOST is without its port, TARGET with its
+   query.  */
+uint64_t cs_request_fingerprint (cs_str_t method, cs_str_t host,
+                                 cs_str_t target, cs_str_t body);
+
 /* The record of a crash at wall time NOW_MS of the upstream on NODE's host
    while it ran the request FINGERPRINT.  The caller frees it.  */
 cs_record_t *cs_crash_record_new (uint64_t fingerprint, const char *node,
--- a/source/call/call.h
+++ b/source/call/call.h
@@ -14,9 +14,10 @@
   const cs_route_t *route;
   const char *service;
   route_state_t *route_state;
-  GString *head;       /* HEAD of the cs_dispatch_request_t.  */
-  cs_str_t attempt_id; /* The caller's; a view into the request.  */
-  uint64_t job_number; /* Of the job in flight.  */
+  GString *head;        /* HEAD of the cs_dispatch_request_t.  */
+  cs_str_t attempt_id;  /* The caller's; a view into the request.  */
+  uint64_t fingerprint; /* From cs_request_fingerprint.  */
+  uint64_t job_number;  /* Of the job in flight.  */
   /* Start of the node that the job was sent to: wall time in milliseconds.  */
   int64_t peer_boot;
   /* Monotonic times in microseconds, except LATENCY_TARGET, a duration: the
@@ -48,6 +49,8 @@
    caller frees them.  */
 GString *call_head_for_server (const cs_traffic_t *traffic,
                                const cs_http1_message_t *request);
+/* The fingerprint of REQUEST, as cs_request_fingerprint gives it.  */
+uint64_t call_fingerprint (const cs_http1_message_t *request);
 /* The route that matches REQUEST, or NULL.  */
 const cs_route_t *call_find_route (const cs_snapshot_t *snapshot,
                                    const cs_http1_message_t *request);
--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -157,7 +157,8 @@
           .latency_target = call->latency_target,
           .deadline_remaining = call->deadline - now,
           .idempotent = call->route->idempotent,
-          .method_is_head = parser->method == HTTP_HEAD };
+          .method_is_head = parser->method == HTTP_HEAD,
+          .fingerprint = call->fingerprint };
   call->peer = peer;
   call->peer_boot = peer->hello_boot;
   call->job_number = ++traffic->last_job_number;
@@ -483,6 +484,7 @@
   call->head = call_head_for_server (traffic, request);
   call->attempt_id
       = cs_http1_message_field (request, cs_header_names->attempt_id);
+  call->fingerprint = call_fingerprint (request);
   call->refusal_reason = CS_REFUSED_NO_SERVER;
   exchange->user = call;
   traffic->call_count++;
--- a/source/call/forward.c
+++ b/source/call/forward.c
@@ -4,6 +4,7 @@
 
 #include "call.h"
 #include "cardamom/header-names.h"
+#include "cardamom/quarantine.h"
 #include "cardamom/weighted-rr.h"
 
 /* Whether field NAME is hop-by-hop or set by the node itself.  */
@@ -67,20 +68,37 @@
   return head;
 }
 
+/* The host that REQUEST names, without its port.  */
+static cs_str_t
+request_host (const cs_http1_message_t *request)
+{
+  cs_str_t host = cs_http1_message_field (request, "host");
+  const char *port = host.len ? memchr (host.data, ':', host.len) : NULL;
+  if (port)
+    host.len = (size_t)(port - host.data);
+  return host;
+}
+
+uint64_t
+call_fingerprint (const cs_http1_message_t *request)
+{
+  const char *method = http_method_str (request->parser.method);
+  return cs_request_fingerprint (cs_str_of (method), request_host (request),
+                                 request->request_target,
+                                 cs_str_of_gstring (request->body));
+}
+
 /* Matches the host without its port and the target without its query.  */
 const cs_route_t *
 call_find_route (const cs_snapshot_t *snapshot,
                  const cs_http1_message_t *request)
 {
-  cs_str_t host = cs_http1_message_field (request, "host");
   cs_str_t path = request->request_target;
-  const char *port = host.len ? memchr (host.data, ':', host.len) : NULL;
   const char *query = path.len ? memchr (path.data, '?', path.len) : NULL;
-  if (port)
-    host.len = (size_t)(port - host.data);
   if (query)
     path.len = (size_t)(query - path.data);
-  return cs_snapshot_find_route (snapshot, host, path, CS_METHODS_ALL);
+  return cs_snapshot_find_route (snapshot, request_host (request), path,
+                                 CS_METHODS_ALL);
 }
 
 route_state_t *
--- a/source/http1/client.c
+++ b/source/http1/client.c
@@ -43,6 +43,16 @@
   bool is_head; /* The method of the present request is HEAD.  */
 };
 
+const char *
+cs_http1_client_error_text (cs_http1_client_error_t error)
+{
+  /* In the order of cs_http1_client_error_t.  */
+  static const char *const texts[]
+      = { "connection refused", "connection broken", "answer truncated",
+          "answer too large", "answer malformed" };
+  return texts[error];
+}
+
 static void
 free_client (uv_handle_t *handle)
 {
--- a/source/idempotency/quarantine.c
+++ b/source/idempotency/quarantine.c
@@ -7,6 +7,17 @@
 #define SEQ_ACTIVE 1
 #define SEQ_CLEARED 2
 
+uint64_t
+cs_request_fingerprint (cs_str_t method, cs_str_t host, cs_str_t target,
+                        cs_str_t body)
+{
+  const cs_str_t parts[] = { method, host, target, body };
+  uint64_t hash = 0;
+  for (size_t i = 0; i < G_N_ELEMENTS (parts); i++)
+    hash = cs_hash (parts[i].data ? parts[i].data : "", parts[i].len, hash);
+  return hash;
+}
+
 cs_record_t *
 cs_crash_record_new (uint64_t fingerprint, const char *node, int64_t now_ms)
 {
--- a/source/node/call.c
+++ b/source/node/call.c
@@ -506,9 +506,9 @@
 static uint64_t
 request_fingerprint (const caller_request_t *caller_request)
 {
-  uint64_t seed = cs_hash_text (caller_request->path,
-                                cs_hash_text (caller_request->method, 0));
-  return cs_hash (caller_request->body.data, caller_request->body.len, seed);
+  return cs_request_fingerprint (
+      cs_str_of (caller_request->method), cs_str_of (caller_request->host),
+      cs_str_of (caller_request->path), caller_request->body);
 }
 
 void
--- a/source/node/node.h
+++ b/source/node/node.h
@@ -146,7 +146,7 @@
   int64_t depth; /* Nodes that the chain of nested calls has passed before.  */
   /* Time to the caller's deadline when the attempt was sent.  */
   int64_t time_remaining_us;
-  uint64_t fingerprint; /* Hash of method, path and body.  */
+  uint64_t fingerprint; /* From cs_request_fingerprint.  */
 } call_request_t;
 
 /* Free REQUEST and all that it owns; NULL is allowed.  */
--- a/source/run/dispatcher.c
+++ b/source/run/dispatcher.c
@@ -3,6 +3,7 @@
 #include "cardamom/client.h"
 #include "cardamom/counters.h"
 #include "cardamom/dispatcher.h"
+#include "cardamom/event.h"
 #include "cardamom/header-names.h"
 #include "cardamom/service-times.h"
 
@@ -47,6 +48,7 @@
   GString *id, *route, *request; /* REQUEST: head, then body.  */
   size_t head_len;
   cs_usec_t deadline, sent_at;
+  uint64_t fingerprint; /* 0: not known.  */
   bool idempotent, method_is_head, resent, cancelled;
   cs_dispatch_done_t done;
   void *user;
@@ -361,6 +363,21 @@
                      connection_t *conn);
 static connection_t *open_conn (cs_dispatcher_t *dispatcher);
 
+/* Log that DISPATCH, which was sent to the server, ends without an answer.  */
+static void
+log_unanswered (const cs_dispatch_t *dispatch, const char *why)
+{
+  const cs_dispatcher_t *dispatcher = dispatch->dispatcher;
+  cs_event_log (CS_E_UNANSWERED,
+                "id=%s route=%s fingerprint=%016" G_GINT64_MODIFIER
+                "x instance=%s "
+                "why=\"%s\" resent=%d running=%u run_ms=%.1f",
+                dispatch->id->str, dispatch->route->str, dispatch->fingerprint,
+                dispatcher->server.report.instance, why, dispatch->resent,
+                dispatcher->in_flight.length,
+                (double)(clock_now (dispatcher) - dispatch->sent_at) / 1e3);
+}
+
 static void
 on_failed (void *user, cs_http1_client_error_t error, bool partial)
 {
@@ -369,6 +386,7 @@
   cs_dispatcher_t *dispatcher = dispatch->dispatcher;
   bool reused = conn->uses > 1;
   release_conn (dispatch);
+  log_unanswered (dispatch, cs_http1_client_error_text (error));
   if (error == CS_HTTP1_CONNECT_FAILED)
     {
       refuse_dispatch (dispatch, CS_REFUSED_NO_SERVER, 0);
@@ -518,6 +536,7 @@
       connection_t *conn = dispatch->conn;
       g_queue_delete_link (&dispatcher->in_flight, link);
       drop_conn (conn);
+      log_unanswered (dispatch, "no answer by the deadline");
       record_failure_rate (dispatcher, true);
       cs_outcome_t outcome = { .kind = CS_OUTCOME_UNKNOWN,
                                .reached_server = true,
@@ -627,6 +646,7 @@
   dispatch->user = user;
   cs_usec_t now = clock_now (dispatcher);
   dispatch->deadline = now + request->deadline_remaining;
+  dispatch->fingerprint = request->fingerprint;
   dispatch->queued.priority = request->priority;
   dispatch->queued.arrived_at = now;
   dispatch->queued.target_time = now + request->target_remaining;
--- a/source/stream/frames.c
+++ b/source/stream/frames.c
@@ -5,7 +5,7 @@
 /* Elements of the msgpack arrays of a cs_node_info_t, a job message and an
    outcome message.  */
 #define NODE_INFO_FIELDS 13
-#define JOB_FIELDS 13
+#define JOB_FIELDS 14
 #define OUTCOME_FIELDS 16
 /* A job message is invalid when its deadline or target time is further away
    than this.  The node that sends it allows a call DEFAULT_CALL_TIMEOUT
@@ -100,6 +100,7 @@
   cs_pack_str (pack, request->version);
   cs_pack_bytes (pack, request->head);
   cs_pack_bytes (pack, request->body);
+  cs_pack_uint64 (pack, request->fingerprint);
 }
 
 void
@@ -126,6 +127,9 @@
   request->version = cs_unpack_str (cursor);
   request->head = cs_unpack_str (cursor);
   request->body = cs_unpack_str (cursor);
+  /* Earlier releases do not send it.  */
+  if (cursor->remaining)
+    request->fingerprint = cs_unpack_uint64 (cursor);
 }
 
 void
