Tell a peer of a change between the two hellos

Cause: a node announces its description to the peers whose hello it has. A change after its own hello was sent, and before the peer's came, reached nobody. Change: when the peer's hello comes, the description is sent again if it has changed since the node's own hello. Result: /path/server-ready-between-hellos fails before (no frame came) and passes; test-path passes. Why it works: after the peer's hello every change is announced, and what changed before is now sent with it.

--- a/source/call/peers.c
+++ b/source/call/peers.c
@@ -202,7 +202,8 @@
 static void
 on_stream_connected (void *user, cs_stream_t *stream)
 {
-  const peer_t *peer = user;
+  peer_t *peer = user;
+  peer->hello_revision = peer->traffic->self->info.revision;
   stream_send_hello (peer->traffic, stream);
 }
 
@@ -221,6 +222,24 @@
   g_ptr_array_unref (calls);
 }
 
+static void
+pack_own_member (const cs_traffic_t *traffic, cs_pack_t *pack)
+{
+  cs_pack_array (pack, 2);
+  cs_pack_int64 (pack, CS_FRAME_MEMBER);
+  cs_node_info_pack (pack, &traffic->self->info);
+}
+
+static void
+send_own_member (peer_t *peer)
+{
+  cs_pack_t pack;
+  cs_pack_init (&pack);
+  pack_own_member (peer->traffic, &pack);
+  peer_send (peer, &pack);
+  cs_pack_clear (&pack);
+}
+
 static void
 handle_hello (peer_t *peer, cs_unpack_cursor_t *in)
 {
@@ -245,6 +264,9 @@
   peers_update_member (traffic, &info);
   cs_event_log (CS_E_PEER, "peer=%s state=connected", peer->info.name);
   traffic->handler.member_changed (traffic->user, &peer->info, true);
+  /* Until now PEER was not reachable for peers_announce_self.  */
+  if (peer->hello_revision != traffic->self->info.revision)
+    send_own_member (peer);
   query_unresolved_calls (peer);
 }
 
@@ -395,9 +417,7 @@
 {
   cs_pack_t pack;
   cs_pack_init (&pack);
-  cs_pack_array (&pack, 2);
-  cs_pack_int64 (&pack, CS_FRAME_MEMBER);
-  cs_node_info_pack (&pack, &traffic->self->info);
+  pack_own_member (traffic, &pack);
   peers_broadcast (traffic, cs_pack_payload (&pack), NULL);
   cs_pack_clear (&pack);
 }
--- a/source/call/traffic.h
+++ b/source/call/traffic.h
@@ -38,6 +38,7 @@
   bool hello_received;  /* It has identified itself on STREAM.  */
   /* Start of the process that sent the hello: wall time in milliseconds.  */
   int64_t hello_boot;
+  int64_t hello_revision; /* Of this node's description, in its own hello.  */
   /* While disconnected, the time of the next attempt to connect; from then to
      the hello, the time at which the attempt is given up.  */
   cs_usec_t reconnect_at;
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -734,6 +734,88 @@
   close (caller);
 }
 
+static void
+send_frame (int fd, cs_pack_t *pack)
+{
+  cs_str_t payload = cs_pack_payload (pack);
+  guint32 length = GUINT32_TO_BE ((guint32)payload.len);
+  g_assert_cmpint (send (fd, &length, sizeof length, MSG_NOSIGNAL), ==,
+                   sizeof length);
+  g_assert_cmpint (send (fd, payload.data, payload.len, MSG_NOSIGNAL), ==,
+                   payload.len);
+}
+
+/* Receive one frame from FD; the caller frees the payload.  */
+static GString *
+receive_frame (int fd)
+{
+  guint32 length;
+  GString *payload = g_string_new (NULL);
+  g_assert_true (readable (fd, SOCKET_TIMEOUT_MS));
+  g_assert_cmpint (recv (fd, &length, sizeof length, MSG_WAITALL), ==,
+                   sizeof length);
+  g_string_set_size (payload, GUINT32_FROM_BE (length));
+  g_assert_cmpint (recv (fd, payload->str, payload->len, MSG_WAITALL), ==,
+                   payload->len);
+  return payload;
+}
+
+/* Receive frames from FD up to the first one of KIND, and read the description
+   in it.  */
+static cs_node_info_t
+receive_node_info (cs_ctx_t *ctx, int fd, cs_frame_kind_t kind)
+{
+  cs_node_info_t info = { 0 };
+  for (bool found = false; !found;)
+    {
+      cs_unpack_t unpack;
+      cs_unpack_cursor_t in;
+      GString *payload = receive_frame (fd);
+      g_assert_cmpint (
+          cs_unpack_init (ctx, &unpack, cs_str_of_gstring (payload), &in), ==,
+          CS_OK);
+      found = cs_unpack_int64 (&in) == kind;
+      if (found && kind == CS_FRAME_HELLO)
+        g_assert_cmpint (cs_unpack_int64 (&in), ==, CS_FRAMES_VERSION);
+      if (found)
+        cs_node_info_unpack (&in, &info);
+      cs_unpack_clear (&unpack);
+      g_string_free (payload, TRUE);
+    }
+  return info;
+}
+
+/* A node whose server becomes ready after the node's hello to a peer, and
+   before the peer's hello to it, still tells the peer.  */
+static void
+test_server_ready_between_hellos (void)
+{
+  mesh_t *mesh = start_mesh (1);
+  cs_node_info_t peer = { .name = "peer", .dc = "a", .region = "r" };
+  unsigned port;
+  int listener = listen_on_free_port (&port);
+  cs_pack_t hello;
+  peer.boot_ms = 1;
+  g_snprintf (peer.address, sizeof peer.address, "127.0.0.1:%u", port);
+  cs_traffic_update_member (mesh->server_node, &peer);
+  int fd = accept_one (listener);
+  cs_node_info_t info = receive_node_info (mesh->ctx, fd, CS_FRAME_HELLO);
+  g_assert_cmpstr (info.instance, ==, "i1");
+  report_server (mesh, 1, 2);
+  g_assert_false (readable (fd, SOCKET_ABSENCE_MS));
+  cs_pack_init (&hello);
+  cs_pack_array (&hello, 3);
+  cs_pack_int64 (&hello, CS_FRAME_HELLO);
+  cs_pack_int64 (&hello, CS_FRAMES_VERSION);
+  cs_node_info_pack (&hello, &peer);
+  send_frame (fd, &hello);
+  cs_pack_clear (&hello);
+  info = receive_node_info (mesh->ctx, fd, CS_FRAME_MEMBER);
+  g_assert_cmpstr (info.instance, ==, "i2");
+  close (fd);
+  close (listener);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -753,5 +835,7 @@
   g_test_add_func ("/path/refused-once", test_refused_once);
   g_test_add_func ("/path/not-run", test_not_run);
   g_test_add_func ("/path/second-life", test_server_restart);
+  g_test_add_func ("/path/server-ready-between-hellos",
+                   test_server_ready_between_hellos);
   return g_test_run ();
 }
