Tell "not run" only of calls without a run

What callers saw: a safe request that a server had run, and left without an answer or answered with a failure, was answered 503, "not run", when no server was left for a retry, when a later one shed it, or when it was still queued for its retry at the deadline. Cause: whether an earlier attempt may have run was not kept in the call. Change: it is, and such a call ends with 502, or 504 at its deadline. Result: /path/run-request-told-as-not-run fails before (503) and passes; test-path passes. Why it works: the status follows from all attempts of the call and no longer from the last one alone.

--- a/source/call/call.h
+++ b/source/call/call.h
@@ -36,6 +36,7 @@
   cs_refusal_reason_t refusal_reason; /* Of the last refusal.  */
   bool wants_candidate; /* By the version split; a retry clears it.  */
   bool was_refused;     /* By some node.  */
+  bool may_have_run;    /* An attempt has run or had an unknown outcome.  */
 };
 
 /* choose.c: the next node for CALL, among those not tried yet; NULL when there
--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -182,7 +182,18 @@
   cs_pack_clear (&pack);
 }
 
-/* Send CALL to the node that placement chooses, or refuse it as not run.  */
+/* End CALL, for which no server is left: as not run, unless an earlier attempt
+   may have run.  */
+static void
+finish_without_server (call_t *call)
+{
+  if (call->may_have_run)
+    finish_failed (call, 502, "no server for a retry");
+  else
+    finish_refused (call);
+}
+
+/* Send CALL to the node that placement chooses, or end it.  */
 static void
 dispatch_call (call_t *call)
 {
@@ -195,7 +206,7 @@
   if (peer)
     send_job (call, peer);
   else
-    finish_refused (call);
+    finish_without_server (call);
 }
 
 /* Whether CALL may be sent to a server once more; charges the retry budget if
@@ -241,7 +252,7 @@
       if (may_retry (call))
         retry_call (call, "shed");
       else
-        finish_refused (call);
+        finish_without_server (call);
       return;
     }
   dispatch_call (call);
@@ -272,6 +283,7 @@
 call_handle_outcome (call_t *call, const cs_outcome_t *outcome)
 {
   call->server_attempts += outcome->reached_server;
+  call->may_have_run |= outcome->kind != CS_OUTCOME_REFUSED;
   switch (outcome->kind)
     {
     case CS_OUTCOME_ANSWERED:
@@ -320,6 +332,7 @@
       return;
     }
   call->server_attempts++;
+  call->may_have_run = true;
   if (may_retry (call))
     retry_call (call, "stream");
   else
@@ -360,7 +373,7 @@
   bool queued
       = call->local_dispatch && cs_dispatch_is_queued (call->local_dispatch);
   cancel_attempt (call);
-  if (queued)
+  if (queued && !call->may_have_run)
     {
       call->refusal_reason = CS_REFUSED_EXPIRED;
       finish_refused (call);
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -719,6 +719,20 @@
   close (caller);
 }
 
+/* An idempotent request has run at a server that broke off, and no other one
+   is left for a retry: the caller is not told that it has not run.  */
+static void
+test_run_request_not_told_as_not_run (void)
+{
+  mesh_t *mesh = start_mesh (1);
+  int caller = connect_to (mesh->caller_port);
+  send_request (caller, "GET", "/read/1", "a1", "");
+  int server = accept_request (mesh, "/read/1");
+  close (server);
+  expect_answer (caller, "502", "");
+  close (caller);
+}
+
 /* The server restarts on the same address: requests go to the new instance. */
 static void
 test_server_restart (void)
@@ -834,6 +848,8 @@
   g_test_add_func ("/path/silent", test_silent_stream);
   g_test_add_func ("/path/refused-once", test_refused_once);
   g_test_add_func ("/path/not-run", test_not_run);
+  g_test_add_func ("/path/run-request-told-as-not-run",
+                   test_run_request_not_told_as_not_run);
   g_test_add_func ("/path/second-life", test_server_restart);
   g_test_add_func ("/path/server-ready-between-hellos",
                    test_server_ready_between_hellos);
