Count the attempt of a request whose second send is refused

Cause: a safe request whose kept connection breaks is sent once more on a new one, because a server may have closed an idle connection meanwhile. When that connection is refused, the node said "not run, no server"; the first send, which had run and ended the server, was not counted. Evidence: the log lines "unanswered resent=0, answer truncated" and "resent=1, connection refused" for each end without a line "repeated". Change: the end of such a request is unknown, and it counts as an attempt and in the failure rate. Why it works: what is sent once is never free any more.

--- a/source/run/dispatcher.c
+++ b/source/run/dispatcher.c
@@ -378,6 +378,21 @@
                 (double)(clock_now (dispatcher) - dispatch->sent_at) / 1e3);
 }
 
+/* Report the end of DISPATCH, which is in no queue: it was sent to the server
+   and got no answer.  */
+static void
+finish_unanswered (cs_dispatch_t *dispatch)
+{
+  cs_dispatcher_t *dispatcher = dispatch->dispatcher;
+  cs_usec_t service_time = clock_now (dispatcher) - dispatch->sent_at;
+  record_failure_rate (dispatcher, true);
+  record_stats (dispatcher, dispatch, true, service_time);
+  cs_outcome_t outcome = { .kind = CS_OUTCOME_UNKNOWN,
+                           .reached_server = true,
+                           .service_time = service_time };
+  finish_dispatch (dispatch, &outcome);
+}
+
 static void
 on_failed (void *user, cs_http1_client_error_t error, bool partial)
 {
@@ -389,7 +404,10 @@
   log_unanswered (dispatch, cs_http1_client_error_text (error));
   if (error == CS_HTTP1_CONNECT_FAILED)
     {
-      refuse_dispatch (dispatch, CS_REFUSED_NO_SERVER, 0);
+      if (dispatch->resent)
+        finish_unanswered (dispatch); /* The first send may have run.  */
+      else
+        refuse_dispatch (dispatch, CS_REFUSED_NO_SERVER, 0);
       mark_server_lost (dispatcher);
       return;
     }
@@ -401,14 +419,7 @@
       send_on (dispatcher, dispatch, open_conn (dispatcher));
       return;
     }
-  record_failure_rate (dispatcher, true);
-  record_stats (dispatcher, dispatch, true,
-                clock_now (dispatcher) - dispatch->sent_at);
-  cs_outcome_t outcome
-      = { .kind = CS_OUTCOME_UNKNOWN,
-          .reached_server = true,
-          .service_time = clock_now (dispatcher) - dispatch->sent_at };
-  finish_dispatch (dispatch, &outcome);
+  finish_unanswered (dispatch);
   schedule_fill (dispatcher);
 }
 
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -733,6 +733,28 @@
   close (caller);
 }
 
+/* The server runs an idempotent request that came on a kept connection, and
+   ends: that it refuses the connection for the second send does not make the
+   attempt free.  */
+static void
+test_resend_counts_as_attempt (void)
+{
+  mesh_t *mesh = start_mesh (1);
+  int caller = connect_to (mesh->caller_port);
+  send_request (caller, "GET", "/read/1", "a1", "");
+  int server = accept_request (mesh, "/read/1");
+  send_answer (server, "a1", "one");
+  expect_answer (caller, "200", "one");
+  send_request (caller, "GET", "/read/2", "a2", "");
+  char *request = receive_message (server);
+  g_assert_nonnull (strstr (request, "GET /read/2"));
+  g_free (request);
+  close (mesh->server_listener);
+  close (server);
+  expect_answer (caller, "502", "");
+  close (caller);
+}
+
 /* The server restarts on the same address: requests go to the new instance. */
 static void
 test_server_restart (void)
@@ -850,6 +872,8 @@
   g_test_add_func ("/path/not-run", test_not_run);
   g_test_add_func ("/path/run-request-told-as-not-run",
                    test_run_request_not_told_as_not_run);
+  g_test_add_func ("/path/resend-is-a-free-attempt",
+                   test_resend_counts_as_attempt);
   g_test_add_func ("/path/second-life", test_server_restart);
   g_test_add_func ("/path/server-ready-between-hellos",
                    test_server_ready_between_hellos);
