--- a/include/cardamom/client.h
+++ b/include/cardamom/client.h
@@ -42,6 +42,8 @@
   /* Whether ANSWER is for the request that was sent.  One that is not is
      dropped and the next one awaited.  NULL accepts every answer.  */
   bool (*answer_matches) (void *user, const cs_http1_message_t *answer);
+  /* Of cs_http1_client_connect only.  */
+  void (*connected) (void *user);
 } cs_http1_client_handler_t;
 
 /* A connection to ADDRESS, opened at the first request.  UNACKED_TIMEOUT
@@ -67,13 +69,24 @@
                            const cs_http1_client_handler_t *handler,
                            void *user);
 
+/* Open the connection of CLIENT, which is new, without a request.  CONNECTED
+   is called when it is open and CLIENT can be used; FAILED as for
+   cs_http1_client_send.  */
+void cs_http1_client_connect (cs_http1_client_t *client,
+                              const cs_http1_client_handler_t *handler,
+                              void *user);
+
+/* Whether CLIENT's connection is open.  */
+bool cs_http1_client_is_connected (const cs_http1_client_t *client);
+
 /* Whether CLIENT can send a request: it has none in flight, is not closed, and
    the idle timeout that the server announced in Keep-Alive has not passed at
    NOW.  */
 bool cs_http1_client_is_usable (const cs_http1_client_t *client,
                                 cs_usec_t now);
 
-/* The time of the last whole answer; 0 before the first.  */
+/* The time of the last whole answer, or of cs_http1_client_connect's success;
+   0 before the first.  */
 cs_usec_t cs_http1_client_idle_since (const cs_http1_client_t *client);
 
 /* Whether the connection is closed, by either side; the client can only be
--- a/include/cardamom/dispatcher.h
+++ b/include/cardamom/dispatcher.h
@@ -8,6 +8,7 @@
 #include "cardamom/backend.h"
 #include "cardamom/client.h"
 #include "cardamom/context.h"
+#include "cardamom/crash-history.h"
 #include "cardamom/judge.h"
 #include "cardamom/net.h"
 #include "cardamom/request-queue.h"
@@ -44,6 +45,7 @@
   CS_REFUSED_CANDIDATE_STOPPED, /* The candidate version failed too often on
                                    this node.  */
   CS_REFUSED_STOPPING,          /* The node is shutting down.  */
+  CS_REFUSED_QUARANTINED,       /* It has crashed servers.  */
   CS_REFUSED_COUNT
 } cs_refusal_reason_t;
 
@@ -82,6 +84,8 @@
   /* Expected wait in the queue, when refused for load.  */
   cs_usec_t expected_wait;
   cs_usec_t service_time; /* Time between sending and the end.  */
+  /* With CS_OUTCOME_UNKNOWN: the server crashed while it ran the request.  */
+  const cs_record_t *crash_record;
   cs_load_t load;
 } cs_outcome_t;
 
@@ -101,9 +105,11 @@
 } cs_dispatcher_handler_t;
 
 /* A dispatcher on LOOP that lives as long as the process.  ANSWER_MEMORY
-   bounds the size of the server's answers and is copied, as is HANDLER.  */
+   bounds the size of the server's answers and is copied, as is HANDLER.
+   CRASH_HISTORY is borrowed; crashes of the server are added to it.  */
 cs_dispatcher_t *cs_dispatcher_new (cs_ctx_t *ctx, uv_loop_t *loop,
                                     const cs_answer_memory_t *answer_memory,
+                                    cs_crash_history_t *crash_history,
                                     const cs_dispatcher_handler_t *handler,
                                     void *user);
 
@@ -142,7 +148,7 @@
 
 cs_load_t cs_dispatcher_load (const cs_dispatcher_t *dispatcher);
 
-/* Requests in flight at the server.  */
+/* Requests in flight at the server, or whose end is not yet reported.  */
 int64_t cs_dispatcher_in_flight (const cs_dispatcher_t *dispatcher);
 
 /* Statistics since the server's start.  Maps route path -> cs_call_stats_t;
--- a/include/cardamom/event.h
+++ b/include/cardamom/event.h
@@ -26,6 +26,8 @@
   X (REPEATED, "repeated", 10, "A request was sent once more.")               \
   X (UNANSWERED, "unanswered", 40,                                            \
      "The server beside the node left a request without an answer.")          \
+  X (CRASH, "crash", 40,                                                      \
+     "A request is suspected of a server's crash, or no longer.")             \
   X (INPUT, "input", 5, "A caller's message was refused.")                    \
   X (MOVE, "move", 20, "A version move took a step.")                         \
   X (EVIDENCE, "move-evidence", 4,                                            \
--- a/include/cardamom/frames.h
+++ b/include/cardamom/frames.h
@@ -29,7 +29,9 @@
   CS_FRAME_ROWS_FRESHNESS,
   CS_FRAME_VERSION_STATS, /* Call statistics of the version at a node.  */
   CS_FRAME_ROWS_REQUEST,  /* The sender has no rows and asks for all.  */
-  CS_FRAME_MOVE_STATE     /* The state of a move.  */
+  CS_FRAME_MOVE_STATE,    /* The state of a move.  */
+  /* Crash records; the traffic thread handles them.  */
+  CS_FRAME_CRASH_RECORDS
 } cs_control_frame_kind_t;
 
 /* A node's description of itself, which it sends to the others.  The nodes
--- a/include/cardamom/quarantine.h
+++ b/include/cardamom/quarantine.h
@@ -19,13 +19,24 @@
 uint64_t cs_request_fingerprint (cs_str_t method, cs_str_t host,
                                  cs_str_t target, cs_str_t body);
 
-/* The record of a crash at wall time NOW_MS of the upstream on NODE's host
-   while it ran the request FINGERPRINT.  The caller frees it.  */
-cs_record_t *cs_crash_record_new (uint64_t fingerprint, const char *node,
-                                  int64_t now_ms);
+/* The record of a crash at wall time NOW_MS of SERVER while it ran the request
+   FINGERPRINT, which it had got at STARTED_MS.  SERVER names the upstream, or
+   the node on its host.  The caller frees it.  */
+cs_record_t *cs_crash_record_new (uint64_t fingerprint, const char *server,
+                                  int64_t started_ms, int64_t now_ms);
 
-/* Count the crashes per fingerprint: uint64_t * -> count as a pointer.  The
-   caller unrefs the table.  */
+/* The key of that record; the caller frees it.  */
+char *cs_crash_record_key (uint64_t fingerprint, const char *server);
+
+/* Whether RECORD, a crash record, has not been cleared.  */
+bool cs_crash_record_is_active (const cs_record_t *record);
+
+/* The fingerprint that RECORD, a crash record, is about.  */
+uint64_t cs_crash_record_fingerprint (const cs_record_t *record);
+
+/* Count the crashes per fingerprint: uint64_t * -> count as a pointer.  Runs
+   that overlapped in time count as one crash: their upstreams may have failed
+   together for another reason.  The caller unrefs the table.  */
 GHashTable *cs_crashes_by_fingerprint (const cs_records_t *records);
 
 /* The number of crashes caused by FINGERPRINT, from the table CRASH_COUNTS of
--- a/include/cardamom/traffic.h
+++ b/include/cardamom/traffic.h
@@ -20,6 +20,8 @@
                           bool reachable);
   /* The backend server beside this node refuses connections.  */
   void (*server_lost) (void *user);
+  /* RECORD, a crash record, must outlast all nodes.  It is borrowed.  */
+  void (*crash_record_lasting) (void *user, const cs_record_t *record);
   /* After cs_traffic_stop: no request is in flight any more, or the grace
      period is nearly over.  May be called more than once.  */
   void (*stopped) (void *user);
@@ -62,6 +64,10 @@
 void cs_traffic_update_member (cs_traffic_t *traffic,
                                const cs_node_info_t *info);
 
+/* Take over RECORD, a stored crash record.  */
+void cs_traffic_add_crash_record (cs_traffic_t *traffic,
+                                  const cs_record_t *record);
+
 /* How a service's requests are split between its versions.  */
 typedef struct
 {
--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -4,6 +4,7 @@
 
 #include "call.h"
 #include "cardamom/header-names.h"
+#include "cardamom/quarantine.h"
 #include "cardamom/weighted-rr.h"
 
 /* A request whose timeout is shorter than the longest one seen on its route by
@@ -73,6 +74,8 @@
 static cs_usec_t
 compute_retry_after (call_t *call)
 {
+  if (call->refusal_reason == CS_REFUSED_QUARANTINED)
+    return CS_CRASH_RECORD_TTL_MS * CS_MSEC;
   cs_usec_t wait = call->min_queue_delay
                    + call->route->priority * RETRY_AFTER_PER_PRIORITY;
   if (call->min_queue_delay <= 0
@@ -193,11 +196,29 @@
     finish_refused (call);
 }
 
+/* End CALL, whose request has crashed servers.  */
+static void
+finish_quarantined (call_t *call)
+{
+  call->refusal_reason = CS_REFUSED_QUARANTINED;
+  if (call->may_have_run)
+    finish_failed (call, 502, "it has crashed servers");
+  else
+    finish_refused (call);
+}
+
 /* Send CALL to the node that placement chooses, or end it.  */
 static void
 dispatch_call (call_t *call)
 {
   cs_usec_t now = traffic_now (call->traffic);
+  if (cs_crash_history_trust (call->traffic->crash_history, call->fingerprint)
+      == CS_REQUEST_QUARANTINED)
+    {
+      cs_counter_add (CS_C_QUARANTINED, 1);
+      finish_quarantined (call);
+      return;
+    }
   call->peer = NULL;
   peer_t *peer = now < call->deadline && call->tried_count < MAX_TRIED_NODES
                          && call->overload_refusals < MAX_OVERLOAD_REFUSALS
@@ -255,7 +276,10 @@
         finish_without_server (call);
       return;
     }
-  dispatch_call (call);
+  if (outcome->reason == CS_REFUSED_QUARANTINED)
+    finish_quarantined (call);
+  else
+    dispatch_call (call);
 }
 
 static void
--- a/source/call/inbound.c
+++ b/source/call/inbound.c
@@ -90,6 +90,9 @@
   if (job->inbound)
     {
       g_hash_table_remove (job->inbound->jobs, &job->number);
+      /* Before the outcome, so that a retry knows of it.  */
+      if (outcome->crash_record)
+        crash_record_send (job->inbound->stream, outcome->crash_record);
       send_outcome (job->inbound, job->number, outcome);
       job->inbound = NULL;
     }
@@ -308,6 +311,9 @@
     case CS_FRAME_MEMBER:
       handle_member (inbound, &in);
       break;
+    case CS_FRAME_CRASH_RECORDS:
+      crash_records_received (traffic, &in);
+      break;
     default:
       if (kind >= CS_FRAME_CONTROL_FIRST && inbound->name[0])
         traffic->handler.control_received (
--- a/source/call/peers.c
+++ b/source/call/peers.c
@@ -267,6 +267,7 @@
   /* Until now PEER was not reachable for peers_announce_self.  */
   if (peer->hello_revision != traffic->self->info.revision)
     send_own_member (peer);
+  crash_records_send_quarantined (peer);
   query_unresolved_calls (peer);
 }
 
@@ -320,6 +321,8 @@
     handle_hello (peer, &in);
   else if (kind == CS_FRAME_OUTCOME)
     handle_outcome (peer, &in);
+  else if (kind == CS_FRAME_CRASH_RECORDS)
+    crash_records_received (peer->traffic, &in);
   else if (kind >= CS_FRAME_CONTROL_FIRST)
     pass_to_control (peer, payload);
   if (in.failed)
--- a/source/call/traffic.c
+++ b/source/call/traffic.c
@@ -25,6 +25,7 @@
   traffic->next_slow_tick_at = now + 4 * TICK_MS * CS_MSEC;
   peers_tick (traffic, now);
   inbound_tick (traffic, now);
+  cs_crash_history_expire (traffic->crash_history, traffic_wall_ms (traffic));
   if (!traffic->stopping)
     return;
   if (!traffic->draining
@@ -88,9 +89,11 @@
   traffic->non_idempotent_jobs = g_hash_table_new (g_str_hash, g_str_equal);
   g_queue_init (&traffic->ended_non_idempotent_jobs);
   peer_add (traffic, &settings->self);
-  traffic->dispatcher = cs_dispatcher_new (traffic->ctx, &traffic->loop,
-                                           &settings->answer_memory,
-                                           &dispatcher_handler, traffic);
+  traffic->crash_history
+      = cs_crash_history_new (traffic->ctx, &crash_history_handler, traffic);
+  traffic->dispatcher = cs_dispatcher_new (
+      traffic->ctx, &traffic->loop, &settings->answer_memory,
+      traffic->crash_history, &dispatcher_handler, traffic);
   if (cs_http1_server_new (traffic->ctx, &traffic->loop,
                            settings->caller_address, &callers, traffic,
                            &traffic->caller_server)
--- a/source/call/traffic.h
+++ b/source/call/traffic.h
@@ -99,6 +99,7 @@
   void *user;
   cs_http1_server_t *caller_server;
   cs_dispatcher_t *dispatcher;
+  cs_crash_history_t *crash_history;
   cs_retry_window_settings_t retry_settings;
   char caller_service[CS_NAME_SIZE];
   peer_t *self;
@@ -152,6 +153,18 @@
 void peers_broadcast (cs_traffic_t *traffic, cs_str_t payload,
                       const char *region);
 
+/* crash-frames.c: crash records on their way between nodes.  */
+/* The handler of the crash history; its user is the cs_traffic_t.  */
+extern const cs_crash_history_handler_t crash_history_handler;
+/* Handle CS_FRAME_CRASH_RECORDS; a malformed frame sets IN->failed.  */
+void crash_records_received (cs_traffic_t *traffic, cs_unpack_cursor_t *in);
+/* Send PEER the records of all requests in quarantine.  */
+void crash_records_send_quarantined (peer_t *peer);
+/* Send RECORD over STREAM.  */
+void crash_record_send (cs_stream_t *stream, const cs_record_t *record);
+/* Wall time in milliseconds, as crash records hold it.  */
+int64_t traffic_wall_ms (const cs_traffic_t *traffic);
+
 /* inbound.c: the streams that other nodes open, and the jobs they send.  */
 cs_status_t inbound_listen (cs_traffic_t *traffic, const char *address);
 void inbound_tick (cs_traffic_t *traffic, cs_usec_t now);
--- a/source/http1/client.c
+++ b/source/http1/client.c
@@ -250,7 +250,14 @@
   cs_tcp_set_options (&client->tcp, client->unacked_timeout);
   GString *request = client->request;
   client->request = NULL;
-  cs_uv_write ((uv_stream_t *)&client->tcp, request);
+  if (request)
+    {
+      cs_uv_write ((uv_stream_t *)&client->tcp, request);
+      return;
+    }
+  client->busy = false;
+  client->idle_since = client->clock->monotonic (client->clock);
+  client->handler.connected (client->user);
 }
 
 cs_http1_client_t *
@@ -286,6 +293,25 @@
   cs_http1_client_set_body_max (client, (size_t)memory->max_per_answer);
 }
 
+static void
+open_connection (cs_http1_client_t *client)
+{
+  if (uv_tcp_connect (&client->connect, &client->tcp,
+                      (const struct sockaddr *)&client->address, on_connect)
+      != 0)
+    fail (client, CS_HTTP1_CONNECT_FAILED);
+}
+
+void
+cs_http1_client_connect (cs_http1_client_t *client,
+                         const cs_http1_client_handler_t *handler, void *user)
+{
+  client->handler = *handler;
+  client->user = user;
+  client->busy = true;
+  open_connection (client);
+}
+
 void
 cs_http1_client_send (cs_http1_client_t *client, GString *request,
                       bool is_head, const cs_http1_client_handler_t *handler,
@@ -303,10 +329,13 @@
       return;
     }
   client->request = request;
-  if (uv_tcp_connect (&client->connect, &client->tcp,
-                      (const struct sockaddr *)&client->address, on_connect)
-      != 0)
-    fail (client, CS_HTTP1_CONNECT_FAILED);
+  open_connection (client);
+}
+
+bool
+cs_http1_client_is_connected (const cs_http1_client_t *client)
+{
+  return client->connected;
 }
 
 bool
--- /dev/null
+++ b/source/run/dispatcher-internal.h
@@ -0,0 +1,136 @@
+/* The dispatcher's state, shared by dispatcher.c and crash-check.c.  */
+#ifndef RUN_DISPATCHER_INTERNAL_H
+#define RUN_DISPATCHER_INTERNAL_H
+
+#include "cardamom/client.h"
+#include "cardamom/crash-detector.h"
+#include "cardamom/dispatcher.h"
+#include "cardamom/service-times.h"
+
+/* A connection to the server.  */
+typedef struct
+{
+  cs_http1_client_t *client;
+  struct cs_dispatch *dispatch; /* NULL while idle.  */
+  cs_dispatcher_t *dispatcher;
+  unsigned uses; /* Requests sent on it.  */
+} dispatcher_conn_t;
+
+/* Where a request is.  */
+typedef enum
+{
+  DISPATCH_QUEUED,
+  /* It is suspected to crash servers, and waits until no other such request is
+     in flight.  */
+  DISPATCH_ISOLATED,
+  DISPATCH_IN_FLIGHT,
+  /* It ended without an answer, and is kept until it is known whether the
+     server has ended too.  */
+  DISPATCH_UNANSWERED
+} dispatch_state_t;
+
+struct cs_dispatch
+{
+  cs_queued_request_t
+      queued; /* First, so that a queue entry is a cs_dispatch_t.  */
+  cs_dispatcher_t *dispatcher;
+  dispatch_state_t state;
+  dispatcher_conn_t *conn;       /* Set while it is in flight.  */
+  GString *id, *route, *request; /* REQUEST: head, then body.  */
+  size_t head_len;
+  cs_usec_t deadline, sent_at;
+  cs_usec_t service_time; /* Set when it is DISPATCH_UNANSWERED.  */
+  int64_t sent_wall_ms;   /* SENT_AT as wall time.  */
+  uint64_t fingerprint;   /* 0: not known.  */
+  bool suspect;           /* It was suspected when it was sent.  */
+  bool idempotent, method_is_head, resent, cancelled;
+  cs_dispatch_done_t done;
+  void *user;
+};
+
+struct cs_dispatcher
+{
+  cs_ctx_t *ctx;
+  uv_loop_t *loop;
+  uv_idle_t fill_handle; /* Runs fill_slots before the loop blocks.  */
+  cs_dispatcher_handler_t handler;
+  void *user;
+  cs_backend_t server;
+  struct sockaddr_in address;
+  cs_request_queue_t queue;
+  GQueue idle_conns; /* dispatcher_conn_t, most recently used first.  */
+  GQueue in_flight;  /* cs_dispatch_t, sent to the server.  */
+  GQueue isolated;   /* cs_dispatch_t in the state DISPATCH_ISOLATED.  */
+  GQueue unanswered; /* cs_dispatch_t in the state DISPATCH_UNANSWERED.  */
+  cs_crash_history_t *crash_history;
+  cs_crash_detector_t crash_detector;
+  /* The connection that shows whether the server has ended; NULL while no
+     check runs.  */
+  dispatcher_conn_t *crash_check;
+  uv_timer_t crash_check_timer; /* Runs once CRASH_CHECK is open.  */
+  cs_usec_t crash_check_started_at;
+  cs_service_times_t service_times;
+  double failure_rate;
+  cs_usec_t failure_rate_at;
+  GHashTable *stats; /* route -> cs_call_stats_t *.  */
+  /* Identifies the candidate's move, as in cs_version_split_t; 0: none.  */
+  int64_t move_revision;
+  /* Runs recorded in STATS, and the failures among them, since the server's
+     start or the last change of MOVE_REVISION; counted without a candidate
+     too.  */
+  int64_t candidate_runs, candidate_failures;
+  cs_answer_memory_t answer_memory;
+  bool stopping;
+};
+
+static inline cs_usec_t
+dispatcher_now (const cs_dispatcher_t *dispatcher)
+{
+  return dispatcher->ctx->clock->monotonic (dispatcher->ctx->clock);
+}
+
+static inline int64_t
+dispatcher_wall_ms (const cs_dispatcher_t *dispatcher)
+{
+  return cs_now_wall (dispatcher->ctx) / CS_MSEC;
+}
+
+/* dispatcher.c */
+/* A new connection to the server, not yet opened.  */
+dispatcher_conn_t *dispatcher_open_conn (cs_dispatcher_t *dispatcher);
+void dispatcher_drop_conn (dispatcher_conn_t *conn);
+/* Report OUTCOME to the owner of DISPATCH, which is in no queue any more, and
+   free DISPATCH.  */
+void dispatcher_finish (cs_dispatch_t *dispatch, cs_outcome_t *outcome);
+/* Queued requests are sent from the event loop only, never within the call
+   that submits a request or handles the end of one.  */
+void dispatcher_schedule_fill (cs_dispatcher_t *dispatcher);
+/* Handle a server that refuses connections, or that answered 421 (Misdirected
+   Request) because it is another instance than the one that reported: nothing
+   is sent to it until its next report.  */
+void dispatcher_mark_server_lost (cs_dispatcher_t *dispatcher);
+
+/* crash-check.c */
+void crash_check_init (cs_dispatcher_t *dispatcher);
+/* Find out whether the server has ended, by a connection that is used
+   afterwards if it has not.  The requests that are kept as unanswered are
+   reported then.  */
+void crash_check_start (cs_dispatcher_t *dispatcher);
+/* End a check that has taken too long.  */
+void crash_check_tick (cs_dispatcher_t *dispatcher, cs_usec_t now);
+/* End the check, if one runs, and report the requests kept as unanswered.  */
+void crash_check_end (cs_dispatcher_t *dispatcher);
+/* DISPATCH, which was sent to the server and is in no queue, got no answer:
+   remember its run in case that the server has ended.  */
+void crash_check_note_unanswered (cs_dispatch_t *dispatch);
+/* Keep DISPATCH, which is in no queue and got no answer, until it is known
+   whether the server has ended.  */
+void crash_check_keep (cs_dispatch_t *dispatch);
+/* The present start of the server has ended: suspect what it has not answered,
+   and with WITH_IN_FLIGHT also what it has in flight.  */
+void crash_check_suspect (cs_dispatcher_t *dispatcher, bool with_in_flight);
+/* Report the end of DISPATCH, which is in no queue: it was sent to the server
+   and got no answer.  */
+void crash_check_finish (cs_dispatch_t *dispatch);
+
+#endif
--- a/source/run/dispatcher.c
+++ b/source/run/dispatcher.c
@@ -1,11 +1,9 @@
 #include <string.h>
 
-#include "cardamom/client.h"
 #include "cardamom/counters.h"
-#include "cardamom/dispatcher.h"
 #include "cardamom/event.h"
 #include "cardamom/header-names.h"
-#include "cardamom/service-times.h"
+#include "dispatcher-internal.h"
 
 /* A connection that has been idle for longer is not reused for a
    non-idempotent request: the server may have closed it unnoticed, and the
@@ -29,77 +27,21 @@
 #define CANDIDATE_FAILURES_MIN 6
 #define CANDIDATE_FAILURE_PERCENT 20
 
-/* A connection to the server.  */
-typedef struct
-{
-  cs_http1_client_t *client;
-  struct cs_dispatch *dispatch; /* NULL while idle.  */
-  cs_dispatcher_t *dispatcher;
-  unsigned uses; /* Requests sent on it.  */
-} connection_t;
-
-/* A request that is queued or in flight.  */
-struct cs_dispatch
-{
-  cs_queued_request_t
-      queued; /* First, so that a queue entry is a cs_dispatch_t.  */
-  cs_dispatcher_t *dispatcher;
-  connection_t *conn;            /* NULL while it is queued.  */
-  GString *id, *route, *request; /* REQUEST: head, then body.  */
-  size_t head_len;
-  cs_usec_t deadline, sent_at;
-  uint64_t fingerprint; /* 0: not known.  */
-  bool idempotent, method_is_head, resent, cancelled;
-  cs_dispatch_done_t done;
-  void *user;
-};
-
-struct cs_dispatcher
-{
-  cs_ctx_t *ctx;
-  uv_loop_t *loop;
-  uv_idle_t fill_handle; /* Runs fill_slots before the loop blocks.  */
-  cs_dispatcher_handler_t handler;
-  void *user;
-  cs_backend_t server;
-  struct sockaddr_in address;
-  cs_request_queue_t queue;
-  GQueue idle_conns; /* connection_t, most recently used first.  */
-  GQueue in_flight;  /* cs_dispatch_t, sent to the server.  */
-  cs_service_times_t service_times;
-  double failure_rate;
-  cs_usec_t failure_rate_at;
-  GHashTable *stats; /* route -> cs_call_stats_t *.  */
-  /* Identifies the candidate's move, as in cs_version_split_t; 0: none.  */
-  int64_t move_revision;
-  /* Runs recorded in STATS, and the failures among them, since the server's
-     start or the last change of MOVE_REVISION; counted without a candidate
-     too.  */
-  int64_t candidate_runs, candidate_failures;
-  cs_answer_memory_t answer_memory;
-  bool stopping;
-};
-
 const char *
 cs_refusal_reason_name (cs_refusal_reason_t reason)
 {
   /* In the order of cs_refusal_reason_t.  */
   static const char *const names[]
-      = { "full", "expired", "gone", "other", "shed", "trial", "stopping" };
+      = { "full", "expired", "gone",     "other",
+          "shed", "trial",   "stopping", "quarantined" };
   return reason < CS_REFUSED_COUNT ? names[reason] : "unknown";
 }
 
-static cs_usec_t
-clock_now (const cs_dispatcher_t *dispatcher)
-{
-  return dispatcher->ctx->clock->monotonic (dispatcher->ctx->clock);
-}
-
 /* The failure rate, decayed by the time since it was last updated.  */
 static double
 decayed_failure_rate (const cs_dispatcher_t *dispatcher)
 {
-  cs_usec_t age = clock_now (dispatcher) - dispatcher->failure_rate_at;
+  cs_usec_t age = dispatcher_now (dispatcher) - dispatcher->failure_rate_at;
   return age > 8 * FAILURE_HALF_LIFE
              ? 0.0
              : dispatcher->failure_rate
@@ -111,7 +53,7 @@
 {
   dispatcher->failure_rate
       += FAILURE_SMOOTHING * ((failed ? 1.0 : 0.0) - dispatcher->failure_rate);
-  dispatcher->failure_rate_at = clock_now (dispatcher);
+  dispatcher->failure_rate_at = dispatcher_now (dispatcher);
 }
 
 cs_load_t
@@ -119,7 +61,8 @@
 {
   return (cs_load_t){
     .running = dispatcher->in_flight.length,
-    .queued = cs_request_queue_length (&dispatcher->queue),
+    .queued = cs_request_queue_length (&dispatcher->queue)
+              + dispatcher->isolated.length,
     .slots = dispatcher->server.report.slots,
     .mean_service_time = cs_service_times_mean (&dispatcher->service_times, 0),
     .failure_permille = (int64_t)(decayed_failure_rate (dispatcher) * 1000.0)
@@ -129,7 +72,7 @@
 int64_t
 cs_dispatcher_in_flight (const cs_dispatcher_t *dispatcher)
 {
-  return dispatcher->in_flight.length;
+  return dispatcher->in_flight.length + dispatcher->unanswered.length;
 }
 
 GHashTable *
@@ -160,11 +103,24 @@
     {
       const cs_dispatch_t *dispatch = link->data;
       cs_call_stats_record (stats_of_route (ages, dispatch->route->str), false,
-                            clock_now (dispatcher) - dispatch->sent_at);
+                            dispatcher_now (dispatcher) - dispatch->sent_at);
     }
   return ages;
 }
 
+static cs_request_trust_t
+trust_of (const cs_dispatch_t *dispatch)
+{
+  return cs_crash_history_trust (dispatch->dispatcher->crash_history,
+                                 dispatch->fingerprint);
+}
+
+static bool
+is_suspect (const cs_dispatch_t *dispatch)
+{
+  return trust_of (dispatch) != CS_REQUEST_TRUSTED;
+}
+
 static void
 free_dispatch (cs_dispatch_t *dispatch)
 {
@@ -174,10 +130,8 @@
   g_free (dispatch);
 }
 
-/* Report OUTCOME to the owner of DISPATCH, which is in no queue any more, and
-   free DISPATCH.  */
-static void
-finish_dispatch (cs_dispatch_t *dispatch, cs_outcome_t *outcome)
+void
+dispatcher_finish (cs_dispatch_t *dispatch, cs_outcome_t *outcome)
 {
   cs_dispatcher_t *dispatcher = dispatch->dispatcher;
   outcome->load = cs_dispatcher_load (dispatcher);
@@ -193,15 +147,18 @@
   cs_outcome_t outcome = { .kind = CS_OUTCOME_REFUSED,
                            .reason = reason,
                            .expected_wait = wait };
-  finish_dispatch (dispatch, &outcome);
+  dispatcher_finish (dispatch, &outcome);
 }
 
 static void
 refuse_queued (cs_dispatcher_t *dispatcher, cs_refusal_reason_t reason)
 {
   cs_queued_request_t *next;
+  cs_dispatch_t *isolated;
   while ((next = cs_request_queue_pop_any (&dispatcher->queue)))
     refuse_dispatch ((cs_dispatch_t *)next, reason, 0);
+  while ((isolated = g_queue_pop_head (&dispatcher->isolated)))
+    refuse_dispatch (isolated, reason, 0);
 }
 
 /* Record a run, of a candidate or not, that has ended.  */
@@ -216,8 +173,8 @@
   dispatcher->candidate_failures += failed;
 }
 
-static void
-drop_conn (connection_t *conn)
+void
+dispatcher_drop_conn (dispatcher_conn_t *conn)
 {
   cs_http1_client_drop (conn->client);
   g_free (conn);
@@ -226,26 +183,24 @@
 static void
 drop_idle_conns (cs_dispatcher_t *dispatcher)
 {
-  connection_t *conn;
+  dispatcher_conn_t *conn;
   while ((conn = g_queue_pop_head (&dispatcher->idle_conns)))
-    drop_conn (conn);
+    dispatcher_drop_conn (conn);
 }
 
-static void schedule_fill (cs_dispatcher_t *dispatcher);
-
 /* Detach DISPATCH from its connection, and keep that for reuse if possible. */
 static void
 release_conn (cs_dispatch_t *dispatch)
 {
   cs_dispatcher_t *dispatcher = dispatch->dispatcher;
-  connection_t *conn = dispatch->conn;
+  dispatcher_conn_t *conn = dispatch->conn;
   g_queue_remove (&dispatcher->in_flight, dispatch);
   dispatch->conn = NULL;
   conn->dispatch = NULL;
-  if (cs_http1_client_is_usable (conn->client, clock_now (dispatcher)))
+  if (cs_http1_client_is_usable (conn->client, dispatcher_now (dispatcher)))
     g_queue_push_head (&dispatcher->idle_conns, conn);
   else
-    drop_conn (conn);
+    dispatcher_drop_conn (conn);
 }
 
 /* The header fields of ANSWER that are passed on to the caller: none that are
@@ -283,14 +238,12 @@
          && !cs_http1_message_field (answer, "content-encoding").data;
 }
 
-/* Handle a server that refuses connections, or that answered 421 (Misdirected
-   Request) because it is another instance than the one that reported: nothing
-   is sent to it until its next report.  */
-static void
-mark_server_lost (cs_dispatcher_t *dispatcher)
+void
+dispatcher_mark_server_lost (cs_dispatcher_t *dispatcher)
 {
-  cs_backend_mark_lost (&dispatcher->server, clock_now (dispatcher));
+  cs_backend_mark_lost (&dispatcher->server, dispatcher_now (dispatcher));
   drop_idle_conns (dispatcher);
+  crash_check_end (dispatcher);
   refuse_queued (dispatcher, CS_REFUSED_NO_SERVER);
   dispatcher->handler.server_lost (dispatcher->user);
 }
@@ -298,11 +251,11 @@
 static void
 on_answer (void *user, cs_http1_message_t *answer)
 {
-  connection_t *conn = user;
+  dispatcher_conn_t *conn = user;
   cs_dispatch_t *dispatch = conn->dispatch;
   cs_dispatcher_t *dispatcher = dispatch->dispatcher;
   unsigned status = answer->parser.status_code;
-  cs_usec_t service_time = clock_now (dispatcher) - dispatch->sent_at;
+  cs_usec_t service_time = dispatcher_now (dispatcher) - dispatch->sent_at;
   bool not_run = cs_http1_message_field (answer, cs_header_names->not_run).data
                  || status == 421;
   cs_outcome_t outcome = { .reached_server = true,
@@ -310,6 +263,9 @@
                            .status = status };
   GString *fields = NULL;
   release_conn (dispatch);
+  if (status != 421)
+    cs_crash_detector_note_answer (&dispatcher->crash_detector,
+                                   dispatch->sent_at);
   if (not_run)
     {
       outcome.kind = CS_OUTCOME_REFUSED;
@@ -341,62 +297,59 @@
       record_stats (dispatcher, dispatch, status >= 500, service_time);
       cs_service_times_add (&dispatcher->service_times, dispatch->route->str,
                             service_time);
+      cs_crash_history_clear (dispatcher->crash_history, dispatch->fingerprint,
+                              dispatcher_wall_ms (dispatcher));
     }
-  finish_dispatch (dispatch, &outcome);
+  dispatcher_finish (dispatch, &outcome);
   if (fields)
     g_string_free (fields, TRUE);
   if (status == 421)
-    mark_server_lost (
-        dispatcher); /* A different server than the one that reported.  */
-  schedule_fill (dispatcher);
+    {
+      /* A different server than the one that reported.  */
+      crash_check_suspect (dispatcher, false);
+      dispatcher_mark_server_lost (dispatcher);
+    }
+  dispatcher_schedule_fill (dispatcher);
 }
 
 static bool
 answer_matches (void *user, const cs_http1_message_t *answer)
 {
-  const connection_t *conn = user;
+  const dispatcher_conn_t *conn = user;
   cs_str_t id = cs_http1_message_field (answer, cs_header_names->attempt_id);
   return !id.data || cs_str_equal (id, cs_str_of_gstring (conn->dispatch->id));
 }
 
 static void send_on (cs_dispatcher_t *dispatcher, cs_dispatch_t *dispatch,
-                     connection_t *conn);
-static connection_t *open_conn (cs_dispatcher_t *dispatcher);
+                     dispatcher_conn_t *conn);
 
 /* Log that DISPATCH, which was sent to the server, ends without an answer.  */
 static void
 log_unanswered (const cs_dispatch_t *dispatch, const char *why)
 {
   const cs_dispatcher_t *dispatcher = dispatch->dispatcher;
-  cs_event_log (CS_E_UNANSWERED,
-                "id=%s route=%s fingerprint=%016" G_GINT64_MODIFIER
-                "x instance=%s "
-                "why=\"%s\" resent=%d running=%u run_ms=%.1f",
-                dispatch->id->str, dispatch->route->str, dispatch->fingerprint,
-                dispatcher->server.report.instance, why, dispatch->resent,
-                dispatcher->in_flight.length,
-                (double)(clock_now (dispatcher) - dispatch->sent_at) / 1e3);
-}
-
-/* Report the end of DISPATCH, which is in no queue: it was sent to the server
-   and got no answer.  */
+  cs_event_log (
+      CS_E_UNANSWERED,
+      "id=%s route=%s fingerprint=%016" G_GINT64_MODIFIER "x instance=%s "
+      "why=\"%s\" resent=%d running=%u run_ms=%.1f",
+      dispatch->id->str, dispatch->route->str, dispatch->fingerprint,
+      dispatcher->server.report.instance, why, dispatch->resent,
+      dispatcher->in_flight.length,
+      (double)(dispatcher_now (dispatcher) - dispatch->sent_at) / 1e3);
+}
+
+/* Count DISPATCH, which got no answer, as a failure.  */
 static void
-finish_unanswered (cs_dispatch_t *dispatch)
+record_failure (const cs_dispatch_t *dispatch)
 {
-  cs_dispatcher_t *dispatcher = dispatch->dispatcher;
-  cs_usec_t service_time = clock_now (dispatcher) - dispatch->sent_at;
-  record_failure_rate (dispatcher, true);
-  record_stats (dispatcher, dispatch, true, service_time);
-  cs_outcome_t outcome = { .kind = CS_OUTCOME_UNKNOWN,
-                           .reached_server = true,
-                           .service_time = service_time };
-  finish_dispatch (dispatch, &outcome);
+  record_failure_rate (dispatch->dispatcher, true);
+  record_stats (dispatch->dispatcher, dispatch, true, dispatch->service_time);
 }
 
 static void
 on_failed (void *user, cs_http1_client_error_t error, bool partial)
 {
-  connection_t *conn = user;
+  dispatcher_conn_t *conn = user;
   cs_dispatch_t *dispatch = conn->dispatch;
   cs_dispatcher_t *dispatcher = dispatch->dispatcher;
   bool reused = conn->uses > 1;
@@ -404,23 +357,32 @@
   log_unanswered (dispatch, cs_http1_client_error_text (error));
   if (error == CS_HTTP1_CONNECT_FAILED)
     {
+      crash_check_suspect (dispatcher, true);
       if (dispatch->resent)
-        finish_unanswered (dispatch); /* The first send may have run.  */
+        {
+          /* The first send may have run.  */
+          record_failure (dispatch);
+          crash_check_keep (dispatch);
+        }
       else
         refuse_dispatch (dispatch, CS_REFUSED_NO_SERVER, 0);
-      mark_server_lost (dispatcher);
+      dispatcher_mark_server_lost (dispatcher);
       return;
     }
-  if (reused && dispatch->idempotent && !dispatch->resent && !partial)
+  crash_check_note_unanswered (dispatch);
+  if (reused && dispatch->idempotent && !dispatch->resent && !partial
+      && !is_suspect (dispatch))
     {
       /* The server probably closed the idle connection while the request was
          being sent.  */
       dispatch->resent = true;
-      send_on (dispatcher, dispatch, open_conn (dispatcher));
+      send_on (dispatcher, dispatch, dispatcher_open_conn (dispatcher));
       return;
     }
-  finish_unanswered (dispatch);
-  schedule_fill (dispatcher);
+  record_failure (dispatch);
+  crash_check_keep (dispatch);
+  crash_check_start (dispatcher);
+  dispatcher_schedule_fill (dispatcher);
 }
 
 static const cs_http1_client_handler_t client_handler
@@ -428,10 +390,10 @@
         .failed = on_failed,
         .answer_matches = answer_matches };
 
-static connection_t *
-open_conn (cs_dispatcher_t *dispatcher)
+dispatcher_conn_t *
+dispatcher_open_conn (cs_dispatcher_t *dispatcher)
 {
-  connection_t *conn = g_new0 (connection_t, 1);
+  dispatcher_conn_t *conn = g_new0 (dispatcher_conn_t, 1);
   conn->dispatcher = dispatcher;
   conn->client
       = cs_http1_client_new (dispatcher->loop, dispatcher->ctx->clock,
@@ -441,19 +403,19 @@
 }
 
 /* An idle connection that is safe for DISPATCH, or a new one.  */
-static connection_t *
+static dispatcher_conn_t *
 acquire_conn (cs_dispatcher_t *dispatcher, const cs_dispatch_t *dispatch)
 {
-  cs_usec_t now = clock_now (dispatcher);
+  cs_usec_t now = dispatcher_now (dispatcher);
   GList *next;
   for (GList *link = dispatcher->idle_conns.head; link; link = next)
     {
-      connection_t *conn = link->data;
+      dispatcher_conn_t *conn = link->data;
       next = link->next;
       if (!cs_http1_client_is_usable (conn->client, now))
         {
           g_queue_delete_link (&dispatcher->idle_conns, link);
-          drop_conn (conn);
+          dispatcher_drop_conn (conn);
           continue;
         }
       if (!dispatch->idempotent
@@ -463,7 +425,7 @@
       g_queue_delete_link (&dispatcher->idle_conns, link);
       return conn;
     }
-  return open_conn (dispatcher);
+  return dispatcher_open_conn (dispatcher);
 }
 
 /* The bytes to send, with the deadline and the expected instance.  */
@@ -486,11 +448,14 @@
 
 static void
 send_on (cs_dispatcher_t *dispatcher, cs_dispatch_t *dispatch,
-         connection_t *conn)
+         dispatcher_conn_t *conn)
 {
-  cs_usec_t now = clock_now (dispatcher);
+  cs_usec_t now = dispatcher_now (dispatcher);
+  dispatch->state = DISPATCH_IN_FLIGHT;
+  dispatch->suspect = is_suspect (dispatch);
   dispatch->conn = conn;
   dispatch->sent_at = now;
+  dispatch->sent_wall_ms = dispatcher_wall_ms (dispatcher);
   conn->dispatch = dispatch;
   conn->uses++;
   g_queue_push_tail (&dispatcher->in_flight, dispatch);
@@ -500,22 +465,79 @@
                         dispatch->method_is_head, &client_handler, conn);
 }
 
+static bool
+suspect_in_flight (const cs_dispatcher_t *dispatcher)
+{
+  for (const GList *link = dispatcher->in_flight.head; link; link = link->next)
+    if (((const cs_dispatch_t *)link->data)->suspect)
+      return true;
+  return false;
+}
+
+static bool
+slot_free (const cs_dispatcher_t *dispatcher)
+{
+  return dispatcher->server.state == CS_BACKEND_READY
+         && dispatcher->in_flight.length < dispatcher->server.report.slots;
+}
+
+/* Send DISPATCH, which is in no queue, to a free slot, unless it has crashed
+   servers: it is refused then, or kept until it can run as the only suspect.
+ */
+static void
+start_dispatch (cs_dispatch_t *dispatch)
+{
+  cs_dispatcher_t *dispatcher = dispatch->dispatcher;
+  cs_request_trust_t trust = trust_of (dispatch);
+  if (trust == CS_REQUEST_QUARANTINED)
+    {
+      cs_counter_add (CS_C_QUARANTINED, 1);
+      refuse_dispatch (dispatch, CS_REFUSED_QUARANTINED, 0);
+    }
+  else if (trust == CS_REQUEST_SUSPECT && suspect_in_flight (dispatcher))
+    {
+      dispatch->state = DISPATCH_ISOLATED;
+      g_queue_push_tail (&dispatcher->isolated, dispatch);
+    }
+  else
+    send_on (dispatcher, dispatch, acquire_conn (dispatcher, dispatch));
+}
+
+/* Refuse the requests kept apart whose deadline has passed, and send those
+   whose turn it is.  */
+static void
+start_isolated (cs_dispatcher_t *dispatcher)
+{
+  cs_dispatch_t *first;
+  while ((first = g_queue_peek_head (&dispatcher->isolated)))
+    {
+      bool expired = dispatcher_now (dispatcher) >= first->deadline;
+      if (!expired
+          && (!slot_free (dispatcher)
+              || (trust_of (first) == CS_REQUEST_SUSPECT
+                  && suspect_in_flight (dispatcher))))
+        return;
+      g_queue_pop_head (&dispatcher->isolated);
+      if (expired)
+        refuse_dispatch (first, CS_REFUSED_EXPIRED, 0);
+      else
+        start_dispatch (first);
+    }
+}
+
 /* Refuse expired requests, then send queued ones to the free slots.  */
 static void
 fill_slots (cs_dispatcher_t *dispatcher)
 {
   cs_queued_request_t *next;
   while ((next = cs_request_queue_pop_expired (&dispatcher->queue,
-                                               clock_now (dispatcher))))
+                                               dispatcher_now (dispatcher))))
     refuse_dispatch ((cs_dispatch_t *)next, CS_REFUSED_EXPIRED, 0);
-  while (dispatcher->server.state == CS_BACKEND_READY
-         && dispatcher->in_flight.length < dispatcher->server.report.slots
+  start_isolated (dispatcher);
+  while (slot_free (dispatcher)
          && (next = cs_request_queue_pop (&dispatcher->queue,
-                                          clock_now (dispatcher))))
-    {
-      cs_dispatch_t *dispatch = (cs_dispatch_t *)next;
-      send_on (dispatcher, dispatch, acquire_conn (dispatcher, dispatch));
-    }
+                                          dispatcher_now (dispatcher))))
+    start_dispatch ((cs_dispatch_t *)next);
 }
 
 static void
@@ -525,10 +547,8 @@
   fill_slots (fill_handle->data);
 }
 
-/* Queued requests are sent from the event loop only, never within the call
-   that submits a request or handles the end of one.  */
-static void
-schedule_fill (cs_dispatcher_t *dispatcher)
+void
+dispatcher_schedule_fill (cs_dispatcher_t *dispatcher)
 {
   uv_idle_start (&dispatcher->fill_handle, on_fill);
 }
@@ -536,7 +556,7 @@
 void
 cs_dispatcher_tick (cs_dispatcher_t *dispatcher)
 {
-  cs_usec_t now = clock_now (dispatcher);
+  cs_usec_t now = dispatcher_now (dispatcher);
   GList *next;
   for (GList *link = dispatcher->in_flight.head; link; link = next)
     {
@@ -544,22 +564,22 @@
       next = link->next;
       if (now <= dispatch->deadline + DEADLINE_GRACE)
         continue;
-      connection_t *conn = dispatch->conn;
+      dispatcher_conn_t *conn = dispatch->conn;
       g_queue_delete_link (&dispatcher->in_flight, link);
-      drop_conn (conn);
+      dispatcher_drop_conn (conn);
       log_unanswered (dispatch, "no answer by the deadline");
+      crash_check_note_unanswered (dispatch);
       record_failure_rate (dispatcher, true);
-      cs_outcome_t outcome = { .kind = CS_OUTCOME_UNKNOWN,
-                               .reached_server = true,
-                               .service_time = now - dispatch->sent_at };
-      finish_dispatch (dispatch, &outcome);
+      crash_check_finish (dispatch);
     }
-  schedule_fill (dispatcher);
+  crash_check_tick (dispatcher, now);
+  dispatcher_schedule_fill (dispatcher);
 }
 
 cs_dispatcher_t *
 cs_dispatcher_new (cs_ctx_t *ctx, uv_loop_t *loop,
                    const cs_answer_memory_t *answer_memory,
+                   cs_crash_history_t *crash_history,
                    const cs_dispatcher_handler_t *handler, void *user)
 {
   cs_dispatcher_t *dispatcher = g_new0 (cs_dispatcher_t, 1);
@@ -568,6 +588,8 @@
   dispatcher->answer_memory = *answer_memory;
   dispatcher->handler = *handler;
   dispatcher->user = user;
+  dispatcher->crash_history = crash_history;
+  crash_check_init (dispatcher);
   cs_service_times_init (&dispatcher->service_times);
   uv_idle_init (loop, &dispatcher->fill_handle);
   dispatcher->fill_handle.data = dispatcher;
@@ -584,6 +606,11 @@
       = strcmp (dispatcher->server.report.instance, server->report.instance)
             != 0
         || dispatcher->server.report.started_ms != server->report.started_ms;
+  if (restarted)
+    {
+      crash_check_suspect (dispatcher, true);
+      crash_check_end (dispatcher);
+    }
   dispatcher->server = *server;
   if (restarted)
     {
@@ -596,7 +623,7 @@
   if (server->state == CS_BACKEND_READY
       && cs_sockaddr_parse (server->report.address, &dispatcher->address))
     {
-      schedule_fill (dispatcher);
+      dispatcher_schedule_fill (dispatcher);
       return;
     }
   refuse_queued (dispatcher, CS_REFUSED_NO_SERVER);
@@ -655,7 +682,7 @@
   dispatch->method_is_head = request->method_is_head;
   dispatch->done = done;
   dispatch->user = user;
-  cs_usec_t now = clock_now (dispatcher);
+  cs_usec_t now = dispatcher_now (dispatcher);
   dispatch->deadline = now + request->deadline_remaining;
   dispatch->fingerprint = request->fingerprint;
   dispatch->queued.priority = request->priority;
@@ -695,7 +722,7 @@
   else if (candidate_is_stopped (dispatcher))
     reason = CS_REFUSED_CANDIDATE_STOPPED;
   else if (!cs_request_queue_try_push (&dispatcher->queue, &dispatch->queued,
-                                       &capacity, clock_now (dispatcher),
+                                       &capacity, dispatcher_now (dispatcher),
                                        &wait))
     reason = CS_REFUSED_OVERLOADED;
   if (reason != CS_REFUSED_COUNT)
@@ -704,30 +731,37 @@
       refuse_dispatch (dispatch, reason, wait);
       return NULL;
     }
-  schedule_fill (dispatcher);
+  dispatcher_schedule_fill (dispatcher);
   return dispatch;
 }
 
 bool
 cs_dispatch_is_queued (const cs_dispatch_t *dispatch)
 {
-  return !dispatch->conn;
+  return dispatch->state == DISPATCH_QUEUED
+         || dispatch->state == DISPATCH_ISOLATED;
 }
 
 void
 cs_dispatcher_cancel (cs_dispatcher_t *dispatcher, cs_dispatch_t *dispatch)
 {
   dispatch->cancelled = true;
-  if (!dispatch->conn)
+  if (cs_dispatch_is_queued (dispatch))
     {
-      cs_request_queue_remove (&dispatcher->queue, &dispatch->queued);
+      if (dispatch->state == DISPATCH_ISOLATED)
+        g_queue_remove (&dispatcher->isolated, dispatch);
+      else
+        cs_request_queue_remove (&dispatcher->queue, &dispatch->queued);
       free_dispatch (dispatch);
       return;
     }
+  if (dispatch->state == DISPATCH_UNANSWERED)
+    return; /* It ends by itself.  */
   if (!dispatch->idempotent)
     return; /* Its effects must not be interrupted; it ends by itself.  */
   g_queue_remove (&dispatcher->in_flight, dispatch);
-  drop_conn (dispatch->conn);
+  dispatcher_drop_conn (dispatch->conn);
+  crash_check_note_unanswered (dispatch);
   free_dispatch (dispatch);
-  schedule_fill (dispatcher);
+  dispatcher_schedule_fill (dispatcher);
 }
--- a/source/sidecar/control.c
+++ b/source/sidecar/control.c
@@ -113,6 +113,20 @@
   cs_mailbox_post (&control->mailbox, handle_backend_lost, control, NULL);
 }
 
+static void
+handle_crash_record (void *user, void *arg)
+{
+  crash_rows_store (user, arg);
+}
+
+static void
+on_crash_record_lasting (void *user, const cs_record_t *record)
+{
+  control_t *control = user;
+  cs_mailbox_post (&control->mailbox, handle_crash_record, control,
+                   cs_record_copy (record));
+}
+
 static void
 handle_stopped (void *user, void *arg)
 {
@@ -164,6 +178,7 @@
   rows_tick (control, now);
   resume_tick (control);
   moves_tick (control, now);
+  crash_rows_tick (control, now);
   cs_event_flush ();
 }
 
@@ -215,10 +230,12 @@
 static bool
 open_components (control_t *control)
 {
-  static const cs_traffic_handler_t handler = { .control_received = on_control,
-                                                .member_changed = on_member,
-                                                .server_lost = on_backend_lost,
-                                                .stopped = on_stopped };
+  static const cs_traffic_handler_t handler
+      = { .control_received = on_control,
+          .member_changed = on_member,
+          .server_lost = on_backend_lost,
+          .crash_record_lasting = on_crash_record_lasting,
+          .stopped = on_stopped };
   const node_settings_t *settings = &control->settings;
   cs_traffic_settings_t traffic_settings
       = { .caller_address = settings->callers,
--- a/source/sidecar/control.h
+++ b/source/sidecar/control.h
@@ -22,6 +22,9 @@
 /* The service name follows; the value is a packed move_record_t.  */
 #define KEY_MOVE_PREFIX "move/"
 
+/* The key of a crash record follows; the value is the packed record.  */
+#define KEY_CRASH_PREFIX "crash/"
+
 /* A node of the mesh, as the traffic thread last described it.  */
 typedef struct
 {
@@ -86,6 +89,11 @@
   bool table_up;
   cs_snapshot_t *snapshot; /* Published to the traffic thread.  */
   GHashTable *moves;       /* service -> tracked_move_t *.  */
+  /* cs_record_t *, to be written to CS_KEYSPACE_MESH, the first one now if
+     CRASH_ROW_WRITING is set.  */
+  GQueue crash_rows;
+  cs_usec_t crash_row_retry_at; /* No write of them before this time.  */
+  bool crash_row_writing;
   bool stopping;
 };
 
@@ -144,6 +152,13 @@
 /* Run the current startup step; RANK is from rows_reader_rank.  */
 void startup_run_step (control_t *control, unsigned rank, cs_usec_t now);
 
+/* crash-rows.c */
+/* Write RECORD, a crash record, to the table; CONTROL owns it.  */
+void crash_rows_store (control_t *control, cs_record_t *record);
+/* Handle a row of CS_KEYSPACE_MESH with the prefix KEY_CRASH_PREFIX.  */
+void crash_rows_handle_row (control_t *control, const cs_table_row_t *row);
+void crash_rows_tick (control_t *control, cs_usec_t now);
+
 /* resume.c */
 /* Remember MEMBER, this node's row from before the restart, so that
    resume_tick can check its backend server.  */
--- a/source/sidecar/startup.c
+++ b/source/sidecar/startup.c
@@ -128,6 +128,8 @@
       const cs_table_row_t *row = rows->pdata[i];
       if (g_str_has_prefix (row->key, KEY_NODE_PREFIX))
         handle_node_row (control, row);
+      else if (g_str_has_prefix (row->key, KEY_CRASH_PREFIX))
+        crash_rows_handle_row (control, row);
       else
         moves_handle_row (control, row);
     }
--- a/tests/sidecar-crash.t
+++ b/tests/sidecar-crash.t
@@ -122,7 +122,7 @@
 ok "sound requests are served beside them" [ $((served * 100)) -ge $((sound * 95)) ]
 ok "each of them, once all servers are back" until_ok all_serve
 
-for n in $nodes; do kill -KILL "${node_pids[$n]}"; wait "${node_pids[$n]}" 2>/dev/null; : >"$dir/n$n.log"; write_settings $n 0; done
+for n in $nodes; do kill -KILL "${node_pids[$n]}"; wait "${node_pids[$n]}" 2>/dev/null; mv "$dir/n$n.log" "$dir/before$n.log"; write_settings $n 0; done
 for n in $nodes; do start_node $n; done
 ok "after the end of all nodes" until_ok mesh_is_up
 ok "they serve" until_ok all_serve
--- a/tests/sockets.h
+++ b/tests/sockets.h
@@ -25,16 +25,30 @@
                                .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
 }
 
-/* A listening socket on a free port, which is stored in *PORT.  */
+/* A listening socket on PORT, where an earlier one was; 0: on a free port.  */
 static inline int
-listen_on_free_port (unsigned *port)
+listen_on_port (unsigned port)
 {
-  struct sockaddr_in address = loopback_address (0);
-  socklen_t len = sizeof address;
+  struct sockaddr_in address = loopback_address (port);
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int reuse = 1;
+  if (port)
+    setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
   g_assert_cmpint (bind (fd, (struct sockaddr *)&address, sizeof address), ==,
                    0);
+  /* Set before, it would allow a port that others may bind too.  */
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
   g_assert_cmpint (listen (fd, 64), ==, 0);
+  return fd;
+}
+
+/* A listening socket on a free port, which is stored in *PORT.  */
+static inline int
+listen_on_free_port (unsigned *port)
+{
+  struct sockaddr_in address;
+  socklen_t len = sizeof address;
+  int fd = listen_on_port (0);
   getsockname (fd, (struct sockaddr *)&address, &len);
   *port = ntohs (address.sin_port);
   return fd;
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -55,10 +55,18 @@
   (void)user;
 }
 
-static const cs_traffic_handler_t handler = { .control_received = on_control,
-                                              .member_changed = on_member,
-                                              .server_lost = on_ignored,
-                                              .stopped = on_ignored };
+static void
+on_crash_record (void *user, const cs_record_t *record)
+{
+  (void)user, (void)record;
+}
+
+static const cs_traffic_handler_t handler
+    = { .control_received = on_control,
+        .member_changed = on_member,
+        .server_lost = on_ignored,
+        .crash_record_lasting = on_crash_record,
+        .stopped = on_ignored };
 
 /* Forward bytes in both directions, one connection at a time.  */
 static void *
@@ -770,6 +778,102 @@
   close (caller);
 }
 
+/* Give the node beside the server the record of a crash of START, a start of a
+   server, while it ran GET PATH, AT_MS from now.  */
+static void
+add_crash (mesh_t *mesh, const char *path, const char *start, int64_t at_ms)
+{
+  uint64_t fingerprint = cs_request_fingerprint (
+      CS_STR ("GET"), CS_STR ("h"), cs_str_of (path), CS_STR (""));
+  int64_t now_ms = cs_now_wall (mesh->ctx) / CS_MSEC + at_ms;
+  cs_record_t *record
+      = cs_crash_record_new (fingerprint, start, now_ms, now_ms + 1);
+  cs_traffic_add_crash_record (mesh->server_node, record);
+  cs_record_free (record);
+}
+
+/* Two requests are suspected of a crash: the second one is sent to the server
+   when the first has been answered, and a third, trusted one at once.  */
+static void
+test_suspects_run_together (void)
+{
+  mesh_t *mesh = start_mesh (4);
+  int callers[3];
+  add_crash (mesh, "/read/1", "i0/0", 0);
+  add_crash (mesh, "/read/2", "i0/0", 0);
+  for (int i = 0; i < 3; i++)
+    callers[i] = connect_to (mesh->caller_port);
+  send_request (callers[0], "GET", "/read/1", "a1", "");
+  int first = accept_request (mesh, "/read/1");
+  send_request (callers[1], "GET", "/read/2", "a2", "");
+  g_assert_false (readable (mesh->server_listener, SOCKET_ABSENCE_MS));
+  send_request (callers[2], "GET", "/read/3", "a3", "");
+  int third = accept_request (mesh, "/read/3");
+  send_answer (first, "a1", "one");
+  expect_answer (callers[0], "200", "one");
+  char *request = receive_message (first);
+  g_assert_nonnull (strstr (request, "GET /read/2"));
+  g_free (request);
+  send_answer (first, "a2", "two");
+  expect_answer (callers[1], "200", "two");
+  send_answer (third, "a3", "three");
+  expect_answer (callers[2], "200", "three");
+  for (int i = 0; i < 3; i++)
+    close (callers[i]);
+  close (first);
+  close (third);
+}
+
+/* A request that has crashed two servers is not sent to a third: the caller is
+   told that it has not run, and not to come back soon.  */
+static void
+test_quarantined_request_sent (void)
+{
+  mesh_t *mesh = start_mesh (4);
+  add_crash (mesh, "/read/1", "i0/0", 0);
+  add_crash (mesh, "/read/1", "i0/1", 100);
+  int caller = connect_to (mesh->caller_port);
+  send_request (caller, "GET", "/read/1", "a1", "");
+  char *answer = receive_message (caller);
+  g_assert_true (g_str_has_prefix (answer, "HTTP/1.1 503"));
+  g_assert_nonnull (strstr (answer, "\r\nRetry-After: 600."));
+  g_free (answer);
+  g_assert_false (readable (mesh->server_listener, SOCKET_ABSENCE_MS));
+  close (caller);
+}
+
+/* The server ends while it runs a request that may not be repeated; the next
+   copy of it, after its next start, is the last one that is sent.  */
+static void
+test_request_ends_server_twice (void)
+{
+  mesh_t *mesh = start_mesh (4);
+  for (int64_t start = 2; start <= 3; start++)
+    {
+      report_server (mesh, 4, start);
+      int caller = connect_to (mesh->caller_port);
+      send_request (caller, "PUT", "/write/1", start == 2 ? "a2" : "a3", "x");
+      int server = accept_request (mesh, "/write/1");
+      g_usleep (2000);
+      close (mesh->server_listener);
+      close (server);
+      expect_answer (caller, "502", "");
+      close (caller);
+      mesh->server_listener = listen_on_port (mesh->server_port);
+    }
+  report_server (mesh, 4, 4);
+  int caller = connect_to (mesh->caller_port);
+  send_request (caller, "PUT", "/write/1", "a4", "x");
+  expect_answer (caller, "503", "");
+  g_assert_false (readable (mesh->server_listener, SOCKET_ABSENCE_MS));
+  send_request (caller, "PUT", "/write/1", "a5", "y");
+  int server = accept_request (mesh, "/write/1");
+  send_answer (server, "a5", "other body");
+  expect_answer (caller, "200", "other body");
+  close (server);
+  close (caller);
+}
+
 static void
 send_frame (int fd, cs_pack_t *pack)
 {
@@ -875,6 +979,11 @@
   g_test_add_func ("/path/resend-is-a-free-attempt",
                    test_resend_counts_as_attempt);
   g_test_add_func ("/path/second-life", test_server_restart);
+  g_test_add_func ("/path/suspects-run-together", test_suspects_run_together);
+  g_test_add_func ("/path/quarantined-request-sent",
+                   test_quarantined_request_sent);
+  g_test_add_func ("/path/request-ends-server-again",
+                   test_request_ends_server_twice);
   g_test_add_func ("/path/server-ready-between-hellos",
                    test_server_ready_between_hellos);
   return g_test_run ();
