Log the limit that a server names, and that it leaves

Cause: not traced yet; no log names a limit, so "nobody reads it" and "it is known and not heeded" could not be told apart. Change: the node beside a server logs each change of what the server's answers say. No decision changed.

--- a/include/cardamom/event.h
+++ b/include/cardamom/event.h
@@ -28,6 +28,8 @@
      "The server beside the node left a request without an answer.")          \
   X (CRASH, "crash", 40,                                                      \
      "A request is suspected of a server's crash, or no longer.")             \
+  X (LIMIT, "limit", 20,                                                      \
+     "The server names a limit of requests a second, or that it leaves.")     \
   X (INPUT, "input", 5, "A caller's message was refused.")                    \
   X (MOVE, "move", 20, "A version move took a step.")                         \
   X (EVIDENCE, "move-evidence", 4,                                            \
--- a/include/cardamom/header-names.h
+++ b/include/cardamom/header-names.h
@@ -15,6 +15,10 @@
   const char *seal;
   const char *not_run;     /* Set if the request has not been run.  */
   const char *server_load; /* The backend server's report of its load.  */
+  /* Requests a second, a decimal number, that the backend server takes from
+     all nodes together as long as its answers say so.  */
+  const char *server_limit;
+  const char *server_leaving; /* Set while the backend server leaves.  */
   const char *instance_id; /* The server's identifier, on a health check.  */
 } cs_header_names_t;
 
--- a/source/http1/header-names.c
+++ b/source/http1/header-names.c
@@ -8,6 +8,8 @@
         .seal = "Cardamom-Seal",
         .not_run = "Cardamom-Not-Run",
         .server_load = "Cardamom-Load",
+        .server_limit = "Cardamom-Limit",
+        .server_leaving = "Cardamom-Leaving",
         .instance_id = "Cardamom-Server" };
 
 const cs_header_names_t *cs_header_names = &default_names;
--- a/source/run/dispatcher-internal.h
+++ b/source/run/dispatcher-internal.h
@@ -79,6 +79,8 @@
      start or the last change of MOVE_REVISION; counted without a candidate
      too.  */
   int64_t candidate_runs, candidate_failures;
+  double named_limit; /* Of the server's last answer, per second; or -1.  */
+  bool named_leaving; /* The server's last answer says that it leaves.  */
   cs_answer_memory_t answer_memory;
   bool stopping;
 };
--- a/source/run/dispatcher.c
+++ b/source/run/dispatcher.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <string.h>
 
 #include "cardamom/counters.h"
@@ -248,6 +249,37 @@
   dispatcher->handler.server_lost (dispatcher->user);
 }
 
+/* The number in the field NAME of ANSWER; -1 if there is none.  */
+static double
+decimal_field (const cs_http1_message_t *answer, const char *name)
+{
+  cs_str_t value = cs_http1_message_field (answer, name);
+  if (!value.len)
+    return -1;
+  char *text = cs_str_dup (value), *end;
+  double number = g_ascii_strtod (text, &end);
+  if (end == text || *end || !(number >= 0) || !isfinite (number))
+    number = -1;
+  g_free (text);
+  return number;
+}
+
+/* Log what ANSWER says of the server itself, if that has changed.  */
+static void
+note_server_fields (cs_dispatcher_t *dispatcher,
+                    const cs_http1_message_t *answer)
+{
+  double limit = decimal_field (answer, cs_header_names->server_limit);
+  bool leaving
+      = cs_http1_message_field (answer, cs_header_names->server_leaving).data;
+  if (limit == dispatcher->named_limit && leaving == dispatcher->named_leaving)
+    return;
+  dispatcher->named_limit = limit;
+  dispatcher->named_leaving = leaving;
+  cs_event_log (CS_E_LIMIT, "instance=%s limit=%.1f leaving=%d",
+                dispatcher->server.report.instance, limit, leaving);
+}
+
 static void
 on_answer (void *user, cs_http1_message_t *answer)
 {
@@ -264,8 +296,11 @@
   GString *fields = NULL;
   release_conn (dispatch);
   if (status != 421)
-    cs_crash_detector_note_answer (&dispatcher->crash_detector,
-                                   dispatch->sent_at);
+    {
+      note_server_fields (dispatcher, answer);
+      cs_crash_detector_note_answer (&dispatcher->crash_detector,
+                                     dispatch->sent_at);
+    }
   if (not_run)
     {
       outcome.kind = CS_OUTCOME_REFUSED;
@@ -591,6 +626,7 @@
   dispatcher->crash_history = crash_history;
   crash_check_init (dispatcher);
   cs_service_times_init (&dispatcher->service_times);
+  dispatcher->named_limit = -1;
   uv_idle_init (loop, &dispatcher->fill_handle);
   dispatcher->fill_handle.data = dispatcher;
   dispatcher->stats
