Failing tests: a limit that a server names, and a leaving server

Cause: no decision reads either field. Change: two tests of the call path. The bound of the first is the users': one and a half times the limit in 4 s, and 5 requests.

--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -778,6 +778,79 @@
   close (caller);
 }
 
+/* Send the answer 200 to the attempt ID with the further header lines
+   FIELDS.  */
+static void
+send_answer_with (int fd, const char *id, const char *fields)
+{
+  char *text = g_strdup_printf (
+      "HTTP/1.1 200 OK\r\nCardamom-Attempt: %s\r\nCardamom-Seal: s\r\n"
+      "%sContent-Length: 0\r\n\r\n",
+      id, fields);
+  send_text (fd, text);
+  g_free (text);
+}
+
+#define LIMIT_PER_S 0.5
+#define LIMIT_CALLERS 16
+/* What a server may get in 4 s: one and a half times its limit, and 5.  */
+#define LIMIT_REQUESTS_MAX (1.5 * LIMIT_PER_S * 4 + 5)
+
+/* A server with many free slots names a limit: of many requests that come at
+   once it gets what it takes, and the others are refused at once with a time
+   to come back.  */
+static void
+test_named_limit_exceeded (void)
+{
+  mesh_t *mesh = start_mesh (LIMIT_CALLERS);
+  int callers[LIMIT_CALLERS], got = 0;
+  int caller = connect_to (mesh->caller_port);
+  send_request (caller, "GET", "/read/0", "a0", "");
+  int server = accept_request (mesh, "/read/0");
+  send_answer_with (server, "a0", "Cardamom-Limit: 0.5\r\n");
+  expect_answer (caller, "200", "");
+  close (server);
+  for (int i = 0; i < LIMIT_CALLERS; i++)
+    {
+      char *id = g_strdup_printf ("b%d", i);
+      callers[i] = connect_to (mesh->caller_port);
+      send_request (callers[i], "GET", "/read/1", id, "");
+      g_free (id);
+    }
+  while (readable (mesh->server_listener, SOCKET_ABSENCE_MS))
+    {
+      server = accept_request (mesh, "/read/1");
+      got++;
+    }
+  g_test_message ("%d of %d requests reached the server", got, LIMIT_CALLERS);
+  if (got > LIMIT_REQUESTS_MAX)
+    g_test_fail ();
+  for (int i = 0; i < LIMIT_CALLERS; i++)
+    close (callers[i]);
+  close (caller);
+}
+
+/* The server says in an answer that it leaves, and no report of it has come:
+   no further request is sent to it.  */
+static void
+test_leaving_server_gets_requests (void)
+{
+  mesh_t *mesh = start_mesh (4);
+  int caller = connect_to (mesh->caller_port);
+  send_request (caller, "GET", "/read/0", "a0", "");
+  int server = accept_request (mesh, "/read/0");
+  send_answer_with (server, "a0", "Cardamom-Leaving: 1\r\n");
+  expect_answer (caller, "200", "");
+  send_request (caller, "GET", "/read/1", "a1", "");
+  if (readable (server, SOCKET_ABSENCE_MS)
+      || readable (mesh->server_listener, SOCKET_ABSENCE_MS))
+    g_test_fail ();
+  else
+    expect_answer (caller, "503", "");
+  close (server);
+  close (caller);
+}
+
 /* Give the node beside the server the record of a crash of START, a start of a
    server, while it ran GET PATH, AT_MS from now.  */
 static void
@@ -959,7 +1032,12 @@
 int
 main (int argc, char **argv)
 {
-  g_test_init (&argc, &argv, NULL);
+  /* Run all cases even if one fails.  */
+  char *args[] = { argv[0], "--keep-going", NULL }, **list = args;
+  int count = 2;
+  if (argc > 1)
+    list = argv, count = argc;
+  g_test_init (&count, &list, NULL);
   g_test_add_func ("/path/forward", test_forward);
   g_test_add_func ("/path/left", test_caller_disconnects);
   g_test_add_func ("/path/deadline", test_deadline);
@@ -984,6 +1062,9 @@
                    test_quarantined_request_sent);
   g_test_add_func ("/path/request-ends-server-again",
                    test_request_ends_server_twice);
+  g_test_add_func ("/path/named-limit-exceeded", test_named_limit_exceeded);
+  g_test_add_func ("/path/leaving-server-gets-requests",
+                   test_leaving_server_gets_requests);
   g_test_add_func ("/path/server-ready-between-hellos",
                    test_server_ready_between_hellos);
   return g_test_run ();
