Keep the limit of requests a second that a server names

Cause: no decision read the field. A server's capacity was known by its slots and run times alone, and those do not show what a server in need can take. Evidence: the line "limit" at the node beside the server, 25 to 56 ms after the limit was first named, and the same requests a second before and after. Change: the node beside the server spaces its requests by the limit (server-limit.c); the queue reckons with the turns, so that what would come too late is refused at once with its wait; load reports carry interval and wait, and placement heeds them. A node that restarts gets the last limit of its server from the others. Why it works: only the node beside a server sends to it, so one count there holds for all nodes together.

--- a/include/cardamom/dispatcher.h
+++ b/include/cardamom/dispatcher.h
@@ -67,6 +67,9 @@
   /* Failures among recent runs and requests refused by the server
      (CS_REFUSED_BY_SERVER), which count as failures.  */
   int64_t failure_permille;
+  /* Under the limit that the server names: the time between two requests, 0
+     without a limit, and the wait of one that comes now.  */
+  cs_usec_t limit_interval, limit_wait;
 } cs_load_t;
 
 /* The end of a request.  Views are borrowed for the call.  */
@@ -118,6 +121,11 @@
 void cs_dispatcher_set_backend (cs_dispatcher_t *dispatcher,
                                 const cs_backend_t *server);
 
+/* INSTANCE, the server or one that is yet to report, last named a limit of one
+   request in INTERVAL.  It holds until the first answer of that server.  */
+void cs_dispatcher_restore_limit (cs_dispatcher_t *dispatcher,
+                                  const char *instance, cs_usec_t interval);
+
 /* Refuse new and queued requests; those in flight end normally.  */
 void cs_dispatcher_stop (cs_dispatcher_t *dispatcher);
 
--- a/include/cardamom/frames.h
+++ b/include/cardamom/frames.h
@@ -31,7 +31,10 @@
   CS_FRAME_ROWS_REQUEST,  /* The sender has no rows and asks for all.  */
   CS_FRAME_MOVE_STATE,    /* The state of a move.  */
   /* Crash records; the traffic thread handles them.  */
-  CS_FRAME_CRASH_RECORDS
+  CS_FRAME_CRASH_RECORDS,
+  /* The limit that the server beside the receiver last named, for a receiver
+     that has restarted since; the traffic thread handles it.  */
+  CS_FRAME_SERVER_LIMIT
 } cs_control_frame_kind_t;
 
 /* A node's description of itself, which it sends to the others.  The nodes
--- a/include/cardamom/placement.h
+++ b/include/cardamom/placement.h
@@ -25,6 +25,7 @@
   /* Mean time that a request occupies a slot there.  */
   cs_usec_t mean_service_time;
   cs_usec_t run_time;       /* Expected run time of this request there.  */
+  cs_usec_t limit_delay;    /* Expected wait under its server's limit.  */
   cs_usec_t round_trip;     /* Network round trip to that node.  */
   int64_t failure_permille; /* Failures per 1000 of its recent requests.  */
 } cs_placement_node_t;
--- a/include/cardamom/request-queue.h
+++ b/include/cardamom/request-queue.h
@@ -17,7 +17,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "cardamom/clock.h"
+#include "cardamom/server-limit.h"
 
 /* A queued request, embedded in its owner's struct.  Times are monotonic.  */
 typedef struct
@@ -40,12 +40,14 @@
 typedef struct
 {
   int64_t slots, running;
-  cs_usec_t mean_service_time; /* Mean time that a run occupies a slot.  */
+  cs_usec_t mean_service_time;    /* Mean time that a run occupies a slot.  */
+  const cs_server_limit_t *limit; /* NULL: the server names none.  */
 } cs_server_capacity_t;
 
-/* The time that REQUEST, queued or not, is expected to wait for a slot behind
-   the requests that run before it: 0 if a slot is left after them, else their
-   expected service times and one mean service time, divided by the slots.  */
+/* The time that REQUEST, queued or not, is expected to wait behind the
+   requests that run before it: for a slot, 0 if one is left after them, else
+   their expected service times and one mean service time, divided by the
+   slots; or for its turn under the server's limit, if that is later.  */
 cs_usec_t cs_request_queue_expected_wait (const cs_request_queue_t *queue,
                                           const cs_server_capacity_t *capacity,
                                           const cs_queued_request_t *request,
--- a/source/call/choose.c
+++ b/source/call/choose.c
@@ -38,6 +38,19 @@
   return call->wants_candidate ? v->candidate : v->baseline;
 }
 
+/* The wait of a further request under the limit that PEER's server names, by
+   LOAD, which came AGE ago, and this node's OWN_CALLS there.  */
+static cs_usec_t
+expected_limit_delay (const peer_t *peer, const cs_load_t *load, cs_usec_t age,
+                      int64_t own_calls)
+{
+  if (!load->limit_interval)
+    return 0;
+  int64_t sent_since
+      = peer->self ? 0 : MAX (own_calls - peer->own_calls_at_load, 0);
+  return MAX (load->limit_wait - age, 0) + sent_since * load->limit_interval;
+}
+
 /* PEER's state for the placement of CALL.  */
 static cs_placement_node_t
 describe_peer (const call_t *call, peer_t *peer, const char *version,
@@ -72,6 +85,7 @@
     = load.mean_service_time > 0 ? load.mean_service_time : run_time,
     .run_time = run_time,
     .round_trip = peer->round_trip,
+    .limit_delay = expected_limit_delay (peer, &load, age, own_calls),
     .failure_permille
     = age > FAILURES_FORGOTTEN_AFTER ? 0 : load.failure_permille,
   };
--- a/source/call/inbound.c
+++ b/source/call/inbound.c
@@ -277,6 +277,16 @@
     peers_update_member (inbound->traffic, &info);
 }
 
+static void
+handle_server_limit (cs_traffic_t *traffic, cs_unpack_cursor_t *in)
+{
+  char instance[CS_NAME_SIZE];
+  cs_name_unpack (in, instance);
+  cs_usec_t interval = cs_unpack_int64 (in);
+  if (!in->failed && interval > 0)
+    cs_dispatcher_restore_limit (traffic->dispatcher, instance, interval);
+}
+
 static void
 on_payload (void *user, cs_stream_t *stream, cs_str_t payload)
 {
@@ -311,6 +321,9 @@
     case CS_FRAME_MEMBER:
       handle_member (inbound, &in);
       break;
+    case CS_FRAME_SERVER_LIMIT:
+      handle_server_limit (traffic, &in);
+      break;
     case CS_FRAME_CRASH_RECORDS:
       crash_records_received (traffic, &in);
       break;
--- a/source/call/peers.c
+++ b/source/call/peers.c
@@ -153,6 +153,10 @@
   peer->load = *load;
   peer->load_received_at = traffic_now (peer->traffic);
   peer->own_calls_at_load = g_hash_table_size (peer->calls);
+  peer->limit_interval = load->limit_interval;
+  if (load->limit_interval)
+    g_strlcpy (peer->limit_instance, peer->info.instance,
+               sizeof peer->limit_instance);
 }
 
 static void
@@ -240,6 +244,19 @@
   cs_pack_clear (&pack);
 }
 
+static void
+send_limit (peer_t *peer)
+{
+  cs_pack_t pack;
+  cs_pack_init (&pack);
+  cs_pack_array (&pack, 3);
+  cs_pack_int64 (&pack, CS_FRAME_SERVER_LIMIT);
+  cs_pack_text (&pack, peer->limit_instance);
+  cs_pack_int64 (&pack, peer->limit_interval);
+  peer_send (peer, &pack);
+  cs_pack_clear (&pack);
+}
+
 static void
 handle_hello (peer_t *peer, cs_unpack_cursor_t *in)
 {
@@ -268,6 +285,8 @@
   if (peer->hello_revision != traffic->self->info.revision)
     send_own_member (peer);
   crash_records_send_quarantined (peer);
+  if (peer->limit_interval)
+    send_limit (peer);
   query_unresolved_calls (peer);
 }
 
--- a/source/call/placement.c
+++ b/source/call/placement.c
@@ -22,8 +22,9 @@
 {
   cs_usec_t latency
       = node->round_trip + node->run_time
-        + cs_placement_queue_delay (node->outstanding, node->slots,
-                                    node->mean_service_time);
+        + MAX (cs_placement_queue_delay (node->outstanding, node->slots,
+                                         node->mean_service_time),
+               node->limit_delay);
   /* A failure costs the time of another attempt.  */
   int64_t failing = CLAMP (node->failure_permille, 0, 900);
   return latency * 1000 / (1000 - failing);
--- a/source/call/traffic.h
+++ b/source/call/traffic.h
@@ -54,6 +54,10 @@
   cs_load_t load;
   cs_usec_t load_received_at;
   int64_t own_calls_at_load;
+  /* The limit that its server last named, as in LOAD, and the instance.  Kept
+     when the node restarts.  */
+  cs_usec_t limit_interval;
+  char limit_instance[CS_NAME_SIZE];
   /* Of the server beside it, measured from here.  */
   cs_service_times_t run_times;
 };
--- a/source/run/dispatcher-internal.h
+++ b/source/run/dispatcher-internal.h
@@ -79,8 +79,13 @@
      start or the last change of MOVE_REVISION; counted without a candidate
      too.  */
   int64_t candidate_runs, candidate_failures;
-  double named_limit; /* Of the server's last answer, per second; or -1.  */
-  bool named_leaving; /* The server's last answer says that it leaves.  */
+  cs_server_limit_t limit;
+  /* From cs_dispatcher_restore_limit.  */
+  char restored_instance[CS_NAME_SIZE];
+  cs_usec_t restored_interval;
+  bool answered;          /* The present start of the server has answered.  */
+  uv_timer_t limit_timer; /* Runs while a queued request awaits its turn.  */
+  bool named_leaving;     /* The server's last answer says that it leaves.  */
   cs_answer_memory_t answer_memory;
   bool stopping;
 };
--- a/source/run/dispatcher.c
+++ b/source/run/dispatcher.c
@@ -66,7 +66,11 @@
               + dispatcher->isolated.length,
     .slots = dispatcher->server.report.slots,
     .mean_service_time = cs_service_times_mean (&dispatcher->service_times, 0),
-    .failure_permille = (int64_t)(decayed_failure_rate (dispatcher) * 1000.0)
+    .failure_permille = (int64_t)(decayed_failure_rate (dispatcher) * 1000.0),
+    .limit_interval = dispatcher->limit.interval,
+    .limit_wait = cs_server_limit_wait (
+        &dispatcher->limit, cs_request_queue_length (&dispatcher->queue),
+        dispatcher_now (dispatcher))
   };
 }
 
@@ -264,7 +268,7 @@
   return number;
 }
 
-/* Log what ANSWER says of the server itself, if that has changed.  */
+/* Heed what ANSWER says of the server itself.  */
 static void
 note_server_fields (cs_dispatcher_t *dispatcher,
                     const cs_http1_message_t *answer)
@@ -272,9 +276,11 @@
   double limit = decimal_field (answer, cs_header_names->server_limit);
   bool leaving
       = cs_http1_message_field (answer, cs_header_names->server_leaving).data;
-  if (limit == dispatcher->named_limit && leaving == dispatcher->named_leaving)
+  dispatcher->answered = true;
+  bool limit_changed = cs_server_limit_set (&dispatcher->limit, limit,
+                                            dispatcher_now (dispatcher));
+  if (!limit_changed && leaving == dispatcher->named_leaving)
     return;
-  dispatcher->named_limit = limit;
   dispatcher->named_leaving = leaving;
   cs_event_log (CS_E_LIMIT, "instance=%s limit=%.1f leaving=%d",
                 dispatcher->server.report.instance, limit, leaving);
@@ -490,6 +496,7 @@
   dispatch->suspect = is_suspect (dispatch);
   dispatch->conn = conn;
   dispatch->sent_at = now;
+  cs_server_limit_take (&dispatcher->limit, now);
   dispatch->sent_wall_ms = dispatcher_wall_ms (dispatcher);
   conn->dispatch = dispatch;
   conn->uses++;
@@ -509,11 +516,34 @@
   return false;
 }
 
+/* Whether the server has a free slot and, by its limit, takes a request.  */
 static bool
-slot_free (const cs_dispatcher_t *dispatcher)
+server_takes_request (const cs_dispatcher_t *dispatcher)
 {
   return dispatcher->server.state == CS_BACKEND_READY
-         && dispatcher->in_flight.length < dispatcher->server.report.slots;
+         && dispatcher->in_flight.length < dispatcher->server.report.slots
+         && cs_server_limit_wait (&dispatcher->limit, 0,
+                                  dispatcher_now (dispatcher))
+                == 0;
+}
+
+static void
+on_limit_timer (uv_timer_t *timer)
+{
+  dispatcher_schedule_fill (timer->data);
+}
+
+/* If a request awaits its turn under the server's limit, fill again then.  */
+static void
+await_turn (cs_dispatcher_t *dispatcher)
+{
+  cs_usec_t wait = cs_server_limit_wait (&dispatcher->limit, 0,
+                                         dispatcher_now (dispatcher));
+  if (wait > 0
+      && (cs_request_queue_length (&dispatcher->queue)
+          || dispatcher->isolated.length))
+    uv_timer_start (&dispatcher->limit_timer, on_limit_timer,
+                    (uint64_t)(wait + CS_MSEC - 1) / CS_MSEC, 0);
 }
 
 /* Send DISPATCH, which is in no queue, to a free slot, unless it has crashed
@@ -548,7 +578,7 @@
     {
       bool expired = dispatcher_now (dispatcher) >= first->deadline;
       if (!expired
-          && (!slot_free (dispatcher)
+          && (!server_takes_request (dispatcher)
               || (trust_of (first) == CS_REQUEST_SUSPECT
                   && suspect_in_flight (dispatcher))))
         return;
@@ -569,10 +599,11 @@
                                                dispatcher_now (dispatcher))))
     refuse_dispatch ((cs_dispatch_t *)next, CS_REFUSED_EXPIRED, 0);
   start_isolated (dispatcher);
-  while (slot_free (dispatcher)
+  while (server_takes_request (dispatcher)
          && (next = cs_request_queue_pop (&dispatcher->queue,
                                           dispatcher_now (dispatcher))))
     start_dispatch ((cs_dispatch_t *)next);
+  await_turn (dispatcher);
 }
 
 static void
@@ -626,7 +657,9 @@
   dispatcher->crash_history = crash_history;
   crash_check_init (dispatcher);
   cs_service_times_init (&dispatcher->service_times);
-  dispatcher->named_limit = -1;
+  cs_server_limit_init (&dispatcher->limit);
+  uv_timer_init (loop, &dispatcher->limit_timer);
+  dispatcher->limit_timer.data = dispatcher;
   uv_idle_init (loop, &dispatcher->fill_handle);
   dispatcher->fill_handle.data = dispatcher;
   dispatcher->stats
@@ -634,6 +667,30 @@
   return dispatcher;
 }
 
+static void
+apply_restored_limit (cs_dispatcher_t *dispatcher)
+{
+  const char *instance = dispatcher->server.report.instance;
+  if (dispatcher->answered || !instance[0]
+      || strcmp (dispatcher->restored_instance, instance) != 0)
+    return;
+  cs_server_limit_set (&dispatcher->limit,
+                       (double)CS_SEC / (double)dispatcher->restored_interval,
+                       dispatcher_now (dispatcher));
+  cs_event_log (CS_E_LIMIT, "instance=%s limit=%.1f state=restored", instance,
+                dispatcher->limit.per_second);
+}
+
+void
+cs_dispatcher_restore_limit (cs_dispatcher_t *dispatcher, const char *instance,
+                             cs_usec_t interval)
+{
+  g_strlcpy (dispatcher->restored_instance, instance,
+             sizeof dispatcher->restored_instance);
+  dispatcher->restored_interval = interval;
+  apply_restored_limit (dispatcher);
+}
+
 void
 cs_dispatcher_set_backend (cs_dispatcher_t *dispatcher,
                            const cs_backend_t *server)
@@ -655,6 +712,9 @@
       cs_service_times_reset (&dispatcher->service_times);
       dispatcher->candidate_runs = dispatcher->candidate_failures = 0;
       dispatcher->failure_rate = 0;
+      cs_server_limit_init (&dispatcher->limit);
+      dispatcher->named_leaving = dispatcher->answered = false;
+      apply_restored_limit (dispatcher);
     }
   if (server->state == CS_BACKEND_READY
       && cs_sockaddr_parse (server->report.address, &dispatcher->address))
@@ -745,7 +805,8 @@
           .running = dispatcher->in_flight.length,
           .mean_service_time
           = cs_service_times_mean (&dispatcher->service_times,
-                                   dispatch->queued.expected_service_time) };
+                                   dispatch->queued.expected_service_time),
+          .limit = &dispatcher->limit };
   if (dispatcher->stopping)
     reason = CS_REFUSED_STOPPING;
   else if (dispatcher->server.state != CS_BACKEND_READY)
--- a/source/run/request-queue.c
+++ b/source/run/request-queue.c
@@ -42,21 +42,23 @@
                                 const cs_queued_request_t *request,
                                 cs_usec_t now)
 {
-  cs_usec_t service_time_ahead = 0;
-  int64_t free_slots = capacity->slots - capacity->running;
+  cs_usec_t service_time_ahead = 0, slot_wait = 0, turn_wait = 0;
+  int64_t free_slots = capacity->slots - capacity->running, ahead = 0;
   for (const GList *at = queue->requests.head; at; at = at->next)
     {
       const cs_queued_request_t *queued = at->data;
       if (queued != request && !runs_before (request, queued, now))
         {
           service_time_ahead += queued->expected_service_time;
-          free_slots--;
+          ahead++;
         }
     }
-  if (free_slots > 0)
-    return 0;
-  return (service_time_ahead + capacity->mean_service_time)
-         / MAX (capacity->slots, 1);
+  if (ahead >= free_slots)
+    slot_wait = (service_time_ahead + capacity->mean_service_time)
+                / MAX (capacity->slots, 1);
+  if (capacity->limit)
+    turn_wait = cs_server_limit_wait (capacity->limit, ahead, now);
+  return MAX (slot_wait, turn_wait);
 }
 
 bool
--- a/source/stream/frames.c
+++ b/source/stream/frames.c
@@ -6,7 +6,7 @@
    outcome message.  */
 #define NODE_INFO_FIELDS 13
 #define JOB_FIELDS 14
-#define OUTCOME_FIELDS 16
+#define OUTCOME_FIELDS 18
 /* A job message is invalid when its deadline or target time is further away
    than this.  The node that sends it allows a call DEFAULT_CALL_TIMEOUT
    (call/calls.c) at most, whatever the route allows.  */
@@ -152,6 +152,8 @@
   cs_pack_int64 (pack, outcome->load.failure_permille);
   cs_pack_bytes (pack, outcome->fields);
   cs_pack_bytes (pack, outcome->body);
+  cs_pack_int64 (pack, outcome->load.limit_interval);
+  cs_pack_int64 (pack, outcome->load.limit_wait);
 }
 
 void
@@ -173,8 +175,18 @@
   outcome->load.failure_permille = cs_unpack_int64 (cursor);
   outcome->fields = cs_unpack_str (cursor);
   outcome->body = cs_unpack_str (cursor);
+  /* Earlier releases do not send them.  */
+  if (cursor->remaining)
+    {
+      outcome->load.limit_interval = cs_unpack_int64 (cursor);
+      outcome->load.limit_wait = cs_unpack_int64 (cursor);
+    }
   if (kind < CS_OUTCOME_ANSWERED || kind > CS_OUTCOME_UNKNOWN || reason < 0
-      || reason >= CS_REFUSED_COUNT || outcome->status > 999)
+      || reason >= CS_REFUSED_COUNT || outcome->status > 999
+      || outcome->load.limit_interval < 0
+      || outcome->load.limit_interval > JOB_TIME_MAX
+      || outcome->load.limit_wait < 0
+      || outcome->load.limit_wait > JOB_TIME_MAX)
     cursor->failed = true;
   else
     {
--- a/tests/test-decide.c
+++ b/tests/test-decide.c
@@ -693,6 +693,126 @@
   cs_service_times_clear (&service_times);
 }
 
+/* Limits that servers name.  */
+
+#define LIMIT_WINDOW_MS 4000
+#define LIMIT_LENGTH_MS 30000
+#define LIMIT_PAUSE_FROM_MS 10000
+#define LIMIT_PAUSE_END_MS 20000
+
+/* Bursts of requests at a server that names a limit, a pause, and a long
+   burst: in each span of 4 s it gets at most one and a half times the limit,
+   and 5, and after the pause no less than it takes.  */
+static void
+test_limit_under_bursts (void)
+{
+  static const double limits[] = { 57.5, 8.6, 2, 0.3, 0 };
+  for (size_t i = 0; i < G_N_ELEMENTS (limits); i++)
+    {
+      static int sent[LIMIT_LENGTH_MS];
+      cs_server_limit_t limit;
+      int waiting = 0, in_window = 0, total = 0;
+      cs_server_limit_init (&limit);
+      cs_server_limit_set (&limit, limits[i], CS_SEC);
+      for (int ms = 0; ms < LIMIT_LENGTH_MS; ms++)
+        {
+          cs_usec_t now = CS_SEC + ms * MS;
+          /* The node looks at its queue every 25 ms.  */
+          if (ms < LIMIT_PAUSE_FROM_MS && ms % 500 == 0)
+            waiting += (int)limits[i] / 2;
+          if (ms == LIMIT_PAUSE_END_MS)
+            waiting += 12 * (int)limits[i] + 12;
+          sent[ms] = 0;
+          for (; ms % 25 == 0 && waiting
+                 && cs_server_limit_wait (&limit, 0, now) == 0;
+               waiting--)
+            {
+              cs_server_limit_take (&limit, now);
+              sent[ms]++;
+            }
+          in_window
+              += sent[ms]
+                 - (ms >= LIMIT_WINDOW_MS ? sent[ms - LIMIT_WINDOW_MS] : 0);
+          total += ms >= LIMIT_PAUSE_END_MS ? sent[ms] : 0;
+          g_assert_cmpfloat (in_window, <=,
+                             1.5 * limits[i] * LIMIT_WINDOW_MS / 1000 + 5);
+        }
+      g_test_message ("limit %.1f: %d requests in 10 s", limits[i], total);
+      g_assert_cmpfloat (
+          total, >=,
+          limits[i] * (LIMIT_LENGTH_MS - LIMIT_PAUSE_END_MS) / 1000 - 1);
+      g_assert_cmpint (total, >, 0);
+    }
+}
+
+/* A limit that is named anew, changed, and named no more.  */
+static void
+test_limit_changes (void)
+{
+  cs_server_limit_t limit;
+  cs_server_limit_init (&limit);
+  g_assert_cmpint (cs_server_limit_wait (&limit, 100, CS_SEC), ==, 0);
+  g_assert_false (cs_server_limit_set (&limit, -1, CS_SEC));
+  g_assert_true (cs_server_limit_set (&limit, 10, CS_SEC));
+  g_assert_false (cs_server_limit_set (&limit, 10, CS_SEC));
+  g_assert_cmpint (cs_server_limit_wait (&limit, 0, CS_SEC), ==, 0);
+  g_assert_cmpint (cs_server_limit_wait (&limit, 3, CS_SEC), ==, 300 * MS);
+  cs_server_limit_take (&limit, CS_SEC);
+  g_assert_cmpint (cs_server_limit_wait (&limit, 0, CS_SEC), ==, 100 * MS);
+  g_assert_true (cs_server_limit_set (&limit, 100, CS_SEC));
+  g_assert_cmpint (cs_server_limit_wait (&limit, 1, CS_SEC), ==, 110 * MS);
+  g_assert_true (cs_server_limit_set (&limit, -1, CS_SEC));
+  g_assert_cmpint (cs_server_limit_wait (&limit, 100, CS_SEC), ==, 0);
+}
+
+/* The queue of a server that names a limit: a request that would miss its
+   deadline by its turn is refused at once, though slots are free.  */
+static void
+test_queue_under_limit (void)
+{
+  cs_server_limit_t limit;
+  cs_request_queue_t queue = { 0 };
+  cs_queued_request_t requests[8];
+  int admitted = 0;
+  cs_server_limit_init (&limit);
+  cs_server_limit_set (&limit, 10, CS_SEC);
+  cs_server_limit_take (&limit, CS_SEC);
+  cs_server_capacity_t capacity
+      = { .slots = 12, .mean_service_time = 50 * MS, .limit = &limit };
+  for (int i = 0; i < 8; i++)
+    {
+      cs_usec_t wait;
+      requests[i] = (cs_queued_request_t){ .arrived_at = CS_SEC,
+                                           .target_time = CS_SEC + 400 * MS,
+                                           .latency_target = 400 * MS,
+                                           .deadline = CS_SEC + 400 * MS,
+                                           .expected_service_time = 50 * MS };
+      if (cs_request_queue_try_push (&queue, &requests[i], &capacity, CS_SEC,
+                                     &wait))
+        admitted++;
+      g_assert_cmpint (wait, ==, MIN (i + 1, 4) * 100 * MS);
+    }
+  g_assert_cmpint (admitted, ==, 3);
+}
+
+/* A near server that names a limit, with its turns taken for the time that a
+   request has: one without is chosen.  */
+static void
+test_placement_heeds_limit (void)
+{
+  GRand *random = g_rand_new_with_seed (1);
+  cs_placement_node_t nodes[] = { make_node (CS_SAME_DC, 0, 1 * MS),
+                                  make_node (CS_SAME_REGION, 5, 3 * MS) };
+  cs_placement_request_t request = { .target_left = 300 * MS };
+  nodes[0].limit_delay = 20 * MS;
+  g_assert_cmpint (cs_placement_choose (nodes, 2, &request, random).index, ==,
+                   0);
+  nodes[0].limit_delay = 250 * MS;
+  g_assert_cmpint (cs_placement_choose (nodes, 2, &request, random).index, ==,
+                   1);
+  g_rand_free (random);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -707,6 +827,11 @@
   g_test_add_func ("/decide/budget-whole",
                    test_retry_budget_service_wide_failure);
   g_test_add_func ("/decide/rotation", test_weighted_round_robin);
+  g_test_add_func ("/decide/limit-under-bursts", test_limit_under_bursts);
+  g_test_add_func ("/decide/limit-changes", test_limit_changes);
+  g_test_add_func ("/decide/queue-under-limit", test_queue_under_limit);
+  g_test_add_func ("/decide/placement-heeds-limit",
+                   test_placement_heeds_limit);
   g_test_add_func ("/decide/life", test_server_state);
   g_test_add_func ("/decide/roles", test_readers_and_move_owners);
   g_test_add_func ("/decide/power-returns", test_readers_after_power_loss);
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -791,25 +791,42 @@
   g_free (text);
 }
 
+static void
+send_frame (int fd, cs_pack_t *pack)
+{
+  cs_str_t payload = cs_pack_payload (pack);
+  guint32 length = GUINT32_TO_BE ((guint32)payload.len);
+  g_assert_cmpint (send (fd, &length, sizeof length, MSG_NOSIGNAL), ==,
+                   sizeof length);
+  g_assert_cmpint (send (fd, payload.data, payload.len, MSG_NOSIGNAL), ==,
+                   payload.len);
+}
+
+/* Send the hello of the node PEER.  */
+static void
+send_hello (int fd, const cs_node_info_t *peer)
+{
+  cs_pack_t hello;
+  cs_pack_init (&hello);
+  cs_pack_array (&hello, 3);
+  cs_pack_int64 (&hello, CS_FRAME_HELLO);
+  cs_pack_int64 (&hello, CS_FRAMES_VERSION);
+  cs_node_info_pack (&hello, peer);
+  send_frame (fd, &hello);
+  cs_pack_clear (&hello);
+}
+
 #define LIMIT_PER_S 0.5
 #define LIMIT_CALLERS 16
 /* What a server may get in 4 s: one and a half times its limit, and 5.  */
 #define LIMIT_REQUESTS_MAX (1.5 * LIMIT_PER_S * 4 + 5)
 
-/* A server with many free slots names a limit: of many requests that come at
-   once it gets what it takes, and the others are refused at once with a time
-   to come back.  */
+/* Send LIMIT_CALLERS requests at once; the test fails if the server, which has
+   as many slots, gets more than its limit allows.  */
 static void
-test_named_limit_exceeded (void)
+check_limit (const mesh_t *mesh)
 {
-  mesh_t *mesh = start_mesh (LIMIT_CALLERS);
   int callers[LIMIT_CALLERS], got = 0;
-  int caller = connect_to (mesh->caller_port);
-  send_request (caller, "GET", "/read/0", "a0", "");
-  int server = accept_request (mesh, "/read/0");
-  send_answer_with (server, "a0", "Cardamom-Limit: 0.5\r\n");
-  expect_answer (caller, "200", "");
-  close (server);
   for (int i = 0; i < LIMIT_CALLERS; i++)
     {
       char *id = g_strdup_printf ("b%d", i);
@@ -819,7 +836,7 @@
     }
   while (readable (mesh->server_listener, SOCKET_ABSENCE_MS))
     {
-      server = accept_request (mesh, "/read/1");
+      accept_request (mesh, "/read/1");
       got++;
     }
   g_test_message ("%d of %d requests reached the server", got, LIMIT_CALLERS);
@@ -827,9 +844,54 @@
     g_test_fail ();
   for (int i = 0; i < LIMIT_CALLERS; i++)
     close (callers[i]);
+}
+
+/* A server with many free slots names a limit: of many requests that come at
+   once it gets what it takes.  */
+static void
+test_named_limit_exceeded (void)
+{
+  mesh_t *mesh = start_mesh (LIMIT_CALLERS);
+  int caller = connect_to (mesh->caller_port);
+  send_request (caller, "GET", "/read/0", "a0", "");
+  int server = accept_request (mesh, "/read/0");
+  send_answer_with (server, "a0", "Cardamom-Limit: 0.5\r\n");
+  expect_answer (caller, "200", "");
+  close (server);
+  check_limit (mesh);
   close (caller);
 }
 
+/* The node beside the server has restarted and learns of the limit from
+   another node, before the server's first answer to it.  */
+static void
+test_limit_forgotten_by_restart (void)
+{
+  mesh_t *mesh = start_mesh (LIMIT_CALLERS);
+  cs_node_info_t peer = { .name = "peer", .dc = "a", .region = "r" };
+  cs_pack_t pack;
+  unsigned port;
+  int listener = listen_on_free_port (&port);
+  peer.boot_ms = 1;
+  g_snprintf (peer.address, sizeof peer.address, "127.0.0.1:%u", port);
+  int fd = connect_to (mesh->proxy.target_port);
+  send_hello (fd, &peer);
+  cs_pack_init (&pack);
+  cs_pack_array (&pack, 3);
+  cs_pack_int64 (&pack, CS_FRAME_SERVER_LIMIT);
+  cs_pack_text (&pack, "i2");
+  cs_pack_int64 (&pack, 2 * CS_SEC);
+  send_frame (fd, &pack);
+  cs_pack_clear (&pack);
+  /* The node has read the frames before it answers the hello.  */
+  g_assert_true (readable (fd, SOCKET_TIMEOUT_MS));
+  report_server (mesh, LIMIT_CALLERS, 2);
+  g_usleep (SOCKET_ABSENCE_MS * 1000);
+  check_limit (mesh);
+  close (fd);
+  close (listener);
+}
+
 /* The server says in an answer that it leaves, and no report of it has come:
    no further request is sent to it.  */
 static void
@@ -947,17 +1009,6 @@
   close (caller);
 }
 
-static void
-send_frame (int fd, cs_pack_t *pack)
-{
-  cs_str_t payload = cs_pack_payload (pack);
-  guint32 length = GUINT32_TO_BE ((guint32)payload.len);
-  g_assert_cmpint (send (fd, &length, sizeof length, MSG_NOSIGNAL), ==,
-                   sizeof length);
-  g_assert_cmpint (send (fd, payload.data, payload.len, MSG_NOSIGNAL), ==,
-                   payload.len);
-}
-
 /* Receive one frame from FD; the caller frees the payload.  */
 static GString *
 receive_frame (int fd)
@@ -1007,7 +1058,6 @@
   cs_node_info_t peer = { .name = "peer", .dc = "a", .region = "r" };
   unsigned port;
   int listener = listen_on_free_port (&port);
-  cs_pack_t hello;
   peer.boot_ms = 1;
   g_snprintf (peer.address, sizeof peer.address, "127.0.0.1:%u", port);
   cs_traffic_update_member (mesh->server_node, &peer);
@@ -1016,13 +1066,7 @@
   g_assert_cmpstr (info.instance, ==, "i1");
   report_server (mesh, 1, 2);
   g_assert_false (readable (fd, SOCKET_ABSENCE_MS));
-  cs_pack_init (&hello);
-  cs_pack_array (&hello, 3);
-  cs_pack_int64 (&hello, CS_FRAME_HELLO);
-  cs_pack_int64 (&hello, CS_FRAMES_VERSION);
-  cs_node_info_pack (&hello, &peer);
-  send_frame (fd, &hello);
-  cs_pack_clear (&hello);
+  send_hello (fd, &peer);
   info = receive_node_info (mesh->ctx, fd, CS_FRAME_MEMBER);
   g_assert_cmpstr (info.instance, ==, "i2");
   close (fd);
@@ -1063,6 +1107,8 @@
   g_test_add_func ("/path/request-ends-server-again",
                    test_request_ends_server_twice);
   g_test_add_func ("/path/named-limit-exceeded", test_named_limit_exceeded);
+  g_test_add_func ("/path/limit-forgotten-by-restart",
+                   test_limit_forgotten_by_restart);
   g_test_add_func ("/path/leaving-server-gets-requests",
                    test_leaving_server_gets_requests);
   g_test_add_func ("/path/server-ready-between-hellos",
