Send nothing more to a server whose answers say that it leaves

What callers saw: nothing yet; the users' new line on servers that leave: 2.5 s after a node passed such an answer on, it sends that server nothing more. Cause: a leave was known from the server's reports alone. Where these come late or not at all, the answers were the only word of it, and nobody read them. Change: the node beside the server drains it at the first such answer, and tells the others as for a report.

--- a/include/cardamom/backend.h
+++ b/include/cardamom/backend.h
@@ -66,6 +66,10 @@
 cs_report_result_t cs_backend_leave (cs_backend_t *backend,
                                      const char *instance, cs_usec_t now);
 
+/* The ready server says in an answer that it leaves: it drains until it
+   restarts.  */
+void cs_backend_mark_draining (cs_backend_t *backend);
+
 /* The server refused a connection or stopped answering: a ready server is lost
    until its next report.  */
 void cs_backend_mark_lost (cs_backend_t *backend, cs_usec_t now);
--- a/include/cardamom/dispatcher.h
+++ b/include/cardamom/dispatcher.h
@@ -86,6 +86,7 @@
   bool close_delimited;
   /* Expected wait in the queue, when refused for load.  */
   cs_usec_t expected_wait;
+  bool server_leaving;    /* The answer says that the server leaves.  */
   cs_usec_t service_time; /* Time between sending and the end.  */
   /* With CS_OUTCOME_UNKNOWN: the server crashed while it ran the request.  */
   const cs_record_t *crash_record;
@@ -105,6 +106,9 @@
 {
   /* The server refuses connections, or is another instance.  */
   void (*server_lost) (void *user);
+  /* The server says in an answer that it leaves; nothing more is sent to this
+     start of it.  */
+  void (*server_leaving) (void *user);
 } cs_dispatcher_handler_t;
 
 /* A dispatcher on LOOP that lives as long as the process.  ANSWER_MEMORY
--- a/include/cardamom/traffic.h
+++ b/include/cardamom/traffic.h
@@ -20,6 +20,8 @@
                           bool reachable);
   /* The backend server beside this node refuses connections.  */
   void (*server_lost) (void *user);
+  /* The backend server beside this node says in an answer that it leaves.  */
+  void (*server_leaving) (void *user);
   /* RECORD, a crash record, must outlast all nodes.  It is borrowed.  */
   void (*crash_record_lasting) (void *user, const cs_record_t *record);
   /* After cs_traffic_stop: no request is in flight any more, or the grace
--- a/source/call/call.h
+++ b/source/call/call.h
@@ -20,6 +20,7 @@
   uint64_t job_number;  /* Of the job in flight.  */
   /* Start of the node that the job was sent to: wall time in milliseconds.  */
   int64_t peer_boot;
+  int64_t server_started_ms; /* Start of the server beside that node.  */
   /* Monotonic times in microseconds, except LATENCY_TARGET, a duration: the
      route's latency target or, if it has none, the time from ARRIVED_AT to
      DEADLINE.  TARGET_TIME is ARRIVED_AT plus the latency target less the time
--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -164,6 +164,7 @@
           .fingerprint = call->fingerprint };
   call->peer = peer;
   call->peer_boot = peer->hello_boot;
+  call->server_started_ms = peer->info.server_started_ms;
   call->job_number = ++traffic->last_job_number;
   if (call->tried_count < MAX_TRIED_NODES)
     call->tried[call->tried_count++] = peer;
@@ -308,6 +309,9 @@
 {
   call->server_attempts += outcome->reached_server;
   call->may_have_run |= outcome->kind != CS_OUTCOME_REFUSED;
+  /* That node tells all nodes so, which may not get through.  */
+  if (outcome->server_leaving)
+    call->peer->leaving_started_ms = call->server_started_ms;
   switch (outcome->kind)
     {
     case CS_OUTCOME_ANSWERED:
--- a/source/call/traffic.c
+++ b/source/call/traffic.c
@@ -52,6 +52,13 @@
   traffic->handler.server_lost (traffic->user);
 }
 
+static void
+on_server_leaving (void *user)
+{
+  cs_traffic_t *traffic = user;
+  traffic->handler.server_leaving (traffic->user);
+}
+
 static void
 run_thread (void *arg)
 {
@@ -70,7 +77,7 @@
           .caller_disconnected = calls_caller_disconnected,
           .at_front = calls_at_front };
   static const cs_dispatcher_handler_t dispatcher_handler
-      = { .server_lost = on_server_lost };
+      = { .server_lost = on_server_lost, .server_leaving = on_server_leaving };
   cs_traffic_t *traffic = g_new0 (cs_traffic_t, 1);
   traffic->ctx = cs_ctx_clone (ctx);
   traffic->handler = *handler;
--- a/source/call/traffic.h
+++ b/source/call/traffic.h
@@ -54,6 +54,9 @@
   cs_load_t load;
   cs_usec_t load_received_at;
   int64_t own_calls_at_load;
+  /* Start of its server that has said in an answer that it leaves, as
+     server_started_ms; 0: none.  */
+  int64_t leaving_started_ms;
   /* The limit that its server last named, as in LOAD, and the instance.  Kept
      when the node restarts.  */
   cs_usec_t limit_interval;
--- a/source/mesh/backend.c
+++ b/source/mesh/backend.c
@@ -69,6 +69,13 @@
   return CS_REPORT_ACCEPTED;
 }
 
+void
+cs_backend_mark_draining (cs_backend_t *backend)
+{
+  if (backend->state == CS_BACKEND_READY)
+    set_state (backend, CS_BACKEND_DRAINING);
+}
+
 void
 cs_backend_mark_lost (cs_backend_t *backend, cs_usec_t now)
 {
--- a/source/run/dispatcher.c
+++ b/source/run/dispatcher.c
@@ -284,6 +284,12 @@
   dispatcher->named_leaving = leaving;
   cs_event_log (CS_E_LIMIT, "instance=%s limit=%.1f leaving=%d",
                 dispatcher->server.report.instance, limit, leaving);
+  if (leaving && dispatcher->server.state == CS_BACKEND_READY)
+    {
+      dispatcher->server.state = CS_BACKEND_DRAINING;
+      refuse_queued (dispatcher, CS_REFUSED_NO_SERVER);
+      dispatcher->handler.server_leaving (dispatcher->user);
+    }
 }
 
 static void
@@ -303,6 +309,9 @@
   release_conn (dispatch);
   if (status != 421)
     {
+      outcome.server_leaving
+          = cs_http1_message_field (answer, cs_header_names->server_leaving)
+                .data;
       note_server_fields (dispatcher, answer);
       cs_crash_detector_note_answer (&dispatcher->crash_detector,
                                      dispatch->sent_at);
@@ -716,7 +725,10 @@
       dispatcher->named_leaving = dispatcher->answered = false;
       apply_restored_limit (dispatcher);
     }
-  if (server->state == CS_BACKEND_READY
+  /* The report may have been sent before the answer that it contradicts.  */
+  if (dispatcher->named_leaving && server->state == CS_BACKEND_READY)
+    dispatcher->server.state = CS_BACKEND_DRAINING;
+  if (dispatcher->server.state == CS_BACKEND_READY
       && cs_sockaddr_parse (server->report.address, &dispatcher->address))
     {
       dispatcher_schedule_fill (dispatcher);
--- a/source/sidecar/control.c
+++ b/source/sidecar/control.c
@@ -91,6 +91,19 @@
   cs_mailbox_post (&control->mailbox, handle_member, control, info);
 }
 
+/* Log and publish a change of the backend server's state since the generation
+   BEFORE, which requests have shown.  */
+static void
+publish_backend_change (control_t *control, uint64_t before, const char *why)
+{
+  if (control->backend.generation == before)
+    return;
+  cs_event_log (CS_E_SERVER, "state=%s instance=%s why=\"%s\"",
+                cs_backend_state_name (control->backend.state),
+                control->backend.report.instance, why);
+  cs_traffic_set_server_state (control->traffic, &control->backend);
+}
+
 static void
 handle_backend_lost (void *user, void *arg)
 {
@@ -98,12 +111,24 @@
   uint64_t before = control->backend.generation;
   (void)arg;
   cs_backend_mark_lost (&control->backend, control_now (control));
-  if (control->backend.generation == before)
-    return;
-  cs_event_log (CS_E_SERVER, "state=%s instance=%s why=\"connection refused\"",
-                cs_backend_state_name (control->backend.state),
-                control->backend.report.instance);
-  cs_traffic_set_server_state (control->traffic, &control->backend);
+  publish_backend_change (control, before, "connection refused");
+}
+
+static void
+handle_backend_leaving (void *user, void *arg)
+{
+  control_t *control = user;
+  uint64_t before = control->backend.generation;
+  (void)arg;
+  cs_backend_mark_draining (&control->backend);
+  publish_backend_change (control, before, "its answers say that it leaves");
+}
+
+static void
+on_backend_leaving (void *user)
+{
+  control_t *control = user;
+  cs_mailbox_post (&control->mailbox, handle_backend_leaving, control, NULL);
 }
 
 static void
@@ -234,6 +259,7 @@
       = { .control_received = on_control,
           .member_changed = on_member,
           .server_lost = on_backend_lost,
+          .server_leaving = on_backend_leaving,
           .crash_record_lasting = on_crash_record_lasting,
           .stopped = on_stopped };
   const node_settings_t *settings = &control->settings;
--- a/source/stream/frames.c
+++ b/source/stream/frames.c
@@ -6,7 +6,7 @@
    outcome message.  */
 #define NODE_INFO_FIELDS 13
 #define JOB_FIELDS 14
-#define OUTCOME_FIELDS 18
+#define OUTCOME_FIELDS 19
 /* A job message is invalid when its deadline or target time is further away
    than this.  The node that sends it allows a call DEFAULT_CALL_TIMEOUT
    (call/calls.c) at most, whatever the route allows.  */
@@ -154,6 +154,7 @@
   cs_pack_bytes (pack, outcome->body);
   cs_pack_int64 (pack, outcome->load.limit_interval);
   cs_pack_int64 (pack, outcome->load.limit_wait);
+  cs_pack_int64 (pack, outcome->server_leaving);
 }
 
 void
@@ -180,6 +181,7 @@
     {
       outcome->load.limit_interval = cs_unpack_int64 (cursor);
       outcome->load.limit_wait = cs_unpack_int64 (cursor);
+      outcome->server_leaving = cs_unpack_int64 (cursor) != 0;
     }
   if (kind < CS_OUTCOME_ANSWERED || kind > CS_OUTCOME_UNKNOWN || reason < 0
       || reason >= CS_REFUSED_COUNT || outcome->status > 999
--- a/tests/test-decide.c
+++ b/tests/test-decide.c
@@ -408,6 +408,26 @@
   return r;
 }
 
+/* A server whose answers say that it leaves drains, whatever a report of the
+   same start says then, until it restarts.  */
+static void
+test_leaving_in_answers (void)
+{
+  cs_backend_t backend = { 0 };
+  cs_backend_report_t report
+      = { .instance = "i1", .service = "s", .started_ms = 1, .sequence = 1 };
+  cs_backend_report (&backend, &report, 0);
+  cs_backend_mark_draining (&backend);
+  g_assert_cmpint (backend.state, ==, CS_BACKEND_DRAINING);
+  report.sequence = 2;
+  cs_backend_report (&backend, &report, 1);
+  g_assert_cmpint (backend.state, ==, CS_BACKEND_DRAINING);
+  report.started_ms = 2;
+  report.sequence = 1;
+  cs_backend_report (&backend, &report, 2);
+  g_assert_cmpint (backend.state, ==, CS_BACKEND_READY);
+}
+
 static void
 test_server_state (void)
 {
@@ -833,6 +853,7 @@
   g_test_add_func ("/decide/placement-heeds-limit",
                    test_placement_heeds_limit);
   g_test_add_func ("/decide/life", test_server_state);
+  g_test_add_func ("/decide/leaving-in-answers", test_leaving_in_answers);
   g_test_add_func ("/decide/roles", test_readers_and_move_owners);
   g_test_add_func ("/decide/power-returns", test_readers_after_power_loss);
   g_test_add_func ("/decide/unknown-speed", test_queue_with_unknown_run_times);
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -65,6 +65,7 @@
     = { .control_received = on_control,
         .member_changed = on_member,
         .server_lost = on_ignored,
+        .server_leaving = on_ignored,
         .crash_record_lasting = on_crash_record,
         .stopped = on_ignored };
 
@@ -892,8 +893,73 @@
   close (listener);
 }
 
+/* Receive one frame from FD; the caller frees the payload.  */
+static GString *
+receive_frame (int fd)
+{
+  guint32 length;
+  GString *payload = g_string_new (NULL);
+  g_assert_true (readable (fd, SOCKET_TIMEOUT_MS));
+  g_assert_cmpint (recv (fd, &length, sizeof length, MSG_WAITALL), ==,
+                   sizeof length);
+  g_string_set_size (payload, GUINT32_FROM_BE (length));
+  g_assert_cmpint (recv (fd, payload->str, payload->len, MSG_WAITALL), ==,
+                   payload->len);
+  return payload;
+}
+
+/* Receive frames up to the next job; the number of that job.  */
+static uint64_t
+receive_job (cs_ctx_t *ctx, int fd)
+{
+  for (;;)
+    {
+      cs_unpack_t unpack;
+      cs_unpack_cursor_t in;
+      cs_dispatch_request_t request;
+      uint64_t number = 0;
+      GString *payload = receive_frame (fd);
+      g_assert_cmpint (
+          cs_unpack_init (ctx, &unpack, cs_str_of_gstring (payload), &in), ==,
+          CS_OK);
+      if (cs_unpack_int64 (&in) == CS_FRAME_JOB)
+        cs_dispatch_request_unpack (&in, &number, &request);
+      cs_unpack_clear (&unpack);
+      g_string_free (payload, TRUE);
+      if (number)
+        return number;
+    }
+}
+
+/* Send a job to the node beside the server, as a node that has just joined. */
+static void
+send_job_of_other_node (const mesh_t *mesh)
+{
+  cs_node_info_t peer = { .name = "other", .dc = "a", .region = "r" };
+  cs_dispatch_request_t request
+      = { .id = CS_STR ("o1"),
+          .route = CS_STR ("read"),
+          .service = CS_STR (SERVICE),
+          .version = CS_STR ("v1"),
+          .head = CS_STR ("GET /read/2 HTTP/1.1\r\nHost: h\r\n"),
+          .target_remaining = 10 * CS_SEC,
+          .latency_target = 10 * CS_SEC,
+          .deadline_remaining = 10 * CS_SEC,
+          .idempotent = true };
+  cs_pack_t pack;
+  int fd = connect_to (mesh->proxy.target_port);
+  peer.boot_ms = 1;
+  g_snprintf (peer.address, sizeof peer.address, "127.0.0.1:%u",
+              mesh->proxy.port);
+  send_hello (fd, &peer);
+  cs_pack_init (&pack);
+  cs_dispatch_request_pack (&pack, 1, &request);
+  send_frame (fd, &pack);
+  cs_pack_clear (&pack);
+}
+
 /* The server says in an answer that it leaves, and no report of it has come:
-   no further request is sent to it.  */
+   no further request is sent to it, of the same node or of another.  */
 static void
 test_leaving_server_gets_requests (void)
 {
@@ -909,10 +975,61 @@
     g_test_fail ();
   else
     expect_answer (caller, "503", "");
+  send_job_of_other_node (mesh);
+  if (readable (server, SOCKET_ABSENCE_MS)
+      || readable (mesh->server_listener, SOCKET_ABSENCE_MS))
+    g_test_fail ();
   close (server);
   close (caller);
 }
 
+/* A node passes on an answer in which the server says that it leaves, and
+   hears nothing more from the node beside that server: it sends no further
+   request there.  */
+static void
+test_leaving_known_to_its_node_only (void)
+{
+  mesh_t *mesh = start_mesh (4);
+  cs_node_info_t peer = { .name = "peer",
+                          .dc = "a",
+                          .region = "r",
+                          .boot_ms = 1,
+                          .server_state = CS_BACKEND_READY,
+                          .service = SERVICE,
+                          .version = "v1",
+                          .instance = "p1",
+                          .slots = 4,
+                          .server_started_ms = 7 };
+  cs_backend_t gone = { .state = CS_BACKEND_LEFT };
+  unsigned port;
+  int listener = listen_on_free_port (&port);
+  g_snprintf (peer.address, sizeof peer.address, "127.0.0.1:%u", port);
+  cs_traffic_update_member (mesh->caller_node, &peer);
+  int fd = accept_one (listener);
+  send_hello (fd, &peer);
+  cs_traffic_set_server_state (mesh->server_node, &gone);
+  g_usleep (SOCKET_ABSENCE_MS * 1000);
+  int caller = connect_to (mesh->caller_port);
+  send_request (caller, "GET", "/read/1", "a1", "");
+  uint64_t number = receive_job (mesh->ctx, fd);
+  cs_outcome_t outcome = { .kind = CS_OUTCOME_ANSWERED,
+                           .status = 200,
+                           .reached_server = true,
+                           .server_leaving = true,
+                           .fields = CS_STR ("Cardamom-Leaving: 1\r\n") };
+  cs_pack_t pack;
+  cs_pack_init (&pack);
+  cs_outcome_pack (&pack, number, &outcome);
+  send_frame (fd, &pack);
+  cs_pack_clear (&pack);
+  expect_answer (caller, "200", "");
+  send_request (caller, "GET", "/read/2", "a2", "");
+  expect_answer (caller, "503", "");
+  close (fd);
+  close (listener);
+  close (caller);
+}
+
 /* Give the node beside the server the record of a crash of START, a start of a
    server, while it ran GET PATH, AT_MS from now.  */
 static void
@@ -1009,21 +1126,6 @@
   close (caller);
 }
 
-/* Receive one frame from FD; the caller frees the payload.  */
-static GString *
-receive_frame (int fd)
-{
-  guint32 length;
-  GString *payload = g_string_new (NULL);
-  g_assert_true (readable (fd, SOCKET_TIMEOUT_MS));
-  g_assert_cmpint (recv (fd, &length, sizeof length, MSG_WAITALL), ==,
-                   sizeof length);
-  g_string_set_size (payload, GUINT32_FROM_BE (length));
-  g_assert_cmpint (recv (fd, payload->str, payload->len, MSG_WAITALL), ==,
-                   payload->len);
-  return payload;
-}
-
 /* Receive frames from FD up to the first one of KIND, and read the description
    in it.  */
 static cs_node_info_t
@@ -1111,6 +1213,8 @@
                    test_limit_forgotten_by_restart);
   g_test_add_func ("/path/leaving-server-gets-requests",
                    test_leaving_server_gets_requests);
+  g_test_add_func ("/path/leaving-known-to-its-node-only",
+                   test_leaving_known_to_its_node_only);
   g_test_add_func ("/path/server-ready-between-hellos",
                    test_server_ready_between_hellos);
   return g_test_run ();
