--- a/source/sidecar/control.h
+++ b/source/sidecar/control.h
@@ -23,7 +23,7 @@
 #define KEY_MOVE_PREFIX "move/"
 
 /* The key of a crash record follows; the value is the packed record.  */
-#define KEY_CRASH_PREFIX "crash/"
+#define KEY_CRASH_PREFIX "quarantine/"
 
 /* A node of the mesh, as the traffic thread last described it.  */
 typedef struct
--- a/tests/test-adapter.c
+++ b/tests/test-adapter.c
@@ -127,6 +127,77 @@
     }
 }
 
+/* A report of another writer with values out of range names no server; one
+   with all values at their bounds does.  */
+static void
+test_odd_report (void)
+{
+#define ODD(address, slots, sequence, born)                                   \
+  "{\"service\":\"s\",\"address\":\"" address "\",\"version\":\"v1\","        \
+  "\"state\":\"ready\",\"slots\":" slots ",\"sequence\":" sequence            \
+  ",\"born\":" born "}"
+  static const struct
+  {
+    const char *what, *text;
+  } cases[] = {
+    { "port out of range", ODD ("10.0.0.1:65536", "8", "1", "7") },
+    { "port 0", ODD ("10.0.0.1:0", "8", "1", "7") },
+    { "no port", ODD ("10.0.0.1", "8", "1", "7") },
+    { "no address", ODD ("somewhere:80", "8", "1", "7") },
+    { "slots too large", ODD ("10.0.0.1:80", "4000000000000", "1", "7") },
+    { "sequence too large",
+      ODD ("10.0.0.1:80", "8", "9223372036854775807", "7") },
+    { "sequence below 0", ODD ("10.0.0.1:80", "8", "-1", "7") },
+    { "start in the far future",
+      ODD ("10.0.0.1:80", "8", "1", "9223372036854775807") },
+    { "start below 0", ODD ("10.0.0.1:80", "8", "1", "-7") },
+    { "no integer at all", ODD ("10.0.0.1:80", "8", "1", "1e999") },
+    { "beyond 64 bits",
+      ODD ("10.0.0.1:80", "8", "99999999999999999999999", "7") },
+  };
+  cs_backend_report_t report;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_test_message ("%s", cases[i].what);
+      g_assert_cmpint (adapter ()->decode_report (
+                           ctx, "i-1", cs_str_of (cases[i].text), &report),
+                       ==, CS_BAD_INPUT);
+    }
+  GString *nested = g_string_new ("{\"service\":");
+  for (int i = 0; i < 100000; i++)
+    g_string_append_c (nested, '[');
+  g_assert_cmpint (adapter ()->decode_report (
+                       ctx, "i-1", cs_str_of_gstring (nested), &report),
+                   ==, CS_BAD_INPUT);
+  g_string_free (nested, TRUE);
+}
+
+/* The node follows its server after such a report.  */
+static void
+test_odd_report_hides_server (void)
+{
+  static const char *const odd[]
+      = { ODD ("10.0.0.1:80", "8", "1", "9223372036854775807"),
+          ODD ("10.0.0.1:80", "8", "9223372036854775807", "7"),
+          ODD ("10.0.0.1:65536", "8", "5", "8") };
+  for (size_t i = 0; i < G_N_ELEMENTS (odd); i++)
+    {
+      cs_backend_t backend = { 0 };
+      cs_backend_report_t report;
+      if (adapter ()->decode_report (ctx, "i-1", cs_str_of (odd[i]), &report)
+          == CS_OK)
+        cs_backend_report (&backend, &report, 0);
+      g_assert_cmpint (adapter ()->decode_report (
+                           ctx, "i-1",
+                           CS_STR (ODD ("10.0.0.1:80", "8", "2", "7")),
+                           &report),
+                       ==, CS_OK);
+      g_assert_cmpint (cs_backend_report (&backend, &report, 1), ==,
+                       CS_REPORT_ACCEPTED);
+      g_assert_cmpstr (backend.report.address, ==, "10.0.0.1:80");
+    }
+}
+
 static void
 test_move (void)
 {
@@ -338,6 +409,9 @@
   never_freed = g_ptr_array_new ();
   g_test_add_func ("/adapter/config", test_config);
   g_test_add_func ("/adapter/report", test_report);
+  g_test_add_func ("/adapter/odd-report", test_odd_report);
+  g_test_add_func ("/adapter/odd-report-hides-server",
+                   test_odd_report_hides_server);
   g_test_add_func ("/adapter/move", test_move);
   g_test_add_func ("/adapter/table-faults", test_table_faults);
   g_test_add_func ("/adapter/table-gone", test_table_connection_refused);
