Attribute no answer without an id to a request on a kept connection

Cause: answers are matched by the attempt's id, and one without an id was taken for the present request. A repeated refusal with its id was dropped already. Change: without an id an answer counts only for the first request of a connection, or for a request that has none itself; otherwise it is dropped, the next one is awaited and the connection is not used again. Result: /path/earlier-refusal-written-again fails before (503 while the request ran) and passes; /path/refusal-without-id holds what stays. Why it works: an earlier request's answer can only be on a connection that had an earlier request.

--- a/source/run/dispatcher.c
+++ b/source/run/dispatcher.c
@@ -367,7 +367,12 @@
 {
   const dispatcher_conn_t *conn = user;
   cs_str_t id = cs_http1_message_field (answer, cs_header_names->attempt_id);
-  return !id.data || cs_str_equal (id, cs_str_of_gstring (conn->dispatch->id));
+  cs_str_t sent_id = cs_str_of_gstring (conn->dispatch->id);
+  /* On a kept connection, an answer without an id may be to an earlier
+     request.  */
+  if (!id.data)
+    return conn->uses == 1 || sent_id.len == 0;
+  return cs_str_equal (id, sent_id);
 }
 
 static void send_on (cs_dispatcher_t *dispatcher, cs_dispatch_t *dispatch,
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -504,6 +504,96 @@
   close (caller);
 }
 
+#define REFUSAL_WITHOUT_ID                                                    \
+  "HTTP/1.1 503 Busy\r\nCardamom-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+/* On a kept connection the server writes an earlier refusal once more, with
+   the earlier id or without one, while it runs a request that may run once:
+   the caller is not told that it has not run.  */
+static void
+test_earlier_refusal_written_again (void)
+{
+  static const struct
+  {
+    const char *earlier_id, *id, *refusal;
+  } cases[] = {
+    { "a0", "a1", REFUSAL_WITHOUT_ID },
+    { "b0", "b1",
+      "HTTP/1.1 503 Busy\r\nCardamom-Attempt: b0\r\n"
+      "Cardamom-Not-Run: 1\r\nContent-Length: 0\r\n\r\n" },
+  };
+  mesh_t *mesh = start_mesh (1);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      int caller = connect_to (mesh->caller_port);
+      send_request (caller, "PUT", "/write/1", cases[i].earlier_id, "x");
+      int server = accept_request (mesh, "/write/1");
+      send_answer (server, cases[i].earlier_id, "zero");
+      expect_answer (caller, "200", "zero");
+      send_request (caller, "PUT", "/write/2", cases[i].id, "x");
+      char *request = receive_message (server);
+      g_assert_nonnull (strstr (request, "PUT /write/2"));
+      g_free (request);
+      send_text (server, cases[i].refusal);
+      if (readable (caller, SOCKET_ABSENCE_MS))
+        {
+          g_test_message ("refusal %zu was passed on", i);
+          g_test_fail ();
+        }
+      else
+        {
+          send_answer (server, cases[i].id, "one");
+          expect_answer (caller, "200", "one");
+        }
+      close (server);
+      close (caller);
+    }
+}
+
+/* On a new connection, where no earlier answer can be written again, a refusal
+   counts without an id.  */
+static void
+test_refusal_without_id (void)
+{
+  mesh_t *mesh = start_mesh (1);
+  int caller = connect_to (mesh->caller_port);
+  send_request (caller, "PUT", "/write/1", "a1", "x");
+  int server = accept_request (mesh, "/write/1");
+  send_text (server, REFUSAL_WITHOUT_ID);
+  expect_answer (caller, "503", "");
+  close (server);
+  close (caller);
+}
+
+/* The server stops at any byte of its answer's head, or of the body, and
+   closes: the caller never gets a success framed as whole.  */
+static void
+test_answer_cut_short (void)
+{
+  mesh_t *mesh = start_mesh (1);
+  size_t length = 0, whole;
+  do
+    {
+      char *id = g_strdup_printf ("a%03zu", length);
+      char *answer = g_strdup_printf (
+          "HTTP/1.1 200 OK\r\nCardamom-Attempt: %s\r\nCardamom-Seal: s\r\n"
+          "Content-Length: 4\r\n\r\nbody",
+          id);
+      int caller = connect_to (mesh->caller_port);
+      send_request (caller, "PUT", "/write/1", id, "x");
+      int server = accept_request (mesh, "/write/1");
+      whole = strlen (answer);
+      answer[length++] = '\0';
+      send_text (server, answer);
+      close (server);
+      expect_answer (caller, "502", "");
+      close (caller);
+      g_free (answer);
+      g_free (id);
+    }
+  while (length < whole);
+}
+
 #define ENDLESS_ANSWER_BYTES (64u << 20) /* Far more than a node may read. */
 
 /* Send FIRST and then MORE over and over until the node closes the connection.
@@ -1191,6 +1281,10 @@
   g_test_add_func ("/path/early-answer", test_early_answer);
   g_test_add_func ("/path/unframed", test_unframed);
   g_test_add_func ("/path/foreign-answer", test_foreign_answer);
+  g_test_add_func ("/path/earlier-refusal-written-again",
+                   test_earlier_refusal_written_again);
+  g_test_add_func ("/path/refusal-without-id", test_refusal_without_id);
+  g_test_add_func ("/path/answer-cut-short", test_answer_cut_short);
   g_test_add_func ("/path/endless-answer", test_endless_answer);
   g_test_add_func ("/path/answers-share-room", test_answers_share_memory);
   g_test_add_func ("/path/broken-running", test_stream_breaks_while_running);
