Do not take a server that resets a new connection for one that has ended

What callers saw: after one run had broken off at a server with as many connections as it takes, no request reached that server until its next report. Cause: a connection that is reset as it opens was reported as one that is refused. Change: the client tells the two apart; only a refused connection shows that nothing listens. The check waits twice as long after each connection that does not last. "unanswered" is logged only of requests that were sent. Why it works: a reset comes from a process or a listener that was there.

--- a/include/cardamom/client.h
+++ b/include/cardamom/client.h
@@ -10,7 +10,9 @@
 /* Why a request got no answer.  */
 typedef enum
 {
-  CS_HTTP1_CONNECT_FAILED,    /* The connect failed; nothing was sent.  */
+  CS_HTTP1_CONNECT_FAILED, /* The connect failed; nothing was sent.  */
+  /* The connection was reset as it opened; nothing was sent.  */
+  CS_HTTP1_CONNECT_RESET,
   CS_HTTP1_CONNECTION_BROKEN, /* The connection broke with an error.  */
   /* The server closed the connection before the end of the answer.  */
   CS_HTTP1_ANSWER_TRUNCATED,
@@ -18,6 +20,9 @@
   CS_HTTP1_ANSWER_MALFORMED  /* What came is not a valid answer.  */
 } cs_http1_client_error_t;
 
+/* Whether a request that ended with ERROR was certainly not sent.  */
+bool cs_http1_client_error_is_unsent (cs_http1_client_error_t error);
+
 /* ERROR in words, for logs; static.  */
 const char *cs_http1_client_error_text (cs_http1_client_error_t error);
 
--- a/source/http1/client.c
+++ b/source/http1/client.c
@@ -48,11 +48,18 @@
 {
   /* In the order of cs_http1_client_error_t.  */
   static const char *const texts[]
-      = { "connection refused", "connection broken", "answer truncated",
-          "answer too large", "answer malformed" };
+      = { "connection refused", "connection reset as it opened",
+          "connection broken",  "answer truncated",
+          "answer too large",   "answer malformed" };
   return texts[error];
 }
 
+bool
+cs_http1_client_error_is_unsent (cs_http1_client_error_t error)
+{
+  return error == CS_HTTP1_CONNECT_FAILED || error == CS_HTTP1_CONNECT_RESET;
+}
+
 static void
 free_client (uv_handle_t *handle)
 {
@@ -238,6 +245,11 @@
   cs_http1_client_t *client = connect->data;
   if (client->closing || client->dropped)
     return;
+  if (status == UV_ECONNRESET)
+    {
+      fail (client, CS_HTTP1_CONNECT_RESET);
+      return;
+    }
   if (status != 0
       || uv_read_start ((uv_stream_t *)&client->tcp, cs_uv_alloc_read_buffer,
                         on_read)
--- a/source/platform/http.c
+++ b/source/platform/http.c
@@ -214,11 +214,6 @@
 call_status (cs_ctx_t *ctx, const cs_http_client_t *http,
              const cs_http_request_t *request)
 {
-  static const char *const error_texts[] = {
-    [CS_HTTP1_CONNECTION_BROKEN] = "the connection broke",
-    [CS_HTTP1_ANSWER_TRUNCATED] = "the answer broke off before its end",
-    [CS_HTTP1_ANSWER_MALFORMED] = "what came is no answer",
-  };
   if (http->state == CALL_TIMED_OUT)
     return cs_fail (ctx, CS_UNKNOWN, "no whole answer within %lld ms",
                     (long long)(http->timeout / CS_MSEC));
@@ -232,12 +227,12 @@
     return cs_fail (ctx, CS_LIMIT_EXCEEDED,
                     "the answer exceeds %zu bytes; raise --body-max",
                     request->answer_max);
-  if (http->error == CS_HTTP1_CONNECT_FAILED)
+  if (cs_http1_client_error_is_unsent (http->error))
     return cs_fail (ctx, CS_UNAVAILABLE,
                     "cannot connect to the server; see "
                     "whether it listens");
   return cs_fail (ctx, CS_UNKNOWN, "no whole answer: %s",
-                  error_texts[http->error]);
+                  cs_http1_client_error_text (http->error));
 }
 
 cs_status_t
--- a/source/run/crash-check.c
+++ b/source/run/crash-check.c
@@ -6,7 +6,9 @@
    the request is reported.  */
 #define CRASH_CHECK_TIMEOUT (200 * CS_MSEC)
 /* A process that ends closes its sockets one by one: a connection that it has
-   just accepted counts only when it is still open after this.  */
+   just accepted counts only when it is still open after this.  The time
+   doubles with each connection that is not, because a server that has as many
+   as it takes resets further ones.  */
 #define CRASH_CHECK_SETTLE_MS 5
 
 /* Write the name of the present start of the server to NAME.  */
@@ -109,6 +111,7 @@
   dispatcher_conn_t *conn = dispatcher->crash_check;
   if (cs_http1_client_is_closed (conn->client))
     {
+      dispatcher->crash_check_settle_ms *= 2;
       dispatcher_drop_conn (conn);
       open_crash_check (dispatcher);
       return;
@@ -119,12 +122,18 @@
   dispatcher_schedule_fill (dispatcher);
 }
 
+static void
+settle_crash_check (cs_dispatcher_t *dispatcher)
+{
+  uv_timer_start (&dispatcher->crash_check_timer, on_crash_check_settled,
+                  dispatcher->crash_check_settle_ms, 0);
+}
+
 static void
 on_crash_check_connected (void *user)
 {
   const dispatcher_conn_t *conn = user;
-  uv_timer_start (&conn->dispatcher->crash_check_timer, on_crash_check_settled,
-                  CRASH_CHECK_SETTLE_MS, 0);
+  settle_crash_check (conn->dispatcher);
 }
 
 static void
@@ -132,7 +141,12 @@
 {
   const dispatcher_conn_t *conn = user;
   cs_dispatcher_t *dispatcher = conn->dispatcher;
-  (void)error, (void)partial;
+  (void)partial;
+  if (error == CS_HTTP1_CONNECT_RESET)
+    {
+      settle_crash_check (dispatcher);
+      return;
+    }
   crash_check_suspect (dispatcher, true);
   dispatcher_mark_server_lost (dispatcher);
 }
@@ -159,6 +173,7 @@
       return;
     }
   dispatcher->crash_check_started_at = dispatcher_now (dispatcher);
+  dispatcher->crash_check_settle_ms = CRASH_CHECK_SETTLE_MS;
   open_crash_check (dispatcher);
 }
 
--- a/source/run/dispatcher-internal.h
+++ b/source/run/dispatcher-internal.h
@@ -69,6 +69,7 @@
   dispatcher_conn_t *crash_check;
   uv_timer_t crash_check_timer; /* Runs once CRASH_CHECK is open.  */
   cs_usec_t crash_check_started_at;
+  unsigned crash_check_settle_ms;
   cs_service_times_t service_times;
   double failure_rate;
   cs_usec_t failure_rate_at;
--- a/source/run/dispatcher.c
+++ b/source/run/dispatcher.c
@@ -409,22 +409,19 @@
   cs_dispatcher_t *dispatcher = dispatch->dispatcher;
   bool reused = conn->uses > 1;
   release_conn (dispatch);
-  log_unanswered (dispatch, cs_http1_client_error_text (error));
   if (error == CS_HTTP1_CONNECT_FAILED)
+    crash_check_suspect (dispatcher, true);
+  if (cs_http1_client_error_is_unsent (error) && !dispatch->resent)
     {
-      crash_check_suspect (dispatcher, true);
-      if (dispatch->resent)
-        {
-          /* The first send may have run.  */
-          record_failure (dispatch);
-          crash_check_keep (dispatch);
-        }
-      else
-        refuse_dispatch (dispatch, CS_REFUSED_NO_SERVER, 0);
-      dispatcher_mark_server_lost (dispatcher);
+      refuse_dispatch (dispatch, CS_REFUSED_NO_SERVER, 0);
+      if (error == CS_HTTP1_CONNECT_FAILED)
+        dispatcher_mark_server_lost (dispatcher);
       return;
     }
-  crash_check_note_unanswered (dispatch);
+  log_unanswered (dispatch, cs_http1_client_error_text (error));
+  /* If it was sent twice, the first send may have run.  */
+  if (!cs_http1_client_error_is_unsent (error))
+    crash_check_note_unanswered (dispatch);
   if (reused && dispatch->idempotent && !dispatch->resent && !partial
       && !is_suspect (dispatch))
     {
@@ -436,7 +433,10 @@
     }
   record_failure (dispatch);
   crash_check_keep (dispatch);
-  crash_check_start (dispatcher);
+  if (error == CS_HTTP1_CONNECT_FAILED)
+    dispatcher_mark_server_lost (dispatcher);
+  else
+    crash_check_start (dispatcher);
   dispatcher_schedule_fill (dispatcher);
 }
 
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -1120,6 +1120,35 @@
   close (caller);
 }
 
+#define CRASH_CHECKS_MAX 8 /* Connections that one check may open.  */
+
+/* The server accepts connections and resets each at once, as one does that has
+   as many as it takes: it is not flooded, and not taken for one that has
+   ended.  */
+static void
+test_full_server_taken_for_ended (void)
+{
+  mesh_t *mesh = start_mesh (1);
+  int caller = connect_to (mesh->caller_port), count = 0;
+  send_request (caller, "PUT", "/write/1", "a1", "x");
+  int server = accept_request (mesh, "/write/1");
+  reset_connection (server);
+  while (readable (mesh->server_listener, SOCKET_ABSENCE_MS))
+    {
+      reset_connection (accept_one (mesh->server_listener));
+      count++;
+    }
+  expect_answer (caller, "502", "");
+  g_test_message ("%d connections", count);
+  g_assert_cmpint (count, <=, CRASH_CHECKS_MAX);
+  send_request (caller, "PUT", "/write/1", "a2", "x");
+  server = accept_request (mesh, "/write/1");
+  send_answer (server, "a2", "two");
+  expect_answer (caller, "200", "two");
+  close (server);
+  close (caller);
+}
+
 /* Give the node beside the server the record of a crash of START, a start of a
    server, while it ran GET PATH, AT_MS from now.  */
 static void
@@ -1309,6 +1338,8 @@
                    test_leaving_server_gets_requests);
   g_test_add_func ("/path/leaving-known-to-its-node-only",
                    test_leaving_known_to_its_node_only);
+  g_test_add_func ("/path/full-server-taken-for-ended",
+                   test_full_server_taken_for_ended);
   g_test_add_func ("/path/server-ready-between-hellos",
                    test_server_ready_between_hellos);
   return g_test_run ();
