Index crash records by request, and hold a bounded number

What callers saw: nothing; found by reading. Each change of the records had all of them counted anew at the next request. Change: the runs of a request are kept together, and counted by the same rule when that request comes. Why it works: what a request costs depends on its own records alone.

--- a/include/cardamom/crash-history.h
+++ b/include/cardamom/crash-history.h
@@ -38,7 +38,7 @@
 void cs_crash_history_drop (cs_crash_history_t *history);
 
 /* How far the request FINGERPRINT is trusted; 0, an unknown one, always is. */
-cs_request_trust_t cs_crash_history_trust (cs_crash_history_t *history,
+cs_request_trust_t cs_crash_history_trust (const cs_crash_history_t *history,
                                            uint64_t fingerprint);
 
 /* SERVER, which names one start of a backend server, crashed at wall time
@@ -51,8 +51,9 @@
 void cs_crash_history_clear (cs_crash_history_t *history, uint64_t fingerprint,
                              int64_t now_ms);
 
-/* Take over RECORD of another node; records of other kinds are ignored.  */
-void cs_crash_history_merge (cs_crash_history_t *history,
+/* Take over RECORD of another node, unless a newer one is held, it is of
+   another kind, or too many are held.  Returns whether it was taken over.  */
+bool cs_crash_history_merge (cs_crash_history_t *history,
                              const cs_record_t *record, int64_t now_ms);
 
 /* The record of the crash of SERVER while it ran FINGERPRINT; NULL if there is
@@ -63,9 +64,9 @@
 
 /* Copies of the records of all requests in quarantine; the caller unrefs the
    list.  */
-GPtrArray *cs_crash_history_quarantined (cs_crash_history_t *history);
+GPtrArray *cs_crash_history_quarantined (const cs_crash_history_t *history);
 
-/* Forget the records that have expired.  */
+/* Forget the records that have expired; this takes time by their number.  */
 void cs_crash_history_expire (cs_crash_history_t *history, int64_t now_ms);
 
 #endif
--- a/include/cardamom/quarantine.h
+++ b/include/cardamom/quarantine.h
@@ -28,21 +28,35 @@
 /* The key of that record; the caller frees it.  */
 char *cs_crash_record_key (uint64_t fingerprint, const char *server);
 
+/* A run during which an upstream crashed, in wall time.  */
+typedef struct
+{
+  uint64_t fingerprint;
+  int64_t started_ms, crashed_ms;
+} cs_crashed_run_t;
+
+/* The run that RECORD, a crash record, is about.  */
+cs_crashed_run_t cs_crash_record_run (const cs_record_t *record);
+
+/* The number of crashes in RUNS, cs_crashed_run_t of one request, which are
+   sorted.  Runs that overlapped in time count as one crash: their upstreams
+   may have failed together for another reason.  */
+unsigned cs_count_crashes (GArray *runs);
+
 /* Whether RECORD, a crash record, has not been cleared.  */
 bool cs_crash_record_is_active (const cs_record_t *record);
 
-/* The fingerprint that RECORD, a crash record, is about.  */
-uint64_t cs_crash_record_fingerprint (const cs_record_t *record);
-
-/* Count the crashes per fingerprint: uint64_t * -> count as a pointer.  Runs
-   that overlapped in time count as one crash: their upstreams may have failed
-   together for another reason.  The caller unrefs the table.  */
+/* Count the crashes per fingerprint as cs_count_crashes does: uint64_t * ->
+   count as a pointer.  The caller unrefs the table.  */
 GHashTable *cs_crashes_by_fingerprint (const cs_records_t *records);
 
 /* The number of crashes caused by FINGERPRINT, from the table CRASH_COUNTS of
    cs_crashes_by_fingerprint.  */
 unsigned cs_crash_count_of (GHashTable *crash_counts, uint64_t fingerprint);
 
+/* Make RECORD, a crash record, the one that clears it, for merging.  */
+void cs_crash_record_clear (cs_record_t *record);
+
 /* The records that clear the crashes of FINGERPRINT, for merging.  The caller
    unrefs the list.  */
 GPtrArray *cs_crashes_clear (const cs_records_t *records,
--- a/source/call/traffic.c
+++ b/source/call/traffic.c
@@ -5,6 +5,8 @@
 #include "traffic.h"
 
 #define TICK_MS 25 /* A queued request expires at most this late.  */
+/* Interval at which expired crash records are looked for.  */
+#define CRASH_EXPIRY_INTERVAL (10 * CS_SEC)
 #define TRAFFIC_STACK_BYTES (256u << 10)
 /* The platform checks readiness once a second and sends callers to the node
    until two checks have failed.  */
@@ -25,7 +27,12 @@
   traffic->next_slow_tick_at = now + 4 * TICK_MS * CS_MSEC;
   peers_tick (traffic, now);
   inbound_tick (traffic, now);
-  cs_crash_history_expire (traffic->crash_history, traffic_wall_ms (traffic));
+  if (now >= traffic->next_crash_expiry_at)
+    {
+      traffic->next_crash_expiry_at = now + CRASH_EXPIRY_INTERVAL;
+      cs_crash_history_expire (traffic->crash_history,
+                               traffic_wall_ms (traffic));
+    }
   if (!traffic->stopping)
     return;
   if (!traffic->draining
--- a/source/call/traffic.h
+++ b/source/call/traffic.h
@@ -122,6 +122,7 @@
   int64_t call_count;          /* Of callers, in flight.  */
   int64_t inbound_job_count;   /* Of other nodes, in flight.  */
   cs_usec_t next_slow_tick_at; /* Next call of peers_tick and inbound_tick.  */
+  cs_usec_t next_crash_expiry_at;
   cs_usec_t stop_started_at, grace_period;
   bool stopping; /* cs_traffic_stop was called.  */
   bool draining; /* cs_http1_server_drain was called on CALLER_SERVER.  */
--- a/source/idempotency/quarantine.c
+++ b/source/idempotency/quarantine.c
@@ -31,12 +31,6 @@
   return record->seq == SEQ_ACTIVE;
 }
 
-uint64_t
-cs_crash_record_fingerprint (const cs_record_t *record)
-{
-  return g_ascii_strtoull (record->key, NULL, 16);
-}
-
 /* The incarnation of a crash record is the time of the crash; its value is the
    time at which the run started.  */
 cs_record_t *
@@ -54,59 +48,87 @@
   return record;
 }
 
-/* A run that ended with a crash, in wall time.  */
-typedef struct
+void
+cs_crash_record_clear (cs_record_t *record)
 {
-  uint64_t fingerprint;
-  int64_t started_ms, crashed_ms;
-} crashed_run_t;
+  record->seq = SEQ_CLEARED;
+}
 
-static void
-collect_run (void *user, const cs_record_t *record)
+cs_crashed_run_t
+cs_crash_record_run (const cs_record_t *record)
 {
-  GArray *runs = user;
-  crashed_run_t run = { .fingerprint = cs_crash_record_fingerprint (record),
-                        .crashed_ms = (int64_t)record->incarnation };
-  if (!cs_crash_record_is_active (record))
-    return;
+  cs_crashed_run_t run
+      = { .fingerprint = g_ascii_strtoull (record->key, NULL, 16),
+          .crashed_ms = (int64_t)record->incarnation };
   /* Earlier releases give no start.  */
   run.started_ms = record->value->len
                        ? g_ascii_strtoll (record->value->str, NULL, 10)
                        : run.crashed_ms;
-  g_array_append_val (runs, run);
+  return run;
 }
 
 static gint
 compare_runs (gconstpointer a, gconstpointer b)
 {
-  const crashed_run_t *left = a, *right = b;
-  if (left->fingerprint != right->fingerprint)
-    return left->fingerprint < right->fingerprint ? -1 : 1;
+  const cs_crashed_run_t *left = a, *right = b;
   return (left->crashed_ms > right->crashed_ms)
          - (left->crashed_ms < right->crashed_ms);
 }
 
-GHashTable *
-cs_crashes_by_fingerprint (const cs_records_t *records)
+unsigned
+cs_count_crashes (GArray *runs)
 {
-  GHashTable *crash_counts
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
-  GArray *runs = g_array_new (FALSE, FALSE, sizeof (crashed_run_t));
-  cs_records_foreach (records, CS_RECORD_CRASH, collect_run, runs);
-  g_array_sort (runs, compare_runs);
+  unsigned count = 0;
   int64_t counted_until_ms = 0;
+  g_array_sort (runs, compare_runs);
   for (guint i = 0; i < runs->len; i++)
     {
-      const crashed_run_t *run = &g_array_index (runs, crashed_run_t, i);
-      unsigned count = cs_crash_count_of (crash_counts, run->fingerprint);
+      const cs_crashed_run_t *run = &g_array_index (runs, cs_crashed_run_t, i);
       if (count && run->started_ms < counted_until_ms)
         continue;
       counted_until_ms = run->crashed_ms;
-      uint64_t *key = g_new (uint64_t, 1);
-      *key = run->fingerprint;
-      g_hash_table_replace (crash_counts, key, GUINT_TO_POINTER (count + 1));
+      count++;
+    }
+  return count;
+}
+
+/* Add the run of RECORD, if it is active, to the table of runs by
+   fingerprint.  */
+static void
+collect_run (void *user, const cs_record_t *record)
+{
+  GHashTable *runs_by_fingerprint = user;
+  cs_crashed_run_t run = cs_crash_record_run (record);
+  if (!cs_crash_record_is_active (record))
+    return;
+  GArray *runs = g_hash_table_lookup (runs_by_fingerprint, &run.fingerprint);
+  if (!runs)
+    {
+      runs = g_array_new (FALSE, FALSE, sizeof (cs_crashed_run_t));
+      g_hash_table_insert (
+          runs_by_fingerprint,
+          g_memdup2 (&run.fingerprint, sizeof run.fingerprint), runs);
     }
-  g_array_unref (runs);
+  g_array_append_val (runs, run);
+}
+
+GHashTable *
+cs_crashes_by_fingerprint (const cs_records_t *records)
+{
+  GHashTableIter iter;
+  gpointer fingerprint, runs;
+  GHashTable *crash_counts
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  GHashTable *runs_by_fingerprint = g_hash_table_new_full (
+      g_int64_hash, g_int64_equal, g_free, (GDestroyNotify)g_array_unref);
+  cs_records_foreach (records, CS_RECORD_CRASH, collect_run,
+                      runs_by_fingerprint);
+  g_hash_table_iter_init (&iter, runs_by_fingerprint);
+  while (g_hash_table_iter_next (&iter, &fingerprint, &runs))
+    g_hash_table_insert (crash_counts,
+                         g_memdup2 (fingerprint, sizeof (uint64_t)),
+                         GUINT_TO_POINTER (cs_count_crashes (runs)));
+  g_hash_table_unref (runs_by_fingerprint);
   return crash_counts;
 }
 
@@ -128,10 +150,10 @@
 {
   clearing_t *clearing = user;
   if (!cs_crash_record_is_active (record)
-      || cs_crash_record_fingerprint (record) != clearing->fingerprint)
+      || cs_crash_record_run (record).fingerprint != clearing->fingerprint)
     return;
   cs_record_t *copy = cs_record_copy (record);
-  copy->seq = SEQ_CLEARED;
+  cs_crash_record_clear (copy);
   g_ptr_array_add (clearing->cleared, copy);
 }
 
--- a/source/run/crash-history.c
+++ b/source/run/crash-history.c
@@ -1,16 +1,29 @@
 #include "cardamom/crash-history.h"
 #include "cardamom/counters.h"
 
+/* Records held by one node: of 100 servers that end while each runs 40
+   requests.  Further ones are not held.  */
+#define CRASH_RECORDS_MAX 4096
+
+/* The active records of one request: key -> cs_crashed_run_t *.  */
+typedef GHashTable request_crashes_t;
+
 struct cs_crash_history
 {
   cs_ctx_t *ctx;
   cs_crash_history_handler_t handler;
   void *user;
   cs_records_t *records;
-  /* From cs_crashes_by_fingerprint; NULL after a change of RECORDS.  */
-  GHashTable *crash_counts;
+  GHashTable *requests; /* fingerprint -> request_crashes_t *.  */
 };
 
+static GHashTable *
+new_requests (void)
+{
+  return g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
+                                (GDestroyNotify)g_hash_table_unref);
+}
+
 cs_crash_history_t *
 cs_crash_history_new (cs_ctx_t *ctx, const cs_crash_history_handler_t *handler,
                       void *user)
@@ -20,37 +33,67 @@
   history->handler = *handler;
   history->user = user;
   history->records = cs_records_new (ctx);
+  history->requests = new_requests ();
   return history;
 }
 
-static void
-forget_counts (cs_crash_history_t *history)
-{
-  if (history->crash_counts)
-    g_hash_table_unref (history->crash_counts);
-  history->crash_counts = NULL;
-}
-
 void
 cs_crash_history_drop (cs_crash_history_t *history)
 {
-  forget_counts (history);
+  g_hash_table_unref (history->requests);
   cs_records_drop (history->ctx, history->records);
   g_free (history);
 }
 
-static unsigned
-crash_count (cs_crash_history_t *history, uint64_t fingerprint)
+/* Bring HISTORY->requests in line with RECORD.  */
+static void
+index_record (void *user, const cs_record_t *record)
 {
-  if (!fingerprint || !cs_records_count (history->records))
+  cs_crash_history_t *history = user;
+  cs_crashed_run_t run = cs_crash_record_run (record);
+  request_crashes_t *crashes
+      = g_hash_table_lookup (history->requests, &run.fingerprint);
+  if (!crashes && !cs_crash_record_is_active (record))
+    return;
+  if (!crashes)
+    {
+      crashes
+          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+      g_hash_table_insert (
+          history->requests,
+          g_memdup2 (&run.fingerprint, sizeof run.fingerprint), crashes);
+    }
+  if (cs_crash_record_is_active (record))
+    g_hash_table_replace (crashes, g_strdup (record->key),
+                          g_memdup2 (&run, sizeof run));
+  else
+    g_hash_table_remove (crashes, record->key);
+  if (!g_hash_table_size (crashes))
+    g_hash_table_remove (history->requests, &run.fingerprint);
+}
+
+static unsigned
+crash_count (const cs_crash_history_t *history, uint64_t fingerprint)
+{
+  GHashTableIter iter;
+  gpointer run;
+  request_crashes_t *crashes
+      = fingerprint ? g_hash_table_lookup (history->requests, &fingerprint)
+                    : NULL;
+  if (!crashes)
     return 0;
-  if (!history->crash_counts)
-    history->crash_counts = cs_crashes_by_fingerprint (history->records);
-  return cs_crash_count_of (history->crash_counts, fingerprint);
+  GArray *runs = g_array_new (FALSE, FALSE, sizeof (cs_crashed_run_t));
+  g_hash_table_iter_init (&iter, crashes);
+  while (g_hash_table_iter_next (&iter, NULL, &run))
+    g_array_append_vals (runs, run, 1);
+  unsigned count = cs_count_crashes (runs);
+  g_array_unref (runs);
+  return count;
 }
 
 cs_request_trust_t
-cs_crash_history_trust (cs_crash_history_t *history, uint64_t fingerprint)
+cs_crash_history_trust (const cs_crash_history_t *history,
+                        uint64_t fingerprint)
 {
   unsigned count = crash_count (history, fingerprint);
   return count == 0                      ? CS_REQUEST_TRUSTED
@@ -58,57 +101,48 @@
                                          : CS_REQUEST_QUARANTINED;
 }
 
-static bool
-merge (cs_crash_history_t *history, const cs_record_t *record, int64_t now_ms)
+bool
+cs_crash_history_merge (cs_crash_history_t *history, const cs_record_t *record,
+                        int64_t now_ms)
 {
+  bool known = cs_records_find (history->records, record->kind, record->key);
   if (record->kind != CS_RECORD_CRASH
+      || (!known && cs_records_count (history->records) >= CRASH_RECORDS_MAX)
       || !cs_records_merge (history->records, record, now_ms))
     return false;
-  forget_counts (history);
+  index_record (history, record);
   return true;
 }
 
-void
-cs_crash_history_merge (cs_crash_history_t *history, const cs_record_t *record,
-                        int64_t now_ms)
-{
-  merge (history, record, now_ms);
-}
-
-/* Arguments of copy_if_selected.  */
-typedef struct
-{
-  cs_crash_history_t *history;
-  uint64_t fingerprint; /* 0: of all requests in quarantine.  */
-  GPtrArray *copies;
-} selection_t;
-
+/* Append copies of the records of FINGERPRINT to COPIES, active ones only.  */
 static void
-copy_if_selected (void *user, const cs_record_t *record)
-{
-  selection_t *selection = user;
-  uint64_t fingerprint = cs_crash_record_fingerprint (record);
-  if (selection->fingerprint ? fingerprint == selection->fingerprint
-                             : crash_count (selection->history, fingerprint)
-                                   >= CS_QUARANTINE_CRASHES)
-    g_ptr_array_add (selection->copies, cs_record_copy (record));
-}
-
-static GPtrArray *
-select_records (cs_crash_history_t *history, uint64_t fingerprint)
-{
-  selection_t selection = { .history = history,
-                            .fingerprint = fingerprint,
-                            .copies = cs_record_list_new () };
-  cs_records_foreach (history->records, CS_RECORD_CRASH, copy_if_selected,
-                      &selection);
-  return selection.copies;
+copy_records (const cs_crash_history_t *history, uint64_t fingerprint,
+              GPtrArray *copies)
+{
+  GHashTableIter iter;
+  gpointer key;
+  request_crashes_t *crashes
+      = g_hash_table_lookup (history->requests, &fingerprint);
+  if (!crashes)
+    return;
+  g_hash_table_iter_init (&iter, crashes);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    g_ptr_array_add (copies, cs_record_copy (cs_records_find (
+                                 history->records, CS_RECORD_CRASH, key)));
 }
 
 GPtrArray *
-cs_crash_history_quarantined (cs_crash_history_t *history)
-{
-  return select_records (history, 0);
+cs_crash_history_quarantined (const cs_crash_history_t *history)
+{
+  GHashTableIter iter;
+  gpointer fingerprint;
+  GPtrArray *copies = cs_record_list_new ();
+  g_hash_table_iter_init (&iter, history->requests);
+  while (g_hash_table_iter_next (&iter, &fingerprint, NULL))
+    if (crash_count (history, *(uint64_t *)fingerprint)
+        >= CS_QUARANTINE_CRASHES)
+      copy_records (history, *(uint64_t *)fingerprint, copies);
+  return copies;
 }
 
 void
@@ -119,13 +153,14 @@
     return;
   cs_record_t *record
       = cs_crash_record_new (fingerprint, server, started_ms, now_ms);
-  if (merge (history, record, now_ms))
+  if (cs_crash_history_merge (history, record, now_ms))
     {
       cs_counter_add (CS_C_STRIKES, 1);
       history->handler.created (history->user, record);
       if (crash_count (history, fingerprint) >= CS_QUARANTINE_CRASHES)
         {
-          GPtrArray *lasting = select_records (history, fingerprint);
+          GPtrArray *lasting = cs_record_list_new ();
+          copy_records (history, fingerprint, lasting);
           for (guint i = 0; i < lasting->len; i++)
             history->handler.lasting (history->user, lasting->pdata[i]);
           g_ptr_array_unref (lasting);
@@ -141,14 +176,18 @@
   unsigned count = crash_count (history, fingerprint);
   if (!count)
     return;
-  GPtrArray *cleared = cs_crashes_clear (history->records, fingerprint);
+  GPtrArray *cleared = cs_record_list_new ();
+  copy_records (history, fingerprint, cleared);
   for (guint i = 0; i < cleared->len; i++)
-    if (merge (history, cleared->pdata[i], now_ms))
-      {
-        history->handler.created (history->user, cleared->pdata[i]);
-        if (count >= CS_QUARANTINE_CRASHES)
-          history->handler.lasting (history->user, cleared->pdata[i]);
-      }
+    {
+      cs_record_t *record = cleared->pdata[i];
+      cs_crash_record_clear (record);
+      if (!cs_crash_history_merge (history, record, now_ms))
+        continue;
+      history->handler.created (history->user, record);
+      if (count >= CS_QUARANTINE_CRASHES)
+        history->handler.lasting (history->user, record);
+    }
   g_ptr_array_unref (cleared);
 }
 
@@ -167,9 +206,11 @@
 cs_crash_history_expire (cs_crash_history_t *history, int64_t now_ms)
 {
   size_t before = cs_records_count (history->records);
-  if (!before)
-    return;
   cs_records_expire (history->records, now_ms);
-  if (cs_records_count (history->records) != before)
-    forget_counts (history);
+  if (cs_records_count (history->records) == before)
+    return;
+  g_hash_table_unref (history->requests);
+  history->requests = new_requests ();
+  cs_records_foreach (history->records, CS_RECORD_CRASH, index_record,
+                      history);
 }
--- a/tests/test-crash.c
+++ b/tests/test-crash.c
@@ -201,6 +201,37 @@
   free_mesh (mesh);
 }
 
+/* Far more servers end than a node holds records for: it holds a bounded
+   number, and the trust of a request that it knows stays as it is.  */
+static void
+test_more_crashes_than_are_held (void)
+{
+  mesh_t *mesh = new_mesh ();
+  cs_crash_history_t *history = mesh->histories[0];
+  for (uint64_t i = 1; i < NODES; i++)
+    {
+      cs_crash_history_drop (mesh->histories[i]);
+      mesh->histories[i] = NULL;
+    }
+  crash_while_running (mesh, 0, CULPRIT, mesh->now_ms - 1);
+  mesh->now_ms += 10;
+  crash_while_running (mesh, 0, CULPRIT, mesh->now_ms - 1);
+  for (uint64_t i = 0; i < 20000; i++)
+    crash_while_running (mesh, 0, 100000 + i, mesh->now_ms - 1);
+  g_assert_cmpint (cs_crash_history_trust (history, 100000), ==,
+                   CS_REQUEST_SUSPECT);
+  g_assert_cmpint (cs_crash_history_trust (history, 100000 + 19999), ==,
+                   CS_REQUEST_TRUSTED);
+  g_assert_cmpint (cs_crash_history_trust (history, CULPRIT), ==,
+                   CS_REQUEST_QUARANTINED);
+  cs_crash_history_clear (history, CULPRIT, mesh->now_ms + 1);
+  g_assert_cmpint (cs_crash_history_trust (history, CULPRIT), ==,
+                   CS_REQUEST_TRUSTED);
+  cs_crash_history_drop (history);
+  cs_ctx_drop (mesh->ctx);
+  g_free (mesh);
+}
+
 /* An answer to a request that was sent after a run had ended shows that the
    run did not end the server; an earlier request's answer shows nothing.  */
 static void
@@ -235,6 +266,8 @@
                    test_request_that_ends_every_server);
   g_test_add_func ("/crash/reported-twice", test_crash_reported_twice);
   g_test_add_func ("/crash/new-node", test_quarantine_for_new_node);
+  g_test_add_func ("/crash/more-than-are-held",
+                   test_more_crashes_than_are_held);
   g_test_add_func ("/crash/detector", test_detector_after_answers);
   return g_test_run ();
 }
