Let a raised limit hold from its first answer on

What callers saw: nothing; found by reading. A server that had taken nothing, and then named a limit again, got its next request up to 4 s later. Cause: the turn of the next request was kept when the limit changed, though it followed from the old one. Change: it is at most one interval of the new limit away. Result: /decide/limit-changes fails before and passes; it replaces the value that it had for a limit raised from 10 to 100 a second, 110 ms, by 20 ms: one interval and one turn. Why it works: the turn after next is that of the limit in force.

--- a/source/run/server-limit.c
+++ b/source/run/server-limit.c
@@ -31,7 +31,7 @@
   limit->interval = interval < (double)INTERVAL_MAX
                         ? MAX ((cs_usec_t)interval, 1)
                         : INTERVAL_MAX;
-  limit->next_at = MAX (limit->next_at, now);
+  limit->next_at = CLAMP (limit->next_at, now, now + limit->interval);
   return true;
 }
 
