--- a/tests/test-adapter.c
+++ b/tests/test-adapter.c
@@ -229,6 +229,7 @@
   cs_table_t *table;
   unsigned answer_status; /* Of the answers; 0: do not answer.  */
   const char *answer_body;
+  const char *next_page; /* Answer to a read from a key on; NULL: none.  */
   cs_status_t result;
   guint row_count;
   int64_t revision;
@@ -239,9 +240,14 @@
 on_table_request (void *user, cs_exchange_t *exchange)
 {
   fake_table_t *fake = user;
+  cs_str_t target = exchange->request.request_target;
+  bool next_page
+      = fake->next_page
+        && g_strstr_len (target.data, (gssize)target.len, "&from=node%2Fb");
   if (fake->answer_status)
-    cs_exchange_answer (exchange, fake->answer_status, NULL,
-                        cs_str_of (fake->answer_body), false);
+    cs_exchange_answer (
+        exchange, fake->answer_status, NULL,
+        cs_str_of (next_page ? fake->next_page : fake->answer_body), false);
 }
 
 static void
@@ -350,6 +356,29 @@
     }
 }
 
+#define MESH_ROW(key)                                                         \
+  "{\"table\":\"mesh\",\"part\":\"\",\"key\":\"" key "\","                    \
+  "\"value\":\"YWI=\",\"ver\":5}"
+
+/* A table with more rows than one answer holds is read whole, at the revision
+   of the first answer, and each row once.  */
+static void
+test_table_read_in_part (void)
+{
+  fake_table_t *fake = new_fake_table ();
+  fake->answer_status = 200;
+  fake->answer_body = "{\"rows\":[" MESH_ROW ("node/a") "," MESH_ROW (
+      "node/b") "],\"hasMore\":true,\"ver\":9}";
+  fake->next_page = "{\"rows\":[" MESH_ROW ("node/b") "," MESH_ROW (
+      "node/c") "," MESH_ROW ("node/d") "],\"hasMore\":false,\"ver\":12}";
+  fake->table->vtable->read (fake->table, CS_KEYSPACE_MESH, on_table_result,
+                             fake);
+  wait_for_result (fake);
+  g_assert_cmpint (fake->result, ==, CS_OK);
+  g_assert_cmpuint (fake->row_count, ==, 4);
+  g_assert_cmpint (fake->revision, ==, 9);
+}
+
 /* When the connection is refused, nothing was sent, so a commit cannot have
    taken effect.  */
 static void
@@ -414,6 +443,7 @@
                    test_odd_report_hides_server);
   g_test_add_func ("/adapter/move", test_move);
   g_test_add_func ("/adapter/table-faults", test_table_faults);
+  g_test_add_func ("/adapter/table-read-in-part", test_table_read_in_part);
   g_test_add_func ("/adapter/table-gone", test_table_connection_refused);
   g_test_add_func ("/adapter/delta", test_delta);
   return g_test_run ();
