Identify a leaving server by its instance and its start

What callers saw: nothing; found by reading. A server that does not report its start was not excluded by the node that had passed on its word that it leaves, and got requests until the node beside it had told. Cause: 0, "not reported", was taken for "none has said so". Change: the instance is kept beside the start. Result: /path/leaving-known-to-its-node-only, now also with a server without a start, fails before and passes; the mutants are seen. Why it works: an instance that says so is named, whatever else is known of it.

--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -311,7 +311,7 @@
   call->may_have_run |= outcome->kind != CS_OUTCOME_REFUSED;
   /* That node tells all nodes so, which may not get through.  */
   if (outcome->server_leaving)
-    call->peer->leaving_started_ms = call->server_started_ms;
+    peer_note_server_leaving (call->peer, call->server_started_ms);
   switch (outcome->kind)
     {
     case CS_OUTCOME_ANSWERED:
--- a/source/call/choose.c
+++ b/source/call/choose.c
@@ -38,14 +38,6 @@
   return call->wants_candidate ? v->candidate : v->baseline;
 }
 
-/* Whether PEER's server has said in an answer that it leaves.  */
-static bool
-is_leaving (const peer_t *peer)
-{
-  return peer->leaving_started_ms
-         && peer->leaving_started_ms == peer->info.server_started_ms;
-}
-
 /* The wait of a further request under the limit that PEER's server names, by
    LOAD, which came AGE ago, and this node's OWN_CALLS there.  */
 static cs_usec_t
@@ -84,7 +76,7 @@
   return (cs_placement_node_t){
     .distance = peer->distance,
     .eligible = info->server_state == CS_BACKEND_READY && !info->stopping
-                && !is_leaving (peer) && peer_is_reachable (peer)
+                && !peer_server_is_leaving (peer) && peer_is_reachable (peer)
                 && strcmp (info->version, version) == 0
                 && !was_peer_tried (call, peer),
     .slots = slots,
--- a/source/call/peers.c
+++ b/source/call/peers.c
@@ -159,6 +159,24 @@
                sizeof peer->limit_instance);
 }
 
+void
+peer_note_server_leaving (peer_t *peer, int64_t started_ms)
+{
+  if (started_ms != peer->info.server_started_ms)
+    return; /* Another one has taken its place.  */
+  peer->leaving_started_ms = started_ms;
+  g_strlcpy (peer->leaving_instance, peer->info.instance,
+             sizeof peer->leaving_instance);
+}
+
+bool
+peer_server_is_leaving (const peer_t *peer)
+{
+  return peer->leaving_instance[0]
+         && peer->leaving_started_ms == peer->info.server_started_ms
+         && strcmp (peer->leaving_instance, peer->info.instance) == 0;
+}
+
 static void
 disconnect_calls (peer_t *peer, GHashTable *table)
 {
--- a/source/call/traffic.h
+++ b/source/call/traffic.h
@@ -54,8 +54,9 @@
   cs_load_t load;
   cs_usec_t load_received_at;
   int64_t own_calls_at_load;
-  /* Start of its server that has said in an answer that it leaves, as
-     server_started_ms; 0: none.  */
+  /* Its server's instance and start that have said in an answer that they
+     leave; the instance is empty if none has.  */
+  char leaving_instance[CS_NAME_SIZE];
   int64_t leaving_started_ms;
   /* The limit that its server last named, as in LOAD, and the instance.  Kept
      when the node restarts.  */
@@ -146,6 +147,11 @@
 void peers_tick (cs_traffic_t *traffic, cs_usec_t now);
 /* Record LOAD, which came just now with an outcome from PEER.  */
 void peer_note_load (peer_t *peer, const cs_load_t *load);
+/* The server beside PEER has said in an answer that it leaves; STARTED_MS is
+   its start when the request was sent.  */
+void peer_note_server_leaving (peer_t *peer, int64_t started_ms);
+/* Whether PEER's server has said so.  */
+bool peer_server_is_leaving (const peer_t *peer);
 bool peer_is_reachable (const peer_t *peer);
 /* The pool of SERVICE, created at its first use.  */
 pool_t *service_pool (cs_traffic_t *traffic, const char *service);
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -1077,7 +1077,7 @@
    hears nothing more from the node beside that server: it sends no further
    request there.  */
 static void
-test_leaving_known_to_its_node_only (void)
+check_leaving_known_to_its_node_only (int64_t server_started_ms)
 {
   mesh_t *mesh = start_mesh (4);
   cs_node_info_t peer = { .name = "peer",
@@ -1089,7 +1089,7 @@
                           .version = "v1",
                           .instance = "p1",
                           .slots = 4,
-                          .server_started_ms = 7 };
+                          .server_started_ms = server_started_ms };
   cs_backend_t gone = { .state = CS_BACKEND_LEFT };
   unsigned port;
   int listener = listen_on_free_port (&port);
@@ -1120,6 +1120,14 @@
   close (caller);
 }
 
+static void
+test_leaving_known_to_its_node_only (void)
+{
+  check_leaving_known_to_its_node_only (7);
+  /* The server does not report when it was started.  */
+  check_leaving_known_to_its_node_only (0);
+}
+
 #define CRASH_CHECKS_MAX 8 /* Connections that one check may open.  */
 
 /* The server accepts connections and resets each at once, as one does that has
