One function ends a call that gets no further attempt

What callers saw: nothing; behaviour is as it was. Cause: "not run, unless an earlier attempt may have run" stood twice, once for a call without a server and once for one in quarantine. Change: finish_unserved, with the reason for the log; quarantine sets its reason and calls it. Result: test-path passes.

--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -186,13 +186,13 @@
   cs_pack_clear (&pack);
 }
 
-/* End CALL, for which no server is left: as not run, unless an earlier attempt
-   may have run.  */
+/* End CALL, which gets no further attempt: as not run, unless an earlier one
+   may have run; it has failed then, and WHY goes to the log.  */
 static void
-finish_without_server (call_t *call)
+finish_unserved (call_t *call, const char *why)
 {
   if (call->may_have_run)
-    finish_failed (call, 502, "no server for a retry");
+    finish_failed (call, 502, why);
   else
     finish_refused (call);
 }
@@ -202,10 +202,7 @@
 finish_quarantined (call_t *call)
 {
   call->refusal_reason = CS_REFUSED_QUARANTINED;
-  if (call->may_have_run)
-    finish_failed (call, 502, "it has crashed servers");
-  else
-    finish_refused (call);
+  finish_unserved (call, "it has crashed servers");
 }
 
 /* Send CALL to the node that placement chooses, or end it.  */
@@ -228,7 +225,7 @@
   if (peer)
     send_job (call, peer);
   else
-    finish_without_server (call);
+    finish_unserved (call, "no server for a retry");
 }
 
 /* Whether CALL may be sent to a server once more; charges the retry budget if
@@ -274,7 +271,7 @@
       if (may_retry (call))
         retry_call (call, "shed");
       else
-        finish_without_server (call);
+        finish_unserved (call, "no server for a retry");
       return;
     }
   if (outcome->reason == CS_REFUSED_QUARANTINED)
