--- a/source/run/dispatcher-internal.h
+++ b/source/run/dispatcher-internal.h
@@ -1,4 +1,5 @@
-/* The dispatcher's state, shared by dispatcher.c and crash-check.c.  */
+/* The dispatcher's state, shared by dispatcher.c, crash-check.c and
+   server-fields.c.  */
 #ifndef RUN_DISPATCHER_INTERNAL_H
 #define RUN_DISPATCHER_INTERNAL_H
 
@@ -110,6 +111,9 @@
 /* Report OUTCOME to the owner of DISPATCH, which is in no queue any more, and
    free DISPATCH.  */
 void dispatcher_finish (cs_dispatch_t *dispatch, cs_outcome_t *outcome);
+/* Refuse all queued requests with REASON.  */
+void dispatcher_refuse_queued (cs_dispatcher_t *dispatcher,
+                               cs_refusal_reason_t reason);
 /* Queued requests are sent from the event loop only, never within the call
    that submits a request or handles the end of one.  */
 void dispatcher_schedule_fill (cs_dispatcher_t *dispatcher);
@@ -118,6 +122,14 @@
    is sent to it until its next report.  */
 void dispatcher_mark_server_lost (cs_dispatcher_t *dispatcher);
 
+/* server-fields.c */
+/* Heed what ANSWER, which can be trusted, says of the server itself.  */
+void server_fields_note (cs_dispatcher_t *dispatcher,
+                         const cs_http1_message_t *answer);
+/* Apply the limit of cs_dispatcher_restore_limit, if it is that of the present
+   server and this one has not answered.  */
+void server_fields_restore_limit (cs_dispatcher_t *dispatcher);
+
 /* crash-check.c */
 void crash_check_init (cs_dispatcher_t *dispatcher);
 /* Find out whether the server has ended, by a connection that is used
--- a/source/run/dispatcher.c
+++ b/source/run/dispatcher.c
@@ -1,4 +1,3 @@
-#include <math.h>
 #include <string.h>
 
 #include "cardamom/counters.h"
@@ -155,8 +154,9 @@
   dispatcher_finish (dispatch, &outcome);
 }
 
-static void
-refuse_queued (cs_dispatcher_t *dispatcher, cs_refusal_reason_t reason)
+void
+dispatcher_refuse_queued (cs_dispatcher_t *dispatcher,
+                          cs_refusal_reason_t reason)
 {
   cs_queued_request_t *next;
   cs_dispatch_t *isolated;
@@ -249,52 +249,10 @@
   cs_backend_mark_lost (&dispatcher->server, dispatcher_now (dispatcher));
   drop_idle_conns (dispatcher);
   crash_check_end (dispatcher);
-  refuse_queued (dispatcher, CS_REFUSED_NO_SERVER);
+  dispatcher_refuse_queued (dispatcher, CS_REFUSED_NO_SERVER);
   dispatcher->handler.server_lost (dispatcher->user);
 }
 
-/* The number in the field NAME of ANSWER; -1 if there is none.  */
-static double
-decimal_field (const cs_http1_message_t *answer, const char *name)
-{
-  cs_str_t value = cs_http1_message_field (answer, name);
-  if (!value.len)
-    return -1;
-  char *text = cs_str_dup (value), *end;
-  double number = g_ascii_strtod (text, &end);
-  if (end == text || *end || !(number >= 0) || !isfinite (number))
-    number = -1;
-  g_free (text);
-  return number;
-}
-
-/* Heed what ANSWER says of the server itself.  */
-static void
-note_server_fields (cs_dispatcher_t *dispatcher,
-                    const cs_http1_message_t *answer)
-{
-  double limit = decimal_field (answer, cs_header_names->server_limit);
-  /* A server that leaves does so until it restarts.  */
-  bool leaving
-      = dispatcher->named_leaving
-        || cs_http1_message_field (answer, cs_header_names->server_leaving)
-               .data;
-  dispatcher->answered = true;
-  bool limit_changed = cs_server_limit_set (&dispatcher->limit, limit,
-                                            dispatcher_now (dispatcher));
-  if (!limit_changed && leaving == dispatcher->named_leaving)
-    return;
-  dispatcher->named_leaving = leaving;
-  cs_event_log (CS_E_LIMIT, "instance=%s limit=%.1f leaving=%d",
-                dispatcher->server.report.instance, limit, leaving);
-  if (leaving && dispatcher->server.state == CS_BACKEND_READY)
-    {
-      dispatcher->server.state = CS_BACKEND_DRAINING;
-      refuse_queued (dispatcher, CS_REFUSED_NO_SERVER);
-      dispatcher->handler.server_leaving (dispatcher->user);
-    }
-}
-
 static void
 on_answer (void *user, cs_http1_message_t *answer)
 {
@@ -320,7 +278,7 @@
       outcome.server_leaving
           = cs_http1_message_field (answer, cs_header_names->server_leaving)
                 .data;
-      note_server_fields (dispatcher, answer);
+      server_fields_note (dispatcher, answer);
     }
   if (not_run)
     {
@@ -687,30 +645,6 @@
   return dispatcher;
 }
 
-static void
-apply_restored_limit (cs_dispatcher_t *dispatcher)
-{
-  const char *instance = dispatcher->server.report.instance;
-  if (dispatcher->answered || !instance[0]
-      || strcmp (dispatcher->restored_instance, instance) != 0)
-    return;
-  cs_server_limit_set (&dispatcher->limit,
-                       (double)CS_SEC / (double)dispatcher->restored_interval,
-                       dispatcher_now (dispatcher));
-  cs_event_log (CS_E_LIMIT, "instance=%s limit=%.1f state=restored", instance,
-                dispatcher->limit.per_second);
-}
-
-void
-cs_dispatcher_restore_limit (cs_dispatcher_t *dispatcher, const char *instance,
-                             cs_usec_t interval)
-{
-  g_strlcpy (dispatcher->restored_instance, instance,
-             sizeof dispatcher->restored_instance);
-  dispatcher->restored_interval = interval;
-  apply_restored_limit (dispatcher);
-}
-
 void
 cs_dispatcher_set_backend (cs_dispatcher_t *dispatcher,
                            const cs_backend_t *server)
@@ -734,7 +668,7 @@
       dispatcher->failure_rate = 0;
       cs_server_limit_init (&dispatcher->limit);
       dispatcher->named_leaving = dispatcher->answered = false;
-      apply_restored_limit (dispatcher);
+      server_fields_restore_limit (dispatcher);
     }
   /* The report may have been sent before the answer that it contradicts.  */
   if (dispatcher->named_leaving && server->state == CS_BACKEND_READY)
@@ -745,14 +679,14 @@
       dispatcher_schedule_fill (dispatcher);
       return;
     }
-  refuse_queued (dispatcher, CS_REFUSED_NO_SERVER);
+  dispatcher_refuse_queued (dispatcher, CS_REFUSED_NO_SERVER);
 }
 
 void
 cs_dispatcher_stop (cs_dispatcher_t *dispatcher)
 {
   dispatcher->stopping = true;
-  refuse_queued (dispatcher, CS_REFUSED_STOPPING);
+  dispatcher_refuse_queued (dispatcher, CS_REFUSED_STOPPING);
 }
 
 void
