Test that the crash record comes before the outcome

What callers saw: nothing; the mutant "the end of a server is not looked for" was missed, because other connections of sidecar-crash.t find that end soon enough. Change: /path/outcome-before-crash-record, at a server with nothing else to do; the mutant runs it.

--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -1044,8 +1044,9 @@
     }
 }
 
-/* Send a job to the node beside the server, as a node that has just joined. */
-static void
+/* Send a job to the node beside the server, as a node that has just joined;
+   the connection of that node.  */
+static int
 send_job_of_other_node (const mesh_t *mesh)
 {
   cs_node_info_t peer = { .name = "other", .dc = "a", .region = "r" };
@@ -1058,7 +1059,8 @@
           .target_remaining = 10 * CS_SEC,
           .latency_target = 10 * CS_SEC,
           .deadline_remaining = 10 * CS_SEC,
-          .idempotent = true };
+          .idempotent = true,
+          .fingerprint = 5 };
   cs_pack_t pack;
   int fd = connect_to (mesh->proxy.target_port);
   peer.boot_ms = 1;
@@ -1069,6 +1071,41 @@
   cs_dispatch_request_pack (&pack, 1, &request);
   send_frame (fd, &pack);
   cs_pack_clear (&pack);
+  return fd;
+}
+
+/* The kind of the next frame on FD.  */
+static int64_t
+receive_frame_kind (cs_ctx_t *ctx, int fd)
+{
+  cs_unpack_t unpack;
+  cs_unpack_cursor_t in;
+  GString *payload = receive_frame (fd);
+  g_assert_cmpint (
+      cs_unpack_init (ctx, &unpack, cs_str_of_gstring (payload), &in), ==,
+      CS_OK);
+  int64_t kind = cs_unpack_int64 (&in);
+  cs_unpack_clear (&unpack);
+  g_string_free (payload, TRUE);
+  return kind;
+}
+
+/* A server that has nothing else to do ends while it runs a request: the node
+   that sent the request is told of the crash ahead of the outcome, so that it
+   does not try again in ignorance.  */
+static void
+test_outcome_before_crash_record (void)
+{
+  mesh_t *mesh = start_mesh (4);
+  int fd = send_job_of_other_node (mesh);
+  int server = accept_request (mesh, "/read/2");
+  close (mesh->server_listener);
+  close (server);
+  g_assert_cmpint (receive_frame_kind (mesh->ctx, fd), ==, CS_FRAME_HELLO);
+  g_assert_cmpint (receive_frame_kind (mesh->ctx, fd), ==,
+                   CS_FRAME_CRASH_RECORDS);
+  g_assert_cmpint (receive_frame_kind (mesh->ctx, fd), ==, CS_FRAME_OUTCOME);
+  close (fd);
 }
 
 /* The server says in an answer that it leaves, and no report of it has come:
@@ -1088,10 +1125,11 @@
     g_test_fail ();
   else
     expect_answer (caller, "503", "");
-  send_job_of_other_node (mesh);
+  int other = send_job_of_other_node (mesh);
   if (readable (server, SOCKET_ABSENCE_MS)
       || readable (mesh->server_listener, SOCKET_ABSENCE_MS))
     g_test_fail ();
+  close (other);
   close (server);
   close (caller);
 }
@@ -1373,6 +1411,8 @@
                    test_leaving_known_to_its_node_only);
   g_test_add_func ("/path/full-server-taken-for-ended",
                    test_full_server_taken_for_ended);
+  g_test_add_func ("/path/outcome-before-crash-record",
+                   test_outcome_before_crash_record);
   g_test_add_func ("/path/server-ready-between-hellos",
                    test_server_ready_between_hellos);
   return g_test_run ();
