Share the set-up of the two sidecar scripts

What callers saw: nothing; tests only. Cause: sidecar-crash.t repeated five functions of sidecar.t. Change: tests/sidecar.sh, sourced by both; the tests are as they were.

--- a/tests/sidecar-crash.t
+++ b/tests/sidecar-crash.t
@@ -6,7 +6,7 @@
 . "$(dirname "$0")/tap.sh"
 dir=$(mktemp -d)
 base=24400
-table=127.0.0.1:$base
+. "$(dirname "$0")/sidecar.sh"
 nodes="1 2 3 4"
 pids=()
 cleanup () {
@@ -18,28 +18,6 @@
 }
 trap cleanup EXIT
 
-# port NODE OFFSET: as in sidecar.t.
-port () { echo $((base + 100 * $1 + $2)); }
-until_ok () {
-  local i
-  for i in $(seq 300); do "$@" >/dev/null 2>&1 && return 0; sleep 0.1; done
-  return 1
-}
-write_settings () { # NODE FIRST_START
-  cat >"$dir/n$1.json" <<J
-{"node": "n$1", "data_centre": "a", "region": "r", "first_start": $2,
- "callers": "127.0.0.1:$(port $1 1)", "ready": "127.0.0.1:$(port $1 2)",
- "reports": "127.0.0.1:$(port $1 3)", "peers": "127.0.0.1:$(port $1 4)",
- "metrics": "127.0.0.1:$(port $1 5)", "service": "desk",
- "server": "127.0.0.1:$(port $1 9)", "table": "$table"}
-J
-}
-declare -A node_pids
-start_node () { # NODE
-  "$MESH_OUT/cardamom-sidecar" --settings="$dir/n$1.json" >>"$dir/n$1.log" 2>&1 &
-  node_pids[$1]=$!
-  pids+=($!)
-}
 # supervise NODE: start the server beside NODE, and again when it has ended by a
 # request; a line in servers.log for each such end.
 supervise () {
@@ -56,7 +34,6 @@
   curl -s -o /dev/null -w '%{http_code}\n' -m 5 -H 'Host: h' -H 'Timeout-Remaining-Ms: 3000' \
     -H "Attempt-Id: $RANDOM$RANDOM$RANDOM" "http://127.0.0.1:$(port $1 1)$2"
 }
-is_ready () { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:$(port $1 2)/api/ready")" = 200 ]; }
 ends () { wc -l <"$dir/servers.log"; }
 all_serve () { # Each of 40 requests, in turn at the nodes, is served.
   local i
--- a/tests/sidecar.t
+++ b/tests/sidecar.t
@@ -8,44 +8,15 @@
 MESH_DIR=$dir
 pids=()
 base=23400
-table=127.0.0.1:$base
+. "$(dirname "$0")/sidecar.sh"
 cleanup () { for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null; done; wait 2>/dev/null; rm -rf "$dir"; }
 trap cleanup EXIT
 
-# port NODE OFFSET: a port of NODE: 1 for callers, 2 for the readiness check, 3
-# for reports of the backend server, 4 for peers, 5 for metrics; 9 is the port
-# of the backend server itself.
-port () { echo $((base + 100 * $1 + $2)); }
-
 servers=""
 for n in 1 2 3; do servers="$servers,$(port $n 9):s$n"; done
 "$MESH_OUT/standin-rows" --port=$base --servers="${servers#,}" &
 pids+=($!)
 
-write_settings () { # NODE FIRST_START
-  cat >"$dir/n$1.json" <<J
-{"node": "n$1", "data_centre": "a", "region": "r", "first_start": $2,
- "callers": "127.0.0.1:$(port $1 1)", "ready": "127.0.0.1:$(port $1 2)",
- "reports": "127.0.0.1:$(port $1 3)", "peers": "127.0.0.1:$(port $1 4)",
- "metrics": "127.0.0.1:$(port $1 5)", "service": "desk",
- "server": "127.0.0.1:$(port $1 9)", "table": "$table"}
-J
-}
-declare -A node_pids # Process ids of the sidecars by node.
-start_node () { # NODE
-  "$MESH_OUT/cardamom-sidecar" --settings="$dir/n$1.json" >>"$dir/n$1.log" 2>&1 &
-  node_pids[$1]=$!
-  pids+=($!)
-}
-
-# until_ok COMMAND...: repeat COMMAND until it succeeds, for 30 s at least; it
-# takes far less on a working system.
-until_ok () {
-  local i
-  for i in $(seq 300); do "$@" >/dev/null 2>&1 && return 0; sleep 0.1; done
-  return 1
-}
-
 put_row () { # TABLE KEY JSON
   local value
   value=$(printf '%s' "$3" | base64 -w0)
@@ -67,8 +38,6 @@
   curl -s -w ' %{http_code}' -H 'Host: h' -H 'Timeout-Remaining-Ms: 2000' \
     -H "Attempt-Id: $RANDOM$RANDOM" "http://127.0.0.1:$(port $1 1)$2"
 }
-# is_ready NODE: whether the readiness check succeeds.
-is_ready () { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:$(port $1 2)/api/ready")" = 200 ]; }
 put_config () { # VERSION TIMEOUT
   put_row op config "{\"version\":\"$1\",\"services\":{\"desk\":{\"healthPath\":\"/health\"}},\"routes\":{\"r\":
     {\"host\":\"h\",\"prefix\":\"/d/\",\"kind\":\"safe\",\"timeout\":\"$2\",
