Charge the retry budget beside the servers

Cause: of the 445 arrivals 209 were retries that nodes had charged. About 220 were calls of repeated runs: each node charged a call with the part of retries in its own requests of the last 10 s, but the runs were repeated within 3 s. What calls took at one node was not saved at another. At most 12 were second sends after a broken connection, which nobody charged. Ruled out: the number of nodes and restarted nodes.

Change: the node beside a server charges each arrival there and refuses a retry without room; calls count by the runs in flight that are retries; services whose callers repeat too much have these held. The second send after a broken connection is a retry like others, of the node that has the call. The answer of a failed attempt is passed on when no other attempt follows.

--- a/include/cardamom/dispatcher.h
+++ b/include/cardamom/dispatcher.h
@@ -12,6 +12,7 @@
 #include "cardamom/judge.h"
 #include "cardamom/net.h"
 #include "cardamom/request-queue.h"
+#include "cardamom/retry-window.h"
 
 /* A request for the backend server.  Views are borrowed.  */
 typedef struct
@@ -30,6 +31,10 @@
   cs_usec_t latency_target;     /* The whole latency target of its route.  */
   cs_usec_t deadline_remaining; /* Time until the deadline.  */
   bool idempotent, method_is_head;
+  bool retry; /* An earlier attempt has reached a server.  */
+  /* Probability, 0 to 1, that this is a call of a run that was a retry.  */
+  double inherited_retry;
+  bool may_be_call; /* Of a server, rather than a request of a client.  */
   /* From cs_request_fingerprint; 0: not known.  */
   uint64_t fingerprint;
 } cs_dispatch_request_t;
@@ -46,6 +51,7 @@
                                    this node.  */
   CS_REFUSED_STOPPING,          /* The node is shutting down.  */
   CS_REFUSED_QUARANTINED,       /* It has crashed servers.  */
+  CS_REFUSED_RETRY_BUDGET,      /* A retry that the retry budget excludes.  */
   CS_REFUSED_COUNT
 } cs_refusal_reason_t;
 
@@ -70,6 +76,7 @@
   /* Under the limit that the server names: the time between two requests, 0
      without a limit, and the wait of one that comes now.  */
   cs_usec_t limit_interval, limit_wait;
+  bool refuses_retries; /* The retry budget has no room.  */
 } cs_load_t;
 
 /* The end of a request.  Views are borrowed for the call.  */
@@ -86,7 +93,13 @@
   bool close_delimited;
   /* Expected wait in the queue, when refused for load.  */
   cs_usec_t expected_wait;
-  bool server_leaving;    /* The answer says that the server leaves.  */
+  bool server_leaving; /* The answer says that the server leaves.  */
+  /* With CS_OUTCOME_UNKNOWN: a kept connection broke under the request while
+     the server runs on, which probably closed it while it was idle.  */
+  bool stale_connection;
+  /* The request may be a call of a server, and calls of repeated runs strain
+     the retry budget: that server's runs should not be repeated.  */
+  bool retries_strained;
   cs_usec_t service_time; /* Time between sending and the end.  */
   /* With CS_OUTCOME_UNKNOWN: the server crashed while it ran the request.  */
   const cs_record_t *crash_record;
@@ -112,10 +125,12 @@
 } cs_dispatcher_handler_t;
 
 /* A dispatcher on LOOP that lives as long as the process.  ANSWER_MEMORY
-   bounds the size of the server's answers and is copied, as is HANDLER.
+   bounds the size of the server's answers, RETRIES the retries that reach
+   it; both are copied, as is HANDLER.
    CRASH_HISTORY is borrowed; crashes of the server are added to it.  */
 cs_dispatcher_t *cs_dispatcher_new (cs_ctx_t *ctx, uv_loop_t *loop,
                                     const cs_answer_memory_t *answer_memory,
+                                    const cs_retry_window_settings_t *retries,
                                     cs_crash_history_t *crash_history,
                                     const cs_dispatcher_handler_t *handler,
                                     void *user);
@@ -130,6 +145,19 @@
 void cs_dispatcher_restore_limit (cs_dispatcher_t *dispatcher,
                                   const char *instance, cs_usec_t interval);
 
+/* The number of servers of the service, to which the retry budget is shared
+   out.  */
+void cs_dispatcher_set_server_count (cs_dispatcher_t *dispatcher,
+                                     unsigned count);
+
+/* The part, 0 to 1, of the runs in flight that are retries, or calls of such
+   runs.  */
+double cs_dispatcher_retry_share (const cs_dispatcher_t *dispatcher);
+
+/* Refuse retries for a while: a service that the server calls says that it
+   gets too many calls of repeated runs.  */
+void cs_dispatcher_hold_retries (cs_dispatcher_t *dispatcher);
+
 /* Refuse new and queued requests; those in flight end normally.  */
 void cs_dispatcher_stop (cs_dispatcher_t *dispatcher);
 
@@ -158,7 +186,7 @@
    Call it every few tens of milliseconds.  */
 void cs_dispatcher_tick (cs_dispatcher_t *dispatcher);
 
-cs_load_t cs_dispatcher_load (const cs_dispatcher_t *dispatcher);
+cs_load_t cs_dispatcher_load (cs_dispatcher_t *dispatcher);
 
 /* Requests in flight at the server, or whose end is not yet reported.  */
 int64_t cs_dispatcher_in_flight (const cs_dispatcher_t *dispatcher);
--- a/include/cardamom/retry-window.h
+++ b/include/cardamom/retry-window.h
@@ -1,12 +1,14 @@
-/* A retry budget per service over a sliding window, without shared state:
-   every node keeps to its share of the retries that all nodes may send.
-
-   When some of the upstreams fail or shed load, the retries of all nodes
-   together must not overload the rest.  A retried request makes its own calls
-   to other services again, and these are retries for those services.  A node
-   cannot tell which calls they are, but it knows what share of the calling
-   service's requests were retries and charges that share of each call to the
-   budget of the called service.  */
+/* A retry budget per service over a sliding window, without shared state: each
+   node accounts for the requests that reach the backend server beside it.
+
+   Every request passes the node beside the server that gets it, so the
+   accounts of these nodes together hold each request and each retry exactly
+   once, whoever sent it: a node whose first attempt failed, or a run that was
+   itself a retry and makes its calls again.  A retry of a node is refused, as
+   not run, when the account of the server's node has no room.  A call of a
+   repeated run cannot be refused without wasting that run: a part of the
+   budget is kept free for such calls, and when they take too much of it, the
+   nodes beside the calling servers are told to refuse retries.  */
 #ifndef CARDAMOM_RETRY_WINDOW_H
 #define CARDAMOM_RETRY_WINDOW_H
 
@@ -14,7 +16,9 @@
 
 #include "cardamom/clock.h"
 
-#define CS_RETRY_WINDOW_SLICES 20 /* Sub-windows that age out one by one.  */
+/* Sub-windows that age out one by one.  They are one more than make a window,
+   so that none ages out too early.  */
+#define CS_RETRY_WINDOW_SLICES 21
 
 typedef struct
 {
@@ -24,40 +28,57 @@
   cs_usec_t window; /* Length of the window.  */
 } cs_retry_window_settings_t;
 
+/* The account of one server's node.  */
 typedef struct
 {
   int64_t newest_slice; /* Number of the newest slice since time 0.  */
-  unsigned requests[CS_RETRY_WINDOW_SLICES];
-  double retries[CS_RETRY_WINDOW_SLICES]; /* Fractions are charged too.  */
-  double failure_rate; /* Moving average share of requests that failed.  */
+  cs_usec_t started_at;
+  double requests[CS_RETRY_WINDOW_SLICES];  /* First arrivals.  */
+  double retries[CS_RETRY_WINDOW_SLICES];   /* Sent again by a node.  */
+  double calls[CS_RETRY_WINDOW_SLICES];     /* Requests that may be calls.  */
+  double inherited[CS_RETRY_WINDOW_SLICES]; /* Calls of repeated runs.  */
 } cs_retry_window_t;
 
+void cs_retry_window_init (cs_retry_window_t *window, cs_usec_t now);
+
+/* Record the first arrival of a request.  IS_CALL: it may be a call of a run.
+   INHERITED, 0 to 1, is the probability that this run was a retry.  */
+void cs_retry_window_note_request (cs_retry_window_t *window,
+                                   const cs_retry_window_settings_t *settings,
+                                   bool is_call, double inherited,
+                                   cs_usec_t now);
+
+/* Whether one more retry is within the part of the budget that belongs to this
+   node, beside one of SERVERS servers of the service.  */
+bool cs_retry_window_has_room (cs_retry_window_t *window,
+                               const cs_retry_window_settings_t *settings,
+                               unsigned servers, cs_usec_t now);
+
+/* Record the arrival of a retry.  */
+void cs_retry_window_note_retry (cs_retry_window_t *window,
+                                 const cs_retry_window_settings_t *settings,
+                                 cs_usec_t now);
+
+/* Whether calls of repeated runs take so much of the budget that the calling
+   services should not repeat runs.  */
+bool cs_retry_window_is_strained (cs_retry_window_t *window,
+                                  const cs_retry_window_settings_t *settings,
+                                  unsigned servers, cs_usec_t now);
+
+/* The part of a service's recent runs that failed, as a moving average.  All
+   bytes 0: none yet.  */
+typedef struct
+{
+  double rate;
+} cs_failure_rate_t;
+
 /* Record the result of a request that the service has run.  */
-void cs_retry_window_note_result (cs_retry_window_t *window, bool failed);
+void cs_failure_rate_note (cs_failure_rate_t *failures, bool failed);
 
 /* Whether a retry on another server may help: true while the failure rate is
    low enough to be explained by single servers.  When the service fails as a
    whole, for example because a service that it calls is overloaded, retries
    only add load.  */
-bool cs_retry_window_may_help (const cs_retry_window_t *window);
-
-/* The share of the service's requests in the window that were retries: 0 to
-   1.  */
-double cs_retry_window_retry_share (cs_retry_window_t *window,
-                                    const cs_retry_window_settings_t *settings,
-                                    cs_usec_t now);
-
-/* Record a new request for the service.  CALLER_SHARE is the retry share of
-   the service that makes the request, from cs_retry_window_retry_share; 0 for
-   a request of a client.  */
-void cs_retry_window_note_request (cs_retry_window_t *window,
-                                   const cs_retry_window_settings_t *settings,
-                                   double caller_share, cs_usec_t now);
-
-/* Charge one retry to the budget.  Returns false, and charges nothing, when
-   this node's share of the budget, as one of NODES nodes, is used up.  */
-bool cs_retry_window_try_spend (cs_retry_window_t *window,
-                                const cs_retry_window_settings_t *settings,
-                                unsigned nodes, cs_usec_t now);
+bool cs_failure_rate_retry_may_help (const cs_failure_rate_t *failures);
 
 #endif
--- a/source/call/call.h
+++ b/source/call/call.h
@@ -6,6 +6,16 @@
 
 #define MAX_TRIED_NODES 6 /* Nodes that one call may be sent to.  */
 
+/* The answer of an attempt that failed at a server, kept while another attempt
+   is made.  */
+typedef struct
+{
+  unsigned status;
+  char *fields;
+  GString *body;
+  bool close_delimited;
+} failed_answer_t;
+
 struct call
 {
   cs_traffic_t *traffic;
@@ -30,10 +40,17 @@
   peer_t *peer; /* The node that has the job; NULL between attempts.  */
   cs_dispatch_t *local_dispatch; /* Set when that is this node.  */
   peer_t *tried[MAX_TRIED_NODES];
-  unsigned tried_count;       /* Of TRIED.  */
-  unsigned server_attempts;   /* Attempts that reached a server.  */
-  unsigned overload_refusals; /* Refusals as CS_REFUSED_OVERLOADED.  */
-  cs_usec_t min_queue_delay;  /* Shortest wait that a refusal has given.  */
+  unsigned tried_count;           /* Of TRIED.  */
+  failed_answer_t *failed_answer; /* NULL: none.  */
+  unsigned server_attempts;       /* Attempts that reached a server.  */
+  bool reached_server;            /* So that a further attempt is a retry.  */
+  bool sent_again; /* To the same server, after a stale connection.  */
+  /* Refusals as CS_REFUSED_OVERLOADED or CS_REFUSED_RETRY_BUDGET.  */
+  unsigned overload_refusals;
+  /* The part of the runs beside this node that were retries when the request
+     came: the probability that it is a call of one of them.  */
+  double inherited_retry;
+  cs_usec_t min_queue_delay; /* Shortest wait that a refusal has given.  */
   cs_refusal_reason_t refusal_reason; /* Of the last refusal.  */
   bool wants_candidate; /* By the version split; a retry clears it.  */
   bool was_refused;     /* By some node.  */
@@ -44,6 +61,9 @@
    is none.  */
 peer_t *call_choose_peer (call_t *call);
 
+/* Whether PEER's server takes requests of CALL, tried before or not.  */
+bool call_peer_takes_requests (const call_t *call, const peer_t *peer);
+
 /* The mean time that a backend server takes for requests of CALL's route.  */
 cs_usec_t call_expected_run_time (const call_t *call);
 
--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -33,10 +33,21 @@
 #define RETRY_AFTER_MAX (2 * CS_SEC)
 #define RETRY_AFTER_PER_PRIORITY (30 * CS_MSEC) /* Per priority number.  */
 
+static void
+drop_failed_answer (failed_answer_t *answer)
+{
+  if (!answer)
+    return;
+  g_free (answer->fields);
+  g_string_free (answer->body, TRUE);
+  g_free (answer);
+}
+
 static void
 on_timer_closed (uv_handle_t *handle)
 {
   call_t *call = handle->data;
+  drop_failed_answer (call->failed_answer);
   g_string_free (call->head, TRUE);
   cs_snapshot_drop (call->traffic->ctx, call->snapshot);
   g_free (call);
@@ -123,14 +134,12 @@
 }
 
 static void
-finish_answered (call_t *call, const cs_outcome_t *outcome)
+finish_answered (call_t *call, unsigned status, const char *fields,
+                 cs_str_t body, bool close_delimited)
 {
-  char *fields = cs_str_dup (outcome->fields);
   cs_counter_add (CS_C_CALLS_DONE, 1);
-  call->exchange->close_delimited = outcome->close_delimited;
-  cs_exchange_answer (call->exchange, outcome->status, fields, outcome->body,
-                      false);
-  g_free (fields);
+  call->exchange->close_delimited = close_delimited;
+  cs_exchange_answer (call->exchange, status, fields, body, false);
   free_call (call);
 }
 
@@ -161,6 +170,8 @@
           .deadline_remaining = call->deadline - now,
           .idempotent = call->route->idempotent,
           .method_is_head = parser->method == HTTP_HEAD,
+          .retry = call->reached_server,
+          .inherited_retry = call->inherited_retry,
           .fingerprint = call->fingerprint };
   call->peer = peer;
   call->peer_boot = peer->hello_boot;
@@ -170,6 +181,7 @@
     call->tried[call->tried_count++] = peer;
   if (peer->self)
     {
+      traffic_attribute_retry (traffic, &request, traffic->self->info.service);
       cs_dispatch_t *dispatch = cs_dispatcher_submit (
           traffic->dispatcher, &request, on_local_outcome, call);
       /* NULL: refused at once; CALL is freed by now or sent to another
@@ -186,12 +198,18 @@
   cs_pack_clear (&pack);
 }
 
-/* End CALL, which gets no further attempt: as not run, unless an earlier one
-   may have run; it has failed then, and WHY goes to the log.  */
+/* End CALL, which gets no further attempt: with the answer of an attempt that
+   failed at a server, if there is one; else as not run, unless an earlier
+   attempt may have run: it has failed then, and WHY goes to the log.  */
 static void
 finish_unserved (call_t *call, const char *why)
 {
-  if (call->may_have_run)
+  const failed_answer_t *answer = call->failed_answer;
+  if (answer)
+    finish_answered (call, answer->status, answer->fields,
+                     cs_str_of_gstring (answer->body),
+                     answer->close_delimited);
+  else if (call->may_have_run)
     finish_failed (call, 502, why);
   else
     finish_refused (call);
@@ -228,21 +246,21 @@
     finish_unserved (call, "no server for a retry");
 }
 
-/* Whether CALL may be sent to a server once more; charges the retry budget if
-   so.  */
+/* Whether CALL has the time for another run.  */
 static bool
-may_retry (call_t *call)
+has_time_for_retry (const call_t *call)
 {
-  cs_traffic_t *traffic = call->traffic;
-  pool_t *pool = service_pool (traffic, call->service);
-  cs_usec_t now = traffic_now (traffic);
-  int64_t max_attempts = MAX (call->route->max_attempts, 1);
-  if (call->server_attempts >= max_attempts
-      || now + call_expected_run_time (call) > call->deadline)
-    return false;
-  return cs_retry_window_try_spend (&pool->retry_window,
-                                    &traffic->retry_settings,
-                                    g_hash_table_size (traffic->peers), now);
+  return traffic_now (call->traffic) + call_expected_run_time (call)
+         <= call->deadline;
+}
+
+/* Whether CALL may be sent to another server.  The node beside that server
+   charges the retry budget.  */
+static bool
+may_retry (const call_t *call)
+{
+  return call->server_attempts < MAX (call->route->max_attempts, 1)
+         && has_time_for_retry (call);
 }
 
 static void
@@ -257,6 +275,22 @@
   dispatch_call (call);
 }
 
+/* Send CALL, whose connection to the server was stale, to the same server once
+   more.  This counts as the same attempt.  */
+static void
+send_again (call_t *call)
+{
+  peer_t *peer = call->peer;
+  cs_counter_add (CS_C_RETRIES, 1);
+  cs_event_log (CS_E_REPEATED,
+                "id=%.*s route=%s why=stale node=%s arrivals=%u",
+                (int)call->attempt_id.len, call->attempt_id.data,
+                call->route->path, peer->info.name, call->server_attempts);
+  call->sent_again = true;
+  call->server_attempts--;
+  send_job (call, peer);
+}
+
 static void
 handle_refusal (call_t *call, const cs_outcome_t *outcome)
 {
@@ -265,8 +299,9 @@
                           : outcome->expected_wait;
   call->was_refused = true;
   call->refusal_reason = outcome->reason;
-  call->overload_refusals += outcome->reason == CS_REFUSED_OVERLOADED;
-  if (outcome->reached_server && outcome->reason != CS_REFUSED_MISMATCH)
+  call->overload_refusals += outcome->reason == CS_REFUSED_OVERLOADED
+                             || outcome->reason == CS_REFUSED_RETRY_BUDGET;
+  if (outcome->reached_server)
     {
       if (may_retry (call))
         retry_call (call, "shed");
@@ -280,6 +315,19 @@
     dispatch_call (call);
 }
 
+static void
+keep_failed_answer (call_t *call, const cs_outcome_t *outcome)
+{
+  drop_failed_answer (call->failed_answer);
+  call->failed_answer = g_new (failed_answer_t, 1);
+  *call->failed_answer = (failed_answer_t){
+    .status = outcome->status,
+    .fields = cs_str_dup (outcome->fields),
+    .body = g_string_new_len (outcome->body.data, (gssize)outcome->body.len),
+    .close_delimited = outcome->close_delimited
+  };
+}
+
 static void
 handle_answer (call_t *call, const cs_outcome_t *outcome)
 {
@@ -288,23 +336,30 @@
                        outcome->service_time);
   cs_service_times_add (&peer->run_times, call->route->path,
                         outcome->service_time);
-  cs_retry_window_t *budget
-      = &service_pool (call->traffic, call->service)->retry_window;
+  cs_failure_rate_t *failures
+      = &service_pool (call->traffic, call->service)->failures;
   bool failed = outcome->status >= 500;
-  cs_retry_window_note_result (budget, failed);
-  if (failed && call->route->idempotent && cs_retry_window_may_help (budget)
-      && may_retry (call))
+  cs_failure_rate_note (failures, failed);
+  if (failed && call->route->idempotent
+      && cs_failure_rate_retry_may_help (failures) && may_retry (call))
     {
+      keep_failed_answer (call, outcome);
       retry_call (call, "failed");
       return;
     }
-  finish_answered (call, outcome);
+  char *fields = cs_str_dup (outcome->fields);
+  finish_answered (call, outcome->status, fields, outcome->body,
+                   outcome->close_delimited);
+  g_free (fields);
 }
 
 void
 call_handle_outcome (call_t *call, const cs_outcome_t *outcome)
 {
   call->server_attempts += outcome->reached_server;
+  call->reached_server |= outcome->reached_server;
+  if (outcome->retries_strained)
+    cs_dispatcher_hold_retries (call->traffic->dispatcher);
   call->may_have_run |= outcome->kind != CS_OUTCOME_REFUSED;
   /* That node tells all nodes so, which may not get through.  */
   if (outcome->server_leaving)
@@ -318,12 +373,16 @@
       handle_refusal (call, outcome);
       break;
     case CS_OUTCOME_UNKNOWN:
-      if (call->route->idempotent && may_retry (call))
+      if (outcome->stale_connection && !call->sent_again
+          && call_peer_takes_requests (call, call->peer)
+          && has_time_for_retry (call))
+        send_again (call);
+      else if (call->route->idempotent && may_retry (call))
         retry_call (call, "broken");
       else if (traffic_now (call->traffic) >= call->deadline)
         finish_failed (call, 504, "no answer by the limit");
       else
-        finish_failed (call, 502, "broken at the server");
+        finish_unserved (call, "broken at the server");
     }
 }
 
@@ -357,11 +416,12 @@
       return;
     }
   call->server_attempts++;
+  call->reached_server = true;
   call->may_have_run = true;
   if (may_retry (call))
     retry_call (call, "stream");
   else
-    finish_failed (call, 502, "stream lost");
+    finish_unserved (call, "stream lost");
 }
 
 /* Cancel the attempt of CALL that is in flight, because nobody waits for its
@@ -403,6 +463,8 @@
       call->refusal_reason = CS_REFUSED_EXPIRED;
       finish_refused (call);
     }
+  else if (call->failed_answer)
+    finish_unserved (call, "no answer by the limit");
   else
     finish_failed (call, 504, "no answer by the limit");
 }
@@ -473,25 +535,6 @@
                              : call->deadline - call->arrived_at;
 }
 
-/* Record CALL in its service's retry budget.  The backend server beside this
-   node calls other services through it, as clients do, and the two cannot be
-   told apart: any request for another service may come from that server, so it
-   is charged with the retry share of that server's own requests.  */
-static void
-note_for_retry_window (call_t *call)
-{
-  cs_traffic_t *traffic = call->traffic;
-  const char *own = traffic->self->info.service;
-  double caller_share = 0;
-  if (own[0] && strcmp (own, call->service) != 0)
-    caller_share = cs_retry_window_retry_share (
-        &service_pool (traffic, own)->retry_window, &traffic->retry_settings,
-        call->arrived_at);
-  cs_retry_window_note_request (
-      &service_pool (traffic, call->service)->retry_window,
-      &traffic->retry_settings, caller_share, call->arrived_at);
-}
-
 void
 calls_request_received (void *user, cs_exchange_t *exchange)
 {
@@ -528,7 +571,7 @@
   traffic->call_count++;
   set_deadlines (call, request);
   choose_version (call);
-  note_for_retry_window (call);
+  call->inherited_retry = cs_dispatcher_retry_share (traffic->dispatcher);
   uv_timer_init (&traffic->loop, &call->timer);
   call->timer.data = call;
   uv_timer_start (
--- a/source/call/choose.c
+++ b/source/call/choose.c
@@ -51,6 +51,22 @@
   return MAX (load->limit_wait - age, 0) + sent_since * load->limit_interval;
 }
 
+static bool
+peer_takes_version (const peer_t *peer, const char *version)
+{
+  const cs_node_info_t *info = &peer->info;
+  return info->server_state == CS_BACKEND_READY && !info->stopping
+         && !peer_server_is_leaving (peer) && peer_is_reachable (peer)
+         && strcmp (info->version, version) == 0;
+}
+
+bool
+call_peer_takes_requests (const call_t *call, const peer_t *peer)
+{
+  const pool_t *pool = service_pool (call->traffic, call->service);
+  return peer_takes_version (peer, version_for (call, pool));
+}
+
 /* PEER's state for the placement of CALL.  */
 static cs_placement_node_t
 describe_peer (const call_t *call, peer_t *peer, const char *version,
@@ -75,10 +91,10 @@
       &peer->run_times, call->route->path, call_expected_run_time (call));
   return (cs_placement_node_t){
     .distance = peer->distance,
-    .eligible = info->server_state == CS_BACKEND_READY && !info->stopping
-                && !peer_server_is_leaving (peer) && peer_is_reachable (peer)
-                && strcmp (info->version, version) == 0
-                && !was_peer_tried (call, peer),
+    .eligible = peer_takes_version (peer, version)
+                && !was_peer_tried (call, peer)
+                && !(call->reached_server && load.refuses_retries
+                     && age <= LOAD_FRESH_FOR),
     .slots = slots,
     .outstanding = MAX (other_load, 0) + own_calls,
     .mean_service_time
--- a/source/call/inbound.c
+++ b/source/call/inbound.c
@@ -147,6 +147,9 @@
     }
   g_hash_table_insert (inbound->jobs, &job->number, job);
   traffic->inbound_job_count++;
+  const peer_t *caller = g_hash_table_lookup (traffic->peers, inbound->name);
+  traffic_attribute_retry (traffic, &request,
+                           caller ? caller->info.service : "");
   cs_dispatch_t *dispatch
       = cs_dispatcher_submit (traffic->dispatcher, &request, on_job_done, job);
   /* It is NULL when the job was refused; JOB may be freed then.  */
--- a/source/call/traffic.c
+++ b/source/call/traffic.c
@@ -26,6 +26,7 @@
     return;
   traffic->next_slow_tick_at = now + 4 * TICK_MS * CS_MSEC;
   peers_tick (traffic, now);
+  traffic_count_servers (traffic);
   inbound_tick (traffic, now);
   if (now >= traffic->next_crash_expiry_at)
     {
@@ -89,7 +90,8 @@
   traffic->ctx = cs_ctx_clone (ctx);
   traffic->handler = *handler;
   traffic->user = user;
-  traffic->retry_settings = settings->retry_window;
+  traffic->route_callers = cs_route_callers_new ();
+  traffic->server_counts = g_hash_table_new (g_str_hash, g_str_equal);
   traffic->grace_period = settings->grace_period;
   traffic->snapshot = settings->snapshot;
   g_strlcpy (traffic->caller_service, settings->caller_service,
@@ -107,7 +109,8 @@
       = cs_crash_history_new (traffic->ctx, &crash_history_handler, traffic);
   traffic->dispatcher = cs_dispatcher_new (
       traffic->ctx, &traffic->loop, &settings->answer_memory,
-      traffic->crash_history, &dispatcher_handler, traffic);
+      &settings->retry_window, traffic->crash_history, &dispatcher_handler,
+      traffic);
   if (cs_http1_server_new (traffic->ctx, &traffic->loop,
                            settings->caller_address, &callers, traffic,
                            &traffic->caller_server)
--- a/source/call/traffic.h
+++ b/source/call/traffic.h
@@ -9,6 +9,7 @@
 #include "cardamom/frames.h"
 #include "cardamom/placement.h"
 #include "cardamom/retry-window.h"
+#include "cardamom/route-callers.h"
 #include "cardamom/server.h"
 #include "cardamom/service-times.h"
 #include "cardamom/snapshot.h"
@@ -84,7 +85,7 @@
 {
   GPtrArray *peers; /* peer_t *.  */
   version_split_state_t split;
-  cs_retry_window_t retry_window;
+  cs_failure_rate_t failures;
 } pool_t;
 
 /* State of a route that outlives its calls.  */
@@ -108,11 +109,14 @@
   cs_http1_server_t *caller_server;
   cs_dispatcher_t *dispatcher;
   cs_crash_history_t *crash_history;
-  cs_retry_window_settings_t retry_settings;
+  cs_route_callers_t *route_callers; /* Of the jobs for this node.  */
   char caller_service[CS_NAME_SIZE];
   peer_t *self;
-  GHashTable *peers;        /* name -> peer_t *, this node among them.  */
-  GHashTable *pools;        /* service -> pool_t *.  */
+  GHashTable *peers; /* name -> peer_t *, this node among them.  */
+  GHashTable *pools; /* service -> pool_t *.  */
+  /* service -> number of its servers, as GUINT_TO_POINTER; made anew by
+     traffic_count_servers.  */
+  GHashTable *server_counts;
   GHashTable *routes;       /* route path -> route_state_t *.  */
   cs_snapshot_t **snapshot; /* RCU pointer of the control thread.  */
   /* attempt id -> inbound job that is not idempotent.  */
@@ -179,6 +183,16 @@
 /* Wall time in milliseconds, as crash records hold it.  */
 int64_t traffic_wall_ms (const cs_traffic_t *traffic);
 
+/* retry-origin.c: which requests for the server beside this node are calls of
+   runs that were retries.  */
+/* Set what of REQUEST, from the host of a server of CALLER_SERVICE, counts as
+   a retry that is inherited from a run.  */
+void traffic_attribute_retry (cs_traffic_t *traffic,
+                              cs_dispatch_request_t *request,
+                              const char *caller_service);
+/* Share the retry budget out to the servers that are known now.  */
+void traffic_count_servers (cs_traffic_t *traffic);
+
 /* inbound.c: the streams that other nodes open, and the jobs they send.  */
 cs_status_t inbound_listen (cs_traffic_t *traffic, const char *address);
 void inbound_tick (cs_traffic_t *traffic, cs_usec_t now);
--- a/source/run/crash-check.c
+++ b/source/run/crash-check.c
@@ -43,6 +43,9 @@
           .service_time = dispatch->service_time,
           .crash_record = cs_crash_history_find (
               dispatcher->crash_history, dispatch->fingerprint, server) };
+  outcome.stale_connection = dispatch->stale_connection
+                             && !outcome.crash_record
+                             && dispatcher->server.state == CS_BACKEND_READY;
   dispatcher_finish (dispatch, &outcome);
 }
 
--- a/source/run/dispatcher-internal.h
+++ b/source/run/dispatcher-internal.h
@@ -44,7 +44,12 @@
   int64_t sent_wall_ms;   /* SENT_AT as wall time.  */
   uint64_t fingerprint;   /* 0: not known.  */
   bool suspect;           /* It was suspected when it was sent.  */
-  bool idempotent, method_is_head, resent, cancelled;
+  bool idempotent, method_is_head, cancelled;
+  bool retry; /* An earlier attempt has reached a server.  */
+  /* The part of it that counts as a retry for the services that it calls.  */
+  double retry_share;
+  bool may_be_call;
+  bool stale_connection; /* As in cs_outcome_t, if the server runs on.  */
   cs_dispatch_done_t done;
   void *user;
 };
@@ -81,6 +86,10 @@
      start or the last change of MOVE_REVISION; counted without a candidate
      too.  */
   int64_t candidate_runs, candidate_failures;
+  cs_retry_window_settings_t retry_settings;
+  cs_retry_window_t retry_window;
+  unsigned server_count;
+  cs_usec_t retries_held_until;
   cs_server_limit_t limit;
   /* From cs_dispatcher_restore_limit.  */
   char restored_instance[CS_NAME_SIZE];
--- a/source/run/dispatcher.c
+++ b/source/run/dispatcher.c
@@ -22,6 +22,9 @@
 /* A connection fails when bytes sent to the server stay unacknowledged for
    this long.  */
 #define SERVER_ACK_TIMEOUT (3 * CS_SEC)
+/* Retries are held for this long after each sign that the services which the
+   server calls get too many of them.  */
+#define RETRIES_HELD_FOR (2 * CS_SEC)
 /* A candidate is stopped on this node after this many failures, if they are at
    least this part of its runs.  */
 #define CANDIDATE_FAILURES_MIN 6
@@ -32,8 +35,8 @@
 {
   /* In the order of cs_refusal_reason_t.  */
   static const char *const names[]
-      = { "full", "expired", "gone",     "other",
-          "shed", "trial",   "stopping", "quarantined" };
+      = { "full",  "expired",  "gone",        "other",       "shed",
+          "trial", "stopping", "quarantined", "retry-budget" };
   return reason < CS_REFUSED_COUNT ? names[reason] : "unknown";
 }
 
@@ -56,8 +59,41 @@
   dispatcher->failure_rate_at = dispatcher_now (dispatcher);
 }
 
+/* Whether the retry budget has room for a retry.  */
+static bool
+takes_retries (cs_dispatcher_t *dispatcher)
+{
+  cs_usec_t now = dispatcher_now (dispatcher);
+  return now >= dispatcher->retries_held_until
+         && cs_retry_window_has_room (&dispatcher->retry_window,
+                                      &dispatcher->retry_settings,
+                                      dispatcher->server_count, now);
+}
+
+void
+cs_dispatcher_set_server_count (cs_dispatcher_t *dispatcher, unsigned count)
+{
+  dispatcher->server_count = count;
+}
+
+double
+cs_dispatcher_retry_share (const cs_dispatcher_t *dispatcher)
+{
+  double sum = 0;
+  for (const GList *link = dispatcher->in_flight.head; link; link = link->next)
+    sum += ((const cs_dispatch_t *)link->data)->retry_share;
+  return sum / MAX (dispatcher->in_flight.length, 1);
+}
+
+void
+cs_dispatcher_hold_retries (cs_dispatcher_t *dispatcher)
+{
+  dispatcher->retries_held_until
+      = dispatcher_now (dispatcher) + RETRIES_HELD_FOR;
+}
+
 cs_load_t
-cs_dispatcher_load (const cs_dispatcher_t *dispatcher)
+cs_dispatcher_load (cs_dispatcher_t *dispatcher)
 {
   return (cs_load_t){
     .running = dispatcher->in_flight.length,
@@ -69,7 +105,8 @@
     .limit_interval = dispatcher->limit.interval,
     .limit_wait = cs_server_limit_wait (
         &dispatcher->limit, cs_request_queue_length (&dispatcher->queue),
-        dispatcher_now (dispatcher))
+        dispatcher_now (dispatcher)),
+    .refuses_retries = !takes_retries (dispatcher)
   };
 }
 
@@ -139,6 +176,11 @@
 {
   cs_dispatcher_t *dispatcher = dispatch->dispatcher;
   outcome->load = cs_dispatcher_load (dispatcher);
+  outcome->retries_strained
+      = dispatch->may_be_call
+        && cs_retry_window_is_strained (
+            &dispatcher->retry_window, &dispatcher->retry_settings,
+            dispatcher->server_count, dispatcher_now (dispatcher));
   if (!dispatch->cancelled)
     dispatch->done (dispatch->user, outcome);
   free_dispatch (dispatch);
@@ -339,9 +381,6 @@
   return cs_str_equal (id, sent_id);
 }
 
-static void send_on (cs_dispatcher_t *dispatcher, cs_dispatch_t *dispatch,
-                     dispatcher_conn_t *conn);
-
 /* Log that DISPATCH, which was sent to the server, ends without an answer.  */
 static void
 log_unanswered (const cs_dispatch_t *dispatch, const char *why)
@@ -350,9 +389,9 @@
   cs_event_log (
       CS_E_UNANSWERED,
       "id=%s route=%s fingerprint=%016" G_GINT64_MODIFIER "x instance=%s "
-      "why=\"%s\" resent=%d running=%u run_ms=%.1f",
+      "why=\"%s\" stale=%d running=%u run_ms=%.1f",
       dispatch->id->str, dispatch->route->str, dispatch->fingerprint,
-      dispatcher->server.report.instance, why, dispatch->resent,
+      dispatcher->server.report.instance, why, dispatch->stale_connection,
       dispatcher->in_flight.length,
       (double)(dispatcher_now (dispatcher) - dispatch->sent_at) / 1e3);
 }
@@ -375,32 +414,21 @@
   release_conn (dispatch);
   if (error == CS_HTTP1_CONNECT_FAILED)
     crash_check_suspect (dispatcher, true);
-  if (cs_http1_client_error_is_unsent (error) && !dispatch->resent)
+  if (cs_http1_client_error_is_unsent (error))
     {
       refuse_dispatch (dispatch, CS_REFUSED_NO_SERVER, 0);
       if (error == CS_HTTP1_CONNECT_FAILED)
         dispatcher_mark_server_lost (dispatcher);
       return;
     }
+  dispatch->stale_connection
+      = reused && dispatch->idempotent && !partial && !is_suspect (dispatch);
   log_unanswered (dispatch, cs_http1_client_error_text (error));
-  /* If it was sent twice, the first send may have run.  */
-  if (!cs_http1_client_error_is_unsent (error))
-    crash_check_note_unanswered (dispatch);
-  if (reused && dispatch->idempotent && !dispatch->resent && !partial
-      && !is_suspect (dispatch))
-    {
-      /* The server probably closed the idle connection while the request was
-         being sent.  */
-      dispatch->resent = true;
-      send_on (dispatcher, dispatch, dispatcher_open_conn (dispatcher));
-      return;
-    }
-  record_failure (dispatch);
+  crash_check_note_unanswered (dispatch);
+  if (!dispatch->stale_connection)
+    record_failure (dispatch);
   crash_check_keep (dispatch);
-  if (error == CS_HTTP1_CONNECT_FAILED)
-    dispatcher_mark_server_lost (dispatcher);
-  else
-    crash_check_start (dispatcher);
+  crash_check_start (dispatcher);
   dispatcher_schedule_fill (dispatcher);
 }
 
@@ -421,7 +449,8 @@
   return conn;
 }
 
-/* An idle connection that is safe for DISPATCH, or a new one.  */
+/* An idle connection that is safe for DISPATCH, or a new one.  A retry takes
+   no kept connection: that may be why the attempt before failed.  */
 static dispatcher_conn_t *
 acquire_conn (cs_dispatcher_t *dispatcher, const cs_dispatch_t *dispatch)
 {
@@ -437,6 +466,8 @@
           dispatcher_drop_conn (conn);
           continue;
         }
+      if (dispatch->retry && conn->uses > 0)
+        break;
       if (!dispatch->idempotent
           && now - cs_http1_client_idle_since (conn->client)
                  > UNSAFE_REUSE_IDLE_MAX)
@@ -475,6 +506,13 @@
   dispatch->conn = conn;
   dispatch->sent_at = now;
   cs_server_limit_take (&dispatcher->limit, now);
+  if (dispatch->retry)
+    cs_retry_window_note_retry (&dispatcher->retry_window,
+                                &dispatcher->retry_settings, now);
+  else
+    cs_retry_window_note_request (
+        &dispatcher->retry_window, &dispatcher->retry_settings,
+        dispatch->may_be_call, dispatch->retry_share, now);
   dispatch->sent_wall_ms = dispatcher_wall_ms (dispatcher);
   conn->dispatch = dispatch;
   conn->uses++;
@@ -524,9 +562,9 @@
                     (uint64_t)(wait + CS_MSEC - 1) / CS_MSEC, 0);
 }
 
-/* Send DISPATCH, which is in no queue, to a free slot, unless it has crashed
-   servers: it is refused then, or kept until it can run as the only suspect.
- */
+/* Send DISPATCH, which is in no queue, to a free slot.  It is refused if it is
+   a retry without a budget.  If it has crashed servers, it is refused, or kept
+   until it can run as the only suspect.  */
 static void
 start_dispatch (cs_dispatch_t *dispatch)
 {
@@ -537,6 +575,8 @@
       cs_counter_add (CS_C_QUARANTINED, 1);
       refuse_dispatch (dispatch, CS_REFUSED_QUARANTINED, 0);
     }
+  else if (dispatch->retry && !takes_retries (dispatcher))
+    refuse_dispatch (dispatch, CS_REFUSED_RETRY_BUDGET, 0);
   else if (trust == CS_REQUEST_SUSPECT && suspect_in_flight (dispatcher))
     {
       dispatch->state = DISPATCH_ISOLATED;
@@ -623,6 +663,7 @@
 cs_dispatcher_t *
 cs_dispatcher_new (cs_ctx_t *ctx, uv_loop_t *loop,
                    const cs_answer_memory_t *answer_memory,
+                   const cs_retry_window_settings_t *retries,
                    cs_crash_history_t *crash_history,
                    const cs_dispatcher_handler_t *handler, void *user)
 {
@@ -630,6 +671,10 @@
   dispatcher->ctx = ctx;
   dispatcher->loop = loop;
   dispatcher->answer_memory = *answer_memory;
+  dispatcher->retry_settings = *retries;
+  dispatcher->server_count = 1;
+  cs_retry_window_init (&dispatcher->retry_window,
+                        dispatcher_now (dispatcher));
   dispatcher->handler = *handler;
   dispatcher->user = user;
   dispatcher->crash_history = crash_history;
@@ -658,6 +703,9 @@
       crash_check_suspect (dispatcher, true);
       crash_check_end (dispatcher);
     }
+  if (strcmp (dispatcher->server.report.service, server->report.service) != 0)
+    cs_retry_window_init (&dispatcher->retry_window,
+                          dispatcher_now (dispatcher));
   dispatcher->server = *server;
   if (restarted)
     {
@@ -733,6 +781,9 @@
   dispatch->head_len = request->head.len;
   dispatch->idempotent = request->idempotent;
   dispatch->method_is_head = request->method_is_head;
+  dispatch->retry = request->retry;
+  dispatch->may_be_call = request->may_be_call;
+  dispatch->retry_share = request->retry ? 1.0 : request->inherited_retry;
   dispatch->done = done;
   dispatch->user = user;
   cs_usec_t now = dispatcher_now (dispatcher);
@@ -775,6 +826,8 @@
     reason = CS_REFUSED_MISMATCH;
   else if (candidate_is_stopped (dispatcher))
     reason = CS_REFUSED_CANDIDATE_STOPPED;
+  else if (request->retry && !takes_retries (dispatcher))
+    reason = CS_REFUSED_RETRY_BUDGET;
   else if (!cs_request_queue_try_push (&dispatcher->queue, &dispatch->queued,
                                        &capacity, dispatcher_now (dispatcher),
                                        &wait))
--- a/source/stream/frames.c
+++ b/source/stream/frames.c
@@ -5,8 +5,8 @@
 /* Elements of the msgpack arrays of a cs_node_info_t, a job message and an
    outcome message.  */
 #define NODE_INFO_FIELDS 13
-#define JOB_FIELDS 14
-#define OUTCOME_FIELDS 19
+#define JOB_FIELDS 15
+#define OUTCOME_FIELDS 20
 /* A job message is invalid when its deadline or target time is further away
    than this.  The node that sends it allows a call DEFAULT_CALL_TIMEOUT
    (call/calls.c) at most, whatever the route allows.  */
@@ -14,6 +14,11 @@
 /* Flags in a job message.  */
 #define JOB_IDEMPOTENT 1
 #define JOB_HEAD_ONLY 2 /* The method is HEAD.  */
+#define JOB_RETRY 4
+/* Flags of an outcome.  */
+#define OUTCOME_STALE_CONNECTION 1
+#define LOAD_NO_RETRIES 2
+#define OUTCOME_RETRIES_STRAINED 4
 
 bool
 cs_node_info_is_newer (const cs_node_info_t *a, const cs_node_info_t *b)
@@ -89,7 +94,8 @@
   cs_pack_int64 (pack, CS_FRAME_JOB);
   cs_pack_uint64 (pack, number);
   cs_pack_int64 (pack, (request->idempotent ? JOB_IDEMPOTENT : 0)
-                           | (request->method_is_head ? JOB_HEAD_ONLY : 0));
+                           | (request->method_is_head ? JOB_HEAD_ONLY : 0)
+                           | (request->retry ? JOB_RETRY : 0));
   cs_pack_int64 (pack, request->priority);
   cs_pack_int64 (pack, request->target_remaining / CS_MSEC);
   cs_pack_int64 (pack, request->latency_target / CS_MSEC);
@@ -101,6 +107,7 @@
   cs_pack_bytes (pack, request->head);
   cs_pack_bytes (pack, request->body);
   cs_pack_uint64 (pack, request->fingerprint);
+  cs_pack_int64 (pack, (int64_t)(request->inherited_retry * 1000.0));
 }
 
 void
@@ -112,6 +119,7 @@
   int64_t flags = cs_unpack_int64 (cursor);
   request->idempotent = flags & JOB_IDEMPOTENT;
   request->method_is_head = flags & JOB_HEAD_ONLY;
+  request->retry = flags & JOB_RETRY;
   request->priority = cs_unpack_int64 (cursor);
   request->target_remaining = cs_unpack_int64 (cursor) * CS_MSEC;
   request->latency_target = cs_unpack_int64 (cursor) * CS_MSEC;
@@ -130,6 +138,11 @@
   /* Earlier releases do not send it.  */
   if (cursor->remaining)
     request->fingerprint = cs_unpack_uint64 (cursor);
+  if (cursor->remaining)
+    {
+      int64_t permille = cs_unpack_int64 (cursor);
+      request->inherited_retry = (double)CLAMP (permille, 0, 1000) / 1000.0;
+    }
 }
 
 void
@@ -155,6 +168,10 @@
   cs_pack_int64 (pack, outcome->load.limit_interval);
   cs_pack_int64 (pack, outcome->load.limit_wait);
   cs_pack_int64 (pack, outcome->server_leaving);
+  cs_pack_int64 (
+      pack, (outcome->stale_connection ? OUTCOME_STALE_CONNECTION : 0)
+                | (outcome->load.refuses_retries ? LOAD_NO_RETRIES : 0)
+                | (outcome->retries_strained ? OUTCOME_RETRIES_STRAINED : 0));
 }
 
 void
@@ -183,6 +200,13 @@
       outcome->load.limit_wait = cs_unpack_int64 (cursor);
       outcome->server_leaving = cs_unpack_int64 (cursor) != 0;
     }
+  if (cursor->remaining)
+    {
+      int64_t flags = cs_unpack_int64 (cursor);
+      outcome->stale_connection = flags & OUTCOME_STALE_CONNECTION;
+      outcome->load.refuses_retries = flags & LOAD_NO_RETRIES;
+      outcome->retries_strained = flags & OUTCOME_RETRIES_STRAINED;
+    }
   if (kind < CS_OUTCOME_ANSWERED || kind > CS_OUTCOME_UNKNOWN || reason < 0
       || reason >= CS_REFUSED_COUNT || outcome->status > 999
       || outcome->load.limit_interval < 0
--- a/tests/test-decide.c
+++ b/tests/test-decide.c
@@ -284,95 +284,22 @@
 
 /* Retry budgets.  */
 
-static void
-test_retry_budget (void)
-{
-  static const cs_retry_window_settings_t settings
-      = { .ratio = 0.2, .slack = 60, .window = 10 * CS_SEC };
-  unsigned sent = 0;
-  cs_retry_window_t budgets[12] = { 0 };
-  /* All nodes together stay within ratio and slack in a window.  */
-  for (int ms = 0; ms < 10000; ms += 10)
-    for (int node = 0; node < 12; node++)
-      {
-        cs_usec_t now = 100 * CS_SEC + ms * MS;
-        if (ms % 100 == 0)
-          cs_retry_window_note_request (&budgets[node], &settings, 0, now);
-        sent += cs_retry_window_try_spend (&budgets[node], &settings, 12, now);
-      }
-  g_assert_cmpuint (sent, <=, (unsigned)(0.2 * 1200 + 60));
-  g_assert_cmpuint (sent, >, 50);
-  /* The allowance is back after the window.  */
-  g_assert_false (cs_retry_window_try_spend (&budgets[0], &settings, 12,
-                                             110 * CS_SEC - MS));
-  g_assert_true (
-      cs_retry_window_try_spend (&budgets[0], &settings, 12, 125 * CS_SEC));
-}
-
-/* A service and another one that each of its requests calls both shed 45 %.
-   Calls made by retried requests are retries for the called service although
-   no node can tell them apart; the sum must stay within the allowance.  */
-static void
-test_retry_budget_nested_calls (void)
-{
-  enum
-  {
-    NODES = 12,
-    REQUESTS = 1200
-  };
-  static const cs_retry_window_settings_t settings
-      = { .ratio = 0.2, .slack = 60, .window = 10 * CS_SEC };
-  cs_retry_window_t callers[NODES] = { 0 }, called[NODES] = { 0 };
-  GRand *random = g_rand_new_with_seed (7);
-  unsigned calls = 0, calls_of_first_attempts = 0, retries = 0;
-  for (int i = 0; i < REQUESTS; i++)
-    {
-      cs_usec_t now = 100 * CS_SEC + (cs_usec_t)i * 10 * CS_SEC / REQUESTS;
-      cs_retry_window_t *caller = &callers[i % NODES];
-      bool shed, is_retry = false;
-      cs_retry_window_note_request (caller, &settings, 0, now);
-      while ((shed = g_rand_double (random) < 0.45)
-             && cs_retry_window_try_spend (caller, &settings, NODES, now))
-        is_retry = true;
-      if (shed)
-        continue;
-      /* The request runs at any node and makes its call from there.  */
-      int node = g_rand_int_range (random, 0, NODES);
-      double caller_share
-          = cs_retry_window_retry_share (&callers[node], &settings, now);
-      cs_retry_window_note_request (&called[node], &settings, caller_share,
-                                    now);
-      calls++;
-      calls_of_first_attempts += !is_retry;
-      retries += is_retry;
-      while (
-          g_rand_double (random) < 0.45
-          && cs_retry_window_try_spend (&called[node], &settings, NODES, now))
-        retries++;
-    }
-  g_rand_free (random);
-  g_test_message ("%u calls, %u of first attempts, %u retries", calls,
-                  calls_of_first_attempts, retries);
-  g_assert_cmpuint (retries, <=, (unsigned)(0.2 * calls + 60));
-  g_assert_cmpuint (retries, >=, (unsigned)((0.2 * calls + 60) / 2));
-}
-
 /* One failing server of eight, which fails half of its requests, leaves
    retries useful; a service that fails every second request does not.  */
 static void
 test_retry_budget_service_wide_failure (void)
 {
-  cs_retry_window_t one_failing = { 0 }, all_failing = { 0 };
+  cs_failure_rate_t one_failing = { 0 }, all_failing = { 0 };
   for (int i = 0; i < 400; i++)
     {
-      cs_retry_window_note_result (&one_failing, i % 16 == 0);
-      cs_retry_window_note_result (&all_failing, i % 2 == 0);
+      cs_failure_rate_note (&one_failing, i % 16 == 0);
+      cs_failure_rate_note (&all_failing, i % 2 == 0);
     }
-  g_assert_true (cs_retry_window_may_help (&one_failing));
-  g_assert_false (cs_retry_window_may_help (&all_failing));
+  g_assert_true (cs_failure_rate_retry_may_help (&one_failing));
+  g_assert_false (cs_failure_rate_retry_may_help (&all_failing));
   for (int i = 0; i < 400; i++)
-    cs_retry_window_note_result (&all_failing, false);
-  g_assert_true (cs_retry_window_may_help (&all_failing));
+    cs_failure_rate_note (&all_failing, false);
+  g_assert_true (cs_failure_rate_retry_may_help (&all_failing));
 }
 
 static void
@@ -848,8 +775,6 @@
   g_test_add_func ("/decide/waiting-overload", test_queue_overload);
   g_test_add_func ("/decide/waiting-priority", test_queue_priority);
   g_test_add_func ("/decide/waiting-near-target", test_queue_near_target);
-  g_test_add_func ("/decide/budget", test_retry_budget);
-  g_test_add_func ("/decide/budget-nested", test_retry_budget_nested_calls);
   g_test_add_func ("/decide/budget-whole",
                    test_retry_budget_service_wide_failure);
   g_test_add_func ("/decide/rotation", test_weighted_round_robin);
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -160,6 +160,13 @@
   return snapshot;
 }
 
+static const cs_retry_window_settings_t ample_retries
+    = { .ratio = 1, .slack = 100, .window = 10 * CS_SEC };
+static const cs_retry_window_settings_t no_retries
+    = { .ratio = 0, .slack = 0, .window = 10 * CS_SEC };
+/* Of the nodes that are started next.  */
+static cs_retry_window_settings_t retry_settings;
+
 static cs_traffic_t *
 start_node (mesh_t *mesh, cs_node_info_t *info, const char *name,
             unsigned peer_port, unsigned caller_port)
@@ -180,7 +187,7 @@
           .caller_service = "desk",
           .answer_memory = { .max_per_answer = ANSWER_BYTES_MAX,
                              .max_total = ANSWERS_BYTES_MAX },
-          .retry_window = { .ratio = 1, .slack = 100, .window = 10 * CS_SEC },
+          .retry_window = retry_settings,
           .grace_period = 6 * CS_SEC,
           .snapshot = &mesh->snapshot };
   cs_traffic_t *traffic
@@ -284,9 +291,10 @@
 }
 
 static mesh_t *
-start_mesh (int64_t slots)
+start_mesh_with (int64_t slots, const cs_retry_window_settings_t *retries)
 {
   mesh_t *mesh = g_new0 (mesh_t, 1);
+  retry_settings = *retries;
   unsigned peer_port = free_port ();
   mesh->ctx = cs_ctx_new (NULL, cs_clock_boottime (), 5);
   mesh->snapshot = make_snapshot (mesh->ctx);
@@ -308,6 +316,12 @@
   return mesh;
 }
 
+static mesh_t *
+start_mesh (int64_t slots)
+{
+  return start_mesh_with (slots, &ample_retries);
+}
+
 /* A forwarded request: forged and hop-by-hop fields are removed, the node's
    own are set, and the answer comes back on a connection that stays open.  */
 static void
@@ -854,6 +868,70 @@
   close (caller);
 }
 
+/* Let the server run a first request, and break the kept connection under a
+   second one, a2.  Returns the connection that the node opens then.  */
+static int
+break_kept_connection (const mesh_t *mesh, int caller)
+{
+  send_request (caller, "GET", "/read/1", "a1", "");
+  int server = accept_request (mesh, "/read/1");
+  send_answer (server, "a1", "one");
+  expect_answer (caller, "200", "one");
+  send_request (caller, "GET", "/read/2", "a2", "");
+  char *request = receive_message (server);
+  g_assert_nonnull (strstr (request, "GET /read/2"));
+  g_free (request);
+  close (server);
+  return accept_one (mesh->server_listener);
+}
+
+/* A request whose kept connection breaks may have run: sending it once more is
+   a retry, and there is no budget for one.  */
+static void
+test_resend_without_budget (void)
+{
+  mesh_t *mesh = start_mesh_with (1, &no_retries);
+  int caller = connect_to (mesh->caller_port);
+  int server = break_kept_connection (mesh, caller);
+  expect_answer (caller, "502", "");
+  g_assert_false (readable (server, SOCKET_ABSENCE_MS));
+  close (server);
+  close (caller);
+}
+
+/* With a budget it is sent to the same server, which runs on: the connection
+   had probably been closed while it was idle.  */
+static void
+test_resend_after_stale_connection (void)
+{
+  mesh_t *mesh = start_mesh (1);
+  int caller = connect_to (mesh->caller_port);
+  int server = break_kept_connection (mesh, caller);
+  char *request = receive_message (server);
+  g_assert_nonnull (strstr (request, "GET /read/2"));
+  g_free (request);
+  send_answer (server, "a2", "two");
+  expect_answer (caller, "200", "two");
+  close (server);
+  close (caller);
+}
+
+/* A request fails at the server and no other one is left: the caller gets the
+   server's answer, not one of the node.  */
+static void
+test_failed_answer_lost (void)
+{
+  mesh_t *mesh = start_mesh (1);
+  int caller = connect_to (mesh->caller_port);
+  send_request (caller, "GET", "/read/1", "a1", "");
+  int server = accept_request (mesh, "/read/1");
+  send_text (server, "HTTP/1.1 500 Error\r\nCardamom-Attempt: a1\r\n"
+                     "Cardamom-Seal: s\r\nContent-Length: 3\r\n\r\nwhy");
+  expect_answer (caller, "500", "why");
+  close (server);
+  close (caller);
+}
+
 /* The server restarts on the same address: requests go to the new instance. */
 static void
 test_server_restart (void)
@@ -1394,6 +1472,10 @@
                    test_run_request_not_told_as_not_run);
   g_test_add_func ("/path/resend-is-a-free-attempt",
                    test_resend_counts_as_attempt);
+  g_test_add_func ("/path/resend-without-budget", test_resend_without_budget);
+  g_test_add_func ("/path/resend-after-stale-connection",
+                   test_resend_after_stale_connection);
+  g_test_add_func ("/path/failed-answer-lost", test_failed_answer_lost);
   g_test_add_func ("/path/second-life", test_server_restart);
   g_test_add_func ("/path/suspects-run-together", test_suspects_run_together);
   g_test_add_func ("/path/quarantined-request-sent",
