Place by link delay, over the region, with a longest wait

Cause, by the times of each send in trials: uploads of 60 KB go to the fastest servers of fair-office until their links of 10 Mbit/s are full (8.7 Mbit/s at one, 0.5 at another), small jobs wait behind them for 0.3 to 5 s, and the runs that called hold their slots meanwhile. At jury-desk the nearest data centre is filled up to 65 % of the target while the next one, 0.5 ms away, has free slots; of 31,000 sends 12,365 were refused as full, as loads are known 0.5 s late. Ruled out: cold servers, the node's own processor (trials without its price show the same).

Change: the delay of the paths to a node goes with its load and into the choice, and off the time that a job has left; all data centres of a region are chosen from, others than the own at a surcharge; a job names the wait from which on another server would be better, and is refused beyond it.

--- a/include/cardamom/dispatcher.h
+++ b/include/cardamom/dispatcher.h
@@ -30,6 +30,10 @@
   cs_usec_t target_remaining;   /* Time until the latency target.  */
   cs_usec_t latency_target;     /* The whole latency target of its route.  */
   cs_usec_t deadline_remaining; /* Time until the deadline.  */
+  /* The request is refused if it is expected to wait for longer than this,
+     because the sender knows of a better server then.  */
+  cs_usec_t wait_max;
+  cs_usec_t sent_at; /* By the sender's monotonic clock; 0: not known.  */
   bool idempotent, method_is_head;
   bool retry; /* An earlier attempt has reached a server.  */
   /* Probability, 0 to 1, that this is a call of a run that was a retry.  */
@@ -52,6 +56,7 @@
   CS_REFUSED_STOPPING,          /* The node is shutting down.  */
   CS_REFUSED_QUARANTINED,       /* It has crashed servers.  */
   CS_REFUSED_RETRY_BUDGET,      /* A retry that the retry budget excludes.  */
+  CS_REFUSED_LONGER_WAIT,       /* It would wait for longer than WAIT_MAX.  */
   CS_REFUSED_COUNT
 } cs_refusal_reason_t;
 
@@ -76,6 +81,7 @@
   /* Under the limit that the server names: the time between two requests, 0
      without a limit, and the wait of one that comes now.  */
   cs_usec_t limit_interval, limit_wait;
+  cs_usec_t transit;    /* Mean delay of the messages to that node.  */
   bool refuses_retries; /* The retry budget has no room.  */
 } cs_load_t;
 
@@ -145,6 +151,9 @@
 void cs_dispatcher_restore_limit (cs_dispatcher_t *dispatcher,
                                   const char *instance, cs_usec_t interval);
 
+/* A message from another node came with DELAY.  */
+void cs_dispatcher_note_transit (cs_dispatcher_t *dispatcher, cs_usec_t delay);
+
 /* The number of servers of the service, to which the retry budget is shared
    out.  */
 void cs_dispatcher_set_server_count (cs_dispatcher_t *dispatcher,
--- a/include/cardamom/placement.h
+++ b/include/cardamom/placement.h
@@ -1,11 +1,14 @@
 /* Placement: which of the nodes beside the backend servers of a service gets a
    request, from the load and latency that the deciding node knows of them.
 
-   It is made for data centres of uneven speed, bursts that fill the nearest
-   one, and many nodes that choose at the same time.  The nearest data centre
-   is preferred while the request is expected to end well within its target
-   there, because traffic over links between data centres and regions is paid
-   for.  Otherwise the node with the lowest expected latency gets it.  */
+   It is made for data centres of uneven load, servers of uneven speed, links
+   that large bodies fill, and many nodes that choose at the same time by
+   reports that are seconds old.  The node of the region with the lowest
+   expected latency gets the request; other data centres count as slower,
+   because traffic between them is paid for.  Another region gets it when none
+   of this one is expected to meet the target.  The chosen node is told from
+   which wait on the next best one would have been better, and refuses then: it
+   alone knows its load.  */
 #ifndef CARDAMOM_PLACEMENT_H
 #define CARDAMOM_PLACEMENT_H
 
@@ -27,6 +30,7 @@
   cs_usec_t run_time;       /* Expected run time of this request there.  */
   cs_usec_t limit_delay;    /* Expected wait under its server's limit.  */
   cs_usec_t round_trip;     /* Network round trip to that node.  */
+  cs_usec_t transit;        /* Delay on full links to that node.  */
   int64_t failure_permille; /* Failures per 1000 of its recent requests.  */
 } cs_placement_node_t;
 
@@ -41,6 +45,9 @@
   int index; /* Of the chosen node; -1 when none is usable.  */
   /* Expected time from now to the answer; -1 without a node.  */
   cs_usec_t expected_latency;
+  /* The wait at the chosen node from which on another one is expected to be
+     better; INT64_MAX when there is no other.  */
+  cs_usec_t wait_max;
 } cs_placement_t;
 
 /* Choose one of COUNT nodes.  The choice among nearly equal ones is random, so
--- a/source/call/call.h
+++ b/source/call/call.h
@@ -44,6 +44,8 @@
   failed_answer_t *failed_answer; /* NULL: none.  */
   unsigned server_attempts;       /* Attempts that reached a server.  */
   bool reached_server;            /* So that a further attempt is a retry.  */
+  cs_usec_t wait_max;             /* As in the cs_dispatch_request_t.  */
+  unsigned redirects;             /* Refusals as CS_REFUSED_LONGER_WAIT.  */
   bool sent_again; /* To the same server, after a stale connection.  */
   /* Refusals as CS_REFUSED_OVERLOADED or CS_REFUSED_RETRY_BUDGET.  */
   unsigned overload_refusals;
--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -168,6 +168,8 @@
           .target_remaining = call->target_time - now,
           .latency_target = call->latency_target,
           .deadline_remaining = call->deadline - now,
+          .sent_at = now,
+          .wait_max = call->wait_max,
           .idempotent = call->route->idempotent,
           .method_is_head = parser->method == HTTP_HEAD,
           .retry = call->reached_server,
@@ -287,6 +289,7 @@
                 (int)call->attempt_id.len, call->attempt_id.data,
                 call->route->path, peer->info.name, call->server_attempts);
   call->sent_again = true;
+  call->wait_max = INT64_MAX;
   call->server_attempts--;
   send_job (call, peer);
 }
@@ -299,6 +302,7 @@
                           : outcome->expected_wait;
   call->was_refused = true;
   call->refusal_reason = outcome->reason;
+  call->redirects += outcome->reason == CS_REFUSED_LONGER_WAIT;
   call->overload_refusals += outcome->reason == CS_REFUSED_OVERLOADED
                              || outcome->reason == CS_REFUSED_RETRY_BUDGET;
   if (outcome->reached_server)
--- a/source/call/choose.c
+++ b/source/call/choose.c
@@ -5,6 +5,9 @@
 #include "call.h"
 #include "cardamom/service-times.h"
 
+/* A call that was turned away so often for a shorter wait elsewhere waits
+   wherever it is sent next.  */
+#define REDIRECTS_MAX 2
 #define DEFAULT_SLOTS 8 /* Slots of a server that reported none.  */
 /* An older load report counts as stale: it may claim at most this part of the
    slots.  */
@@ -101,6 +104,7 @@
     = load.mean_service_time > 0 ? load.mean_service_time : run_time,
     .run_time = run_time,
     .round_trip = peer->round_trip,
+    .transit = peer->self ? 0 : cs_transit_fade (load.transit, age),
     .limit_delay = expected_limit_delay (peer, &load, age, own_calls),
     .failure_permille
     = age > FAILURES_FORGOTTEN_AFTER ? 0 : load.failure_permille,
@@ -122,6 +126,8 @@
   cs_placement_t chosen
       = cs_placement_choose (nodes, count, &request, traffic->ctx->random);
   g_free (nodes);
+  call->wait_max
+      = call->redirects < REDIRECTS_MAX ? chosen.wait_max : INT64_MAX;
   return chosen.index >= 0 ? pool->peers->pdata[chosen.index] : NULL;
 }
 
--- a/source/call/inbound.c
+++ b/source/call/inbound.c
@@ -8,6 +8,8 @@
    is kept, to refuse a second run.  */
 #define OUTCOME_RETENTION (6 * CS_SEC)
 #define ATTEMPT_ID_RETENTION (60 * CS_SEC)
+/* The delay of jobs with longer bodies says little about that of others.  */
+#define TRANSIT_BODY_MAX 4096
 
 /* A stream that another node opened.  */
 typedef struct
@@ -15,6 +17,7 @@
   cs_traffic_t *traffic;
   cs_stream_t *stream;
   char name[CS_NAME_SIZE]; /* Empty until its hello.  */
+  cs_transit_path_t path;  /* Of its jobs.  */
   GHashTable *jobs;        /* job number -> job_t *.  */
 } inbound_t;
 
@@ -125,6 +128,23 @@
   return true;
 }
 
+/* Take the time that REQUEST was under way off what it has left, as far as it
+   is known.  */
+static void
+age_request (inbound_t *inbound, cs_dispatch_request_t *request)
+{
+  cs_traffic_t *traffic = inbound->traffic;
+  if (!request->sent_at)
+    return;
+  cs_usec_t delay = cs_transit_path_delay (&inbound->path, request->sent_at,
+                                           traffic_now (traffic));
+  /* A large request takes its time on an empty path too.  */
+  if (request->body.len <= TRANSIT_BODY_MAX)
+    cs_dispatcher_note_transit (traffic->dispatcher, delay);
+  request->deadline_remaining -= delay;
+  request->target_remaining -= delay;
+}
+
 static void
 handle_job (inbound_t *inbound, cs_unpack_cursor_t *in)
 {
@@ -135,6 +155,12 @@
   if (in->failed
       || (!request.idempotent && reject_duplicate (inbound, number, &request)))
     return;
+  age_request (inbound, &request);
+  if (request.deadline_remaining <= 0)
+    {
+      send_bodiless_outcome (inbound, number, CS_OUTCOME_REFUSED);
+      return;
+    }
   job_t *job = g_new0 (job_t, 1);
   job->traffic = traffic;
   job->inbound = inbound;
--- a/source/call/placement.c
+++ b/source/call/placement.c
@@ -4,6 +4,12 @@
    to be taken only because it is near.  The rest is headroom: run times spread
    by half of their mean, and a tenth take three times as long.  */
 #define NEAR_TARGET_PERCENT 65
+/* A node in another data centre of the region counts as slower by this part of
+   the time to the target: the links between data centres are paid for.  */
+#define OTHER_DC_SURCHARGE_PERCENT 18
+/* A longer wait at the chosen node than expected is accepted up to this part
+   of the run time, and as long as asking another node takes.  */
+#define WAIT_MARGIN_PERCENT 15
 /* A node that fails more often is used only when there is no other.  */
 #define MAX_FAILING_PERMILLE 250
 /* Nodes within this much of the lowest latency are chosen from at random.  */
@@ -21,7 +27,7 @@
 expected_latency (const cs_placement_node_t *node)
 {
   cs_usec_t latency
-      = node->round_trip + node->run_time
+      = node->round_trip + node->transit + node->run_time
         + MAX (cs_placement_queue_delay (node->outstanding, node->slots,
                                          node->mean_service_time),
                node->limit_delay);
@@ -30,55 +36,108 @@
   return latency * 1000 / (1000 - failing);
 }
 
-/* Index of the node with the lowest expected latency at DISTANCE (-1: at any),
-   chosen at random among near equals; -1 when there is none.  FAILING: also
-   consider nodes above MAX_FAILING_PERMILLE.  */
+static cs_usec_t
+cost_of (const cs_placement_node_t *node, cs_usec_t surcharge)
+{
+  return expected_latency (node)
+         + (node->distance == CS_SAME_DC ? 0 : surcharge);
+}
+
+/* Index of the node with the lowest expected latency at the distances from
+   NEAREST to FARTHEST, chosen at random among near equals at its distance; -1
+   when there is none.  Nodes in other data centres count as slower by
+   SURCHARGE.  FAILING: also consider nodes above MAX_FAILING_PERMILLE.  */
 static int
-choose_fastest (const cs_placement_node_t *nodes, size_t count, int distance,
-                bool failing, GRand *random)
+choose_fastest (const cs_placement_node_t *nodes, size_t count,
+                cs_distance_t nearest, cs_distance_t farthest,
+                cs_usec_t surcharge, bool failing, GRand *random)
 {
   cs_usec_t best = INT64_MAX;
+  cs_distance_t distance = nearest;
   int chosen = -1, equals = 0;
   for (int pass = 0; pass < 2; pass++)
     for (size_t i = 0; i < count; i++)
       {
         const cs_placement_node_t *node = &nodes[i];
-        if (!node->eligible
-            || (distance >= 0 && (int)node->distance != distance)
+        if (!node->eligible || node->distance < nearest
+            || node->distance > farthest
             || (!failing && node->failure_permille > MAX_FAILING_PERMILLE))
           continue;
-        cs_usec_t latency = expected_latency (node);
-        if (pass == 0)
-          best = MIN (best, latency);
-        else if (latency <= best + best * TIE_PERCENT / 100
+        cs_usec_t cost = cost_of (node, surcharge);
+        if (pass == 0 && cost < best)
+          {
+            best = cost;
+            distance = node->distance;
+          }
+        else if (pass == 1 && node->distance == distance
+                 && cost <= best + best * TIE_PERCENT / 100
                  && g_rand_int_range (random, 0, ++equals) == 0)
           chosen = (int)i;
       }
   return chosen;
 }
 
+/* The choice of the node CHOSEN, with the wait from which on the next best
+   node that is not farther away would have been better.  */
+static cs_placement_t
+chosen_node (const cs_placement_node_t *nodes, size_t count, int chosen,
+             cs_usec_t surcharge)
+{
+  cs_usec_t second = INT64_MAX;
+  const cs_placement_node_t *best = &nodes[chosen];
+  for (size_t i = 0; i < count; i++)
+    if ((int)i != chosen && nodes[i].eligible
+        && nodes[i].failure_permille <= MAX_FAILING_PERMILLE
+        && nodes[i].distance <= MAX (best->distance, CS_SAME_REGION))
+      second = MIN (second, cost_of (&nodes[i], surcharge));
+  cs_usec_t without_wait = best->round_trip + best->transit + best->run_time
+                           + (best->distance == CS_SAME_DC ? 0 : surcharge);
+  return (cs_placement_t){
+    .index = chosen,
+    .expected_latency = expected_latency (best),
+    .wait_max = second == INT64_MAX
+                    ? INT64_MAX
+                    : MAX (second - without_wait, 0) + best->round_trip
+                          + best->run_time * WAIT_MARGIN_PERCENT / 100
+  };
+}
+
 cs_placement_t
 cs_placement_choose (const cs_placement_node_t *nodes, size_t count,
                      const cs_placement_request_t *request, GRand *random)
 {
   static const int percents[] = { NEAR_TARGET_PERCENT, 100 };
+  cs_usec_t surcharge
+      = MAX (request->target_left, 0) * OTHER_DC_SURCHARGE_PERCENT / 100;
+  const struct
+  {
+    cs_distance_t nearest, farthest;
+    cs_usec_t surcharge;
+  } ranges[] = { { CS_SAME_DC, CS_SAME_REGION, surcharge },
+                 { CS_SAME_DC, CS_SAME_REGION, 0 },
+                 { CS_OTHER_REGION, CS_OTHER_REGION, 0 } };
   for (size_t pass = 0; pass < G_N_ELEMENTS (percents); pass++)
-    for (int distance = CS_SAME_DC; distance <= CS_OTHER_REGION; distance++)
+    for (size_t r = 0; r < G_N_ELEMENTS (ranges); r++)
       {
-        int i = choose_fastest (nodes, count, distance, false, random);
+        int i = choose_fastest (nodes, count, ranges[r].nearest,
+                                ranges[r].farthest, ranges[r].surcharge, false,
+                                random);
         if (i >= 0
             && expected_latency (&nodes[i])
                    <= request->target_left * percents[pass] / 100)
-          return (cs_placement_t){ i, expected_latency (&nodes[i]) };
+          return chosen_node (nodes, count, i, ranges[r].surcharge);
       }
-  /* No node is expected to meet the target.  Take the nearest all the same: it
-     knows its queue and may refuse.  Another region gets the request only when
-     this one has no node.  */
-  int i = -1;
-  for (int distance = CS_SAME_DC; i < 0 && distance <= CS_OTHER_REGION;
-       distance++)
-    i = choose_fastest (nodes, count, distance, false, random);
+  /* No node is expected to meet the target.  Take the one of this region that
+     comes nearest all the same: it knows its queue and may refuse.  Another
+     region gets the request only when this one has no node.  */
+  int i = choose_fastest (nodes, count, CS_SAME_DC, CS_SAME_REGION, surcharge,
+                          false, random);
+  if (i < 0)
+    i = choose_fastest (nodes, count, CS_OTHER_REGION, CS_OTHER_REGION, 0,
+                        false, random);
   if (i < 0)
-    i = choose_fastest (nodes, count, -1, true, random);
-  return (cs_placement_t){ i, i < 0 ? -1 : expected_latency (&nodes[i]) };
+    i = choose_fastest (nodes, count, CS_SAME_DC, CS_OTHER_REGION, 0, true,
+                        random);
+  return i < 0 ? (cs_placement_t){ -1, -1, 0 }
+               : chosen_node (nodes, count, i, surcharge);
 }
--- a/source/call/traffic.h
+++ b/source/call/traffic.h
@@ -15,6 +15,7 @@
 #include "cardamom/snapshot.h"
 #include "cardamom/stream.h"
 #include "cardamom/traffic.h"
+#include "cardamom/transit.h"
 
 /* Without the membarrier system call, which not every host offers.  */
 #define RCU_MB
--- a/source/run/dispatcher-internal.h
+++ b/source/run/dispatcher-internal.h
@@ -7,6 +7,7 @@
 #include "cardamom/crash-detector.h"
 #include "cardamom/dispatcher.h"
 #include "cardamom/service-times.h"
+#include "cardamom/transit.h"
 
 /* A connection to the server.  */
 typedef struct
@@ -90,6 +91,7 @@
   cs_retry_window_t retry_window;
   unsigned server_count;
   cs_usec_t retries_held_until;
+  cs_transit_t transit;
   cs_server_limit_t limit;
   /* From cs_dispatcher_restore_limit.  */
   char restored_instance[CS_NAME_SIZE];
--- a/source/run/dispatcher.c
+++ b/source/run/dispatcher.c
@@ -35,8 +35,8 @@
 {
   /* In the order of cs_refusal_reason_t.  */
   static const char *const names[]
-      = { "full",  "expired",  "gone",        "other",       "shed",
-          "trial", "stopping", "quarantined", "retry-budget" };
+      = { "full",  "expired",  "gone",        "other",        "shed",
+          "trial", "stopping", "quarantined", "retry-budget", "longer-wait" };
   return reason < CS_REFUSED_COUNT ? names[reason] : "unknown";
 }
 
@@ -70,6 +70,12 @@
                                       dispatcher->server_count, now);
 }
 
+void
+cs_dispatcher_note_transit (cs_dispatcher_t *dispatcher, cs_usec_t delay)
+{
+  cs_transit_note (&dispatcher->transit, delay, dispatcher_now (dispatcher));
+}
+
 void
 cs_dispatcher_set_server_count (cs_dispatcher_t *dispatcher, unsigned count)
 {
@@ -106,6 +112,8 @@
     .limit_wait = cs_server_limit_wait (
         &dispatcher->limit, cs_request_queue_length (&dispatcher->queue),
         dispatcher_now (dispatcher)),
+    .transit
+    = cs_transit_mean (&dispatcher->transit, dispatcher_now (dispatcher)),
     .refuses_retries = !takes_retries (dispatcher)
   };
 }
@@ -828,6 +836,11 @@
     reason = CS_REFUSED_CANDIDATE_STOPPED;
   else if (request->retry && !takes_retries (dispatcher))
     reason = CS_REFUSED_RETRY_BUDGET;
+  else if (cs_request_queue_expected_wait (&dispatcher->queue, &capacity,
+                                           &dispatch->queued,
+                                           dispatcher_now (dispatcher))
+           > request->wait_max)
+    reason = CS_REFUSED_LONGER_WAIT;
   else if (!cs_request_queue_try_push (&dispatcher->queue, &dispatch->queued,
                                        &capacity, dispatcher_now (dispatcher),
                                        &wait))
--- a/source/stream/frames.c
+++ b/source/stream/frames.c
@@ -5,8 +5,8 @@
 /* Elements of the msgpack arrays of a cs_node_info_t, a job message and an
    outcome message.  */
 #define NODE_INFO_FIELDS 13
-#define JOB_FIELDS 15
-#define OUTCOME_FIELDS 20
+#define JOB_FIELDS 17
+#define OUTCOME_FIELDS 21
 /* A job message is invalid when its deadline or target time is further away
    than this.  The node that sends it allows a call DEFAULT_CALL_TIMEOUT
    (call/calls.c) at most, whatever the route allows.  */
@@ -108,6 +108,8 @@
   cs_pack_bytes (pack, request->body);
   cs_pack_uint64 (pack, request->fingerprint);
   cs_pack_int64 (pack, (int64_t)(request->inherited_retry * 1000.0));
+  cs_pack_int64 (pack, request->sent_at);
+  cs_pack_int64 (pack, request->wait_max);
 }
 
 void
@@ -142,6 +144,8 @@
     {
       int64_t permille = cs_unpack_int64 (cursor);
       request->inherited_retry = (double)CLAMP (permille, 0, 1000) / 1000.0;
+      request->sent_at = cs_unpack_int64 (cursor);
+      request->wait_max = cs_unpack_int64 (cursor);
     }
 }
 
@@ -172,6 +176,7 @@
       pack, (outcome->stale_connection ? OUTCOME_STALE_CONNECTION : 0)
                 | (outcome->load.refuses_retries ? LOAD_NO_RETRIES : 0)
                 | (outcome->retries_strained ? OUTCOME_RETRIES_STRAINED : 0));
+  cs_pack_int64 (pack, outcome->load.transit);
 }
 
 void
@@ -206,12 +211,14 @@
       outcome->stale_connection = flags & OUTCOME_STALE_CONNECTION;
       outcome->load.refuses_retries = flags & LOAD_NO_RETRIES;
       outcome->retries_strained = flags & OUTCOME_RETRIES_STRAINED;
+      outcome->load.transit = cs_unpack_int64 (cursor);
     }
   if (kind < CS_OUTCOME_ANSWERED || kind > CS_OUTCOME_UNKNOWN || reason < 0
       || reason >= CS_REFUSED_COUNT || outcome->status > 999
       || outcome->load.limit_interval < 0
       || outcome->load.limit_interval > JOB_TIME_MAX
-      || outcome->load.limit_wait < 0
+      || outcome->load.limit_wait < 0 || outcome->load.transit < 0
+      || outcome->load.transit > JOB_TIME_MAX
       || outcome->load.limit_wait > JOB_TIME_MAX)
     cursor->failed = true;
   else
--- a/tests/test-budget.c
+++ b/tests/test-budget.c
@@ -70,7 +70,8 @@
   const pattern_t *pattern;
   policy_t policy;
   GRand *random;
-  GSequence *events; /* event_t, by time.  */
+  GSequence *events;       /* event_t, by time.  */
+  GPtrArray *all_requests; /* Owned.  */
   node_t nodes[NODES];
   double requests[SERVICES][BUCKETS], repeats[SERVICES][BUCKETS];
   unsigned served, offered;
@@ -218,6 +219,7 @@
 make_call (mesh_t *mesh, request_t *run, cs_usec_t now)
 {
   request_t *call = g_new0 (request_t, 1);
+  g_ptr_array_add (mesh->all_requests, call);
   *call = (request_t){ .service = BACK,
                        .origin = run->server,
                        .parent = run,
@@ -247,7 +249,6 @@
       if (--parent->calls_pending == 0)
         schedule (mesh, now + RUN_TIME / 2, end_run, parent);
     }
-  g_free (request);
 }
 
 /* Send REQUEST to a server drawn at random, unless it has had its attempts or
@@ -294,6 +295,7 @@
 arrive (mesh_t *mesh, service_t service, cs_usec_t now)
 {
   request_t *request = g_new0 (request_t, 1);
+  g_ptr_array_add (mesh->all_requests, request);
   node_t *origin
       = &mesh->nodes[mesh->pattern->first_node_only
                          ? 0
@@ -357,6 +359,7 @@
   mesh->policy = policy;
   mesh->random = g_rand_new_with_seed (seed);
   mesh->events = g_sequence_new (g_free);
+  mesh->all_requests = g_ptr_array_new_with_free_func (g_free);
   for (unsigned i = 0; i < NODES; i++)
     init_node (&mesh->nodes[i], i, -start);
   for (cs_usec_t ms = 0; ms < SECONDS * 1000; ms++)
@@ -388,6 +391,7 @@
   for (unsigned i = 0; i < NODES; i++)
     cs_route_callers_drop (mesh->nodes[i].route_callers);
   g_sequence_free (mesh->events);
+  g_ptr_array_unref (mesh->all_requests);
   g_rand_free (mesh->random);
   g_free (mesh);
   return result;
