Cut no request at the end of a planned stop

What operators of similar systems saw: requests that came late in the grace were taken and passed on, and cut with no answer at its end.

It can happen here, shown by /path/late-request-cut-by-stop: a connection that was opened before the listener closed (3 s) brings its request later, and it is passed on though it may last longer than the process. /path/pipelined-request-cut-by-stop shows a second case: the first answer on a draining connection closed it, and the requests behind it, already at servers, lost their answers.

Change: the steps of a stop are a decision of their own (stop-plan.c). After 2.8 s a request is taken only if its deadline is before the end of the process, else it is refused as not run; connections without a request are closed at 3.5 s; what is in flight 0.45 s before the end of the grace is answered, as not run where that is certain. A draining connection closes after its last answer. A request that was sent nowhere by its deadline gets 503, not 504.

--- a/source/call/call.h
+++ b/source/call/call.h
@@ -19,6 +19,7 @@
 struct call
 {
   cs_traffic_t *traffic;
+  GList link; /* In the traffic's calls.  */
   cs_exchange_t *exchange;
   cs_snapshot_t *snapshot;
   const cs_route_t *route;
--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -56,7 +56,7 @@
 static void
 free_call (call_t *call)
 {
-  call->traffic->call_count--;
+  g_queue_unlink (&call->traffic->calls, &call->link);
   uv_close ((uv_handle_t *)&call->timer, on_timer_closed);
 }
 
@@ -453,24 +453,40 @@
   cs_pack_clear (&pack);
 }
 
+/* Give CALL up.  REASON is that of the refusal if it has certainly not run;
+   else WHY goes to the log.  */
 static void
-on_deadline (uv_timer_t *timer)
+give_up (call_t *call, cs_refusal_reason_t reason, const char *why)
 {
-  call_t *call = timer->data;
-  /* A request that is still in this node's queue is removed from it and has
-     not run.  */
-  bool queued
-      = call->local_dispatch && cs_dispatch_is_queued (call->local_dispatch);
+  /* A request that was sent nowhere, or that is still in this node's queue and
+     is removed from it, has not run.  */
+  bool not_run = !call->peer
+                 || (call->local_dispatch
+                     && cs_dispatch_is_queued (call->local_dispatch));
   cancel_attempt (call);
-  if (queued && !call->may_have_run)
+  if (not_run && !call->may_have_run)
     {
-      call->refusal_reason = CS_REFUSED_EXPIRED;
+      call->refusal_reason = reason;
       finish_refused (call);
     }
   else if (call->failed_answer)
-    finish_unserved (call, "no answer by the limit");
+    finish_unserved (call, why);
   else
-    finish_failed (call, 504, "no answer by the limit");
+    finish_failed (call, 504, why);
+}
+
+static void
+on_deadline (uv_timer_t *timer)
+{
+  give_up (timer->data, CS_REFUSED_EXPIRED, "no answer by the limit");
+}
+
+void
+calls_end_all (cs_traffic_t *traffic)
+{
+  call_t *call;
+  while ((call = g_queue_peek_head (&traffic->calls)))
+    give_up (call, CS_REFUSED_STOPPING, "this node stops");
 }
 
 void
@@ -539,6 +555,22 @@
                              : call->deadline - call->arrived_at;
 }
 
+/* Send CALL for the first time, unless this node stops before it is certain to
+   have ended.  */
+static void
+start_call (call_t *call)
+{
+  const cs_traffic_t *traffic = call->traffic;
+  if (cs_stop_plan_admits (&traffic->stop, traffic_now (traffic),
+                           call->deadline + DEADLINE_GRACE))
+    {
+      dispatch_call (call);
+      return;
+    }
+  call->refusal_reason = CS_REFUSED_STOPPING;
+  finish_refused (call);
+}
+
 void
 calls_request_received (void *user, cs_exchange_t *exchange)
 {
@@ -572,7 +604,8 @@
   call->fingerprint = call_fingerprint (request);
   call->refusal_reason = CS_REFUSED_NO_SERVER;
   exchange->user = call;
-  traffic->call_count++;
+  call->link.data = call;
+  g_queue_push_tail_link (&traffic->calls, &call->link);
   set_deadlines (call, request);
   choose_version (call);
   call->inherited_retry = cs_dispatcher_retry_share (traffic->dispatcher);
@@ -586,7 +619,7 @@
   if (!route->idempotent && cs_exchange_has_earlier_pending (exchange))
     exchange->notify_at_front = true;
   else
-    dispatch_call (call);
+    start_call (call);
 }
 
 /* A request that is not idempotent starts only when all requests before it on
@@ -596,5 +629,5 @@
 calls_at_front (void *user, cs_exchange_t *exchange)
 {
   (void)user;
-  dispatch_call (exchange->user);
+  start_call (exchange->user);
 }
--- a/source/call/traffic.c
+++ b/source/call/traffic.c
@@ -8,13 +8,26 @@
 /* Interval at which expired crash records are looked for.  */
 #define CRASH_EXPIRY_INTERVAL (10 * CS_SEC)
 #define TRAFFIC_STACK_BYTES (256u << 10)
-/* The platform checks readiness once a second and sends callers to the node
-   until two checks have failed.  */
-#define DRAIN_CALLERS_AFTER (2300 * CS_MSEC)
-/* The node accepts no further connections of callers after this.  */
-#define CLOSE_LISTENER_AFTER (3000 * CS_MSEC)
-/* The process ends this long before the platform kills it.  */
-#define KILL_MARGIN (300 * CS_MSEC)
+/* Take the step of the stop that is due.  */
+static void
+continue_stop (cs_traffic_t *traffic, cs_usec_t now)
+{
+  cs_stop_step_t step = cs_stop_plan_step (&traffic->stop, now);
+  bool is_new = step != traffic->stop_step;
+  traffic->stop_step = step;
+  if (is_new && (step == CS_STOP_DRAIN || step == CS_STOP_NO_REQUESTS))
+    cs_http1_server_drain (traffic->caller_server);
+  if (step >= CS_STOP_LISTEN_LAST)
+    cs_http1_server_stop_listening (traffic->caller_server);
+  if (step >= CS_STOP_ANSWER_ALL)
+    calls_end_all (traffic);
+  bool idle
+      = traffic->calls.length == 0 && traffic->inbound_job_count == 0
+        && cs_dispatcher_in_flight (traffic->dispatcher) == 0
+        && cs_http1_server_connection_count (traffic->caller_server) == 0;
+  if ((step >= CS_STOP_DRAIN && idle) || step == CS_STOP_END)
+    traffic->handler.stopped (traffic->user);
+}
 
 static void
 on_tick (uv_timer_t *timer)
@@ -34,23 +47,8 @@
       cs_crash_history_expire (traffic->crash_history,
                                traffic_wall_ms (traffic));
     }
-  if (!traffic->stopping)
-    return;
-  if (!traffic->draining
-      && now - traffic->stop_started_at > DRAIN_CALLERS_AFTER)
-    {
-      traffic->draining = true;
-      cs_http1_server_drain (traffic->caller_server);
-    }
-  if (now - traffic->stop_started_at > CLOSE_LISTENER_AFTER)
-    cs_http1_server_stop_listening (traffic->caller_server);
-  bool idle
-      = traffic->call_count == 0 && traffic->inbound_job_count == 0
-        && cs_dispatcher_in_flight (traffic->dispatcher) == 0
-        && cs_http1_server_connection_count (traffic->caller_server) == 0;
-  if ((traffic->draining && idle)
-      || now - traffic->stop_started_at > traffic->grace_period - KILL_MARGIN)
-    traffic->handler.stopped (traffic->user);
+  if (traffic->stop.started_at)
+    continue_stop (traffic, now);
 }
 
 static void
@@ -92,7 +90,8 @@
   traffic->user = user;
   traffic->route_callers = cs_route_callers_new ();
   traffic->server_counts = g_hash_table_new (g_str_hash, g_str_equal);
-  traffic->grace_period = settings->grace_period;
+  traffic->stop.grace_period = settings->grace_period;
+  g_queue_init (&traffic->calls);
   traffic->snapshot = settings->snapshot;
   g_strlcpy (traffic->caller_service, settings->caller_service,
              sizeof traffic->caller_service);
@@ -337,10 +336,9 @@
 {
   cs_traffic_t *traffic = user;
   (void)arg;
-  if (traffic->stopping)
+  if (traffic->stop.started_at)
     return;
-  traffic->stopping = true;
-  traffic->stop_started_at = traffic_now (traffic);
+  traffic->stop.started_at = traffic_now (traffic);
   traffic->self->info.stopping = true;
   publish_own_member (traffic);
   cs_dispatcher_stop (traffic->dispatcher);
--- a/source/call/traffic.h
+++ b/source/call/traffic.h
@@ -13,6 +13,7 @@
 #include "cardamom/server.h"
 #include "cardamom/service-times.h"
 #include "cardamom/snapshot.h"
+#include "cardamom/stop-plan.h"
 #include "cardamom/stream.h"
 #include "cardamom/traffic.h"
 #include "cardamom/transit.h"
@@ -125,13 +126,12 @@
   /* Those of them that have ended, oldest first.  */
   GQueue ended_non_idempotent_jobs;
   uint64_t last_job_number;    /* Numbers are never reused.  */
-  int64_t call_count;          /* Of callers, in flight.  */
+  GQueue calls;                /* Of callers, in flight: call_t *.  */
   int64_t inbound_job_count;   /* Of other nodes, in flight.  */
   cs_usec_t next_slow_tick_at; /* Next call of peers_tick and inbound_tick.  */
   cs_usec_t next_crash_expiry_at;
-  cs_usec_t stop_started_at, grace_period;
-  bool stopping; /* cs_traffic_stop was called.  */
-  bool draining; /* cs_http1_server_drain was called on CALLER_SERVER.  */
+  cs_stop_plan_t stop;
+  cs_stop_step_t stop_step; /* The last that was taken.  */
 };
 
 static inline cs_usec_t
@@ -202,6 +202,9 @@
 void calls_request_received (void *user, cs_exchange_t *exchange);
 void calls_caller_disconnected (void *user, cs_exchange_t *exchange);
 void calls_at_front (void *user, cs_exchange_t *exchange);
+/* Answer all requests in flight: as not run where that is certain, else as
+   failed.  */
+void calls_end_all (cs_traffic_t *traffic);
 
 /* Handle OUTCOME, the end of the attempt of CALL that is in flight: answer the
    caller or send CALL to another node.  */
--- a/source/http1/server.c
+++ b/source/http1/server.c
@@ -165,9 +165,14 @@
       = exchange->request.head_complete && parser->method == HTTP_HEAD;
   GString *out = g_string_sized_new (body.len + FRAMING_BYTES_ESTIMATE
                                      + (fields ? strlen (fields) : 0));
+  bool last
+      = !conn->incoming && g_queue_peek_tail (&conn->exchanges) == exchange;
   exchange->close
-      = close || exchange->close_delimited || conn->server->draining
+      = close || exchange->close_delimited || (conn->server->draining && last)
         || !cs_http1_message_should_keep_alive (&exchange->request);
+  /* What comes behind an answer that closes counts as not read.  */
+  if (exchange->close)
+    conn->discard_input = true;
   g_string_append_printf (out, "HTTP/1.1 %u %s\r\n", status,
                           cs_http1_reason_phrase (status));
   if (fields)
--- a/tests/test-decide.c
+++ b/tests/test-decide.c
@@ -8,6 +8,7 @@
 #include "cardamom/placement.h"
 #include "cardamom/request-queue.h"
 #include "cardamom/retry-window.h"
+#include "cardamom/stop-plan.h"
 #include "cardamom/service-times.h"
 #include "cardamom/table-reader.h"
 #include "cardamom/weighted-rr.h"
@@ -304,6 +305,44 @@
   g_assert_true (cs_failure_rate_retry_may_help (&all_failing));
 }
 
+/* A stop of 6 s: what comes at MS and lasts LASTS_MS is taken only if callers
+   cannot know yet of the stop, or if it is sure to end in time.  */
+static void
+test_stop_takes_requests_that_it_cuts (void)
+{
+  static const struct
+  {
+    int ms, lasts_ms;
+    bool taken;
+    cs_stop_step_t step;
+  } cases[] = {
+    { 0, 10000, true, CS_STOP_SERVE },
+    { 2500, 10000, true, CS_STOP_DRAIN },
+    { 2900, 10000, false, CS_STOP_DRAIN },
+    { 3100, 2400, true, CS_STOP_LISTEN_LAST },
+    { 3100, 2500, false, CS_STOP_LISTEN_LAST },
+    { 5000, 250, true, CS_STOP_NO_REQUESTS },
+    { 5000, 1000, false, CS_STOP_NO_REQUESTS },
+    { 5600, 10, false, CS_STOP_ANSWER_ALL },
+    { 5800, 10, false, CS_STOP_END },
+  };
+  cs_stop_plan_t plan
+      = { .started_at = 50 * CS_SEC, .grace_period = 6 * CS_SEC };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      cs_usec_t now = plan.started_at + cases[i].ms * MS;
+      g_test_message ("at %d ms, lasting %d ms", cases[i].ms,
+                      cases[i].lasts_ms);
+      g_assert_cmpint (
+          cs_stop_plan_admits (&plan, now, now + cases[i].lasts_ms * MS), ==,
+          cases[i].taken);
+      g_assert_cmpint (cs_stop_plan_step (&plan, now), ==, cases[i].step);
+    }
+  cs_stop_plan_t none = { .grace_period = 6 * CS_SEC };
+  g_assert_true (cs_stop_plan_admits (&none, 9 * CS_SEC, 99 * CS_SEC));
+  g_assert_cmpint (cs_stop_plan_step (&none, 9 * CS_SEC), ==, CS_STOP_SERVE);
+}
+
 static void
 test_weighted_round_robin (void)
 {
@@ -779,6 +818,8 @@
   g_test_add_func ("/decide/waiting-near-target", test_queue_near_target);
   g_test_add_func ("/decide/budget-whole",
                    test_retry_budget_service_wide_failure);
+  g_test_add_func ("/decide/stop-takes-requests-that-it-cuts",
+                   test_stop_takes_requests_that_it_cuts);
   g_test_add_func ("/decide/rotation", test_weighted_round_robin);
   g_test_add_func ("/decide/limit-under-bursts", test_limit_under_bursts);
   g_test_add_func ("/decide/limit-changes", test_limit_changes);
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -214,18 +214,26 @@
   cs_traffic_set_server_state (mesh->server_node, &backend);
 }
 
+/* Send a request whose caller waits for DEADLINE_MS.  */
 static void
-send_request (int fd, const char *method, const char *path, const char *id,
-              const char *body)
+send_request_for (int fd, const char *method, const char *path, const char *id,
+                  const char *body, int deadline_ms)
 {
   char *text = g_strdup_printf (
       "%s %s HTTP/1.1\r\nHost: h\r\nCardamom-Attempt: %s\r\n"
-      "Cardamom-Deadline-Ms: 15000\r\nContent-Length: %zu\r\n\r\n%s",
-      method, path, id, strlen (body), body);
+      "Cardamom-Deadline-Ms: %d\r\nContent-Length: %zu\r\n\r\n%s",
+      method, path, id, deadline_ms, strlen (body), body);
   send_text (fd, text);
   g_free (text);
 }
 
+static void
+send_request (int fd, const char *method, const char *path, const char *id,
+              const char *body)
+{
+  send_request_for (fd, method, path, id, body, 15000);
+}
+
 /* Send the answer 200 to the attempt ID.  A success is passed on only if it
    has the field Cardamom-Seal.  */
 static void
@@ -932,6 +940,73 @@
   close (caller);
 }
 
+/* Sleep until SINCE, a time of g_get_monotonic_time, is MS ago.  */
+static void
+sleep_until (gint64 since, int ms)
+{
+  gint64 left = since + (gint64)ms * 1000 - g_get_monotonic_time ();
+  if (left > 0)
+    g_usleep ((gulong)left);
+}
+
+/* The node with the callers is told to stop.  What comes late and may last
+   longer than the process is refused as not run; what ends in time is served;
+   what was taken before is answered before the process ends.  */
+static void
+test_late_request_cut_by_stop (void)
+{
+  mesh_t *mesh = start_mesh (3);
+  int early = connect_to (mesh->caller_port);
+  send_request (early, "PUT", "/write/1", "a1", "x");
+  int early_server = accept_request (mesh, "/write/1");
+  gint64 stopped = g_get_monotonic_time ();
+  cs_traffic_stop (mesh->caller_node);
+  sleep_until (stopped, 2600);
+  int late = connect_to (mesh->caller_port),
+      brief = connect_to (mesh->caller_port);
+  sleep_until (stopped, 3200);
+  send_request (late, "PUT", "/write/2", "a2", "x");
+  send_request_for (brief, "PUT", "/write/3", "a3", "x", 1000);
+  int server = accept_request (mesh, "/write/3");
+  send_answer (server, "a3", "in time");
+  expect_answer (brief, "200", "in time");
+  expect_answer (late, "503", "");
+  g_assert_false (readable (mesh->server_listener, 100));
+  g_assert_false (readable (early, 1000));
+  expect_answer (early, "504", "");
+  g_assert_cmpint (g_get_monotonic_time () - stopped, <, 5700 * 1000);
+  close (early_server);
+  close (server);
+  close (early);
+  close (late);
+  close (brief);
+}
+
+/* Two pipelined requests run when connections are closed for a stop: both are
+   answered, and the connection closes after the second.  */
+static void
+test_pipelined_request_cut_by_stop (void)
+{
+  mesh_t *mesh = start_mesh (2);
+  int caller = connect_to (mesh->caller_port);
+  send_request (caller, "GET", "/read/1", "a1", "");
+  int first = accept_request (mesh, "/read/1");
+  send_request (caller, "GET", "/read/2", "a2", "");
+  int second = accept_request (mesh, "/read/2");
+  gint64 stopped = g_get_monotonic_time ();
+  cs_traffic_stop (mesh->caller_node);
+  sleep_until (stopped, 2600);
+  send_answer (first, "a1", "one");
+  send_answer (second, "a2", "two");
+  char *answers = receive_until_eof (caller);
+  g_assert_nonnull (strstr (answers, "one"));
+  g_assert_nonnull (strstr (answers, "two"));
+  g_free (answers);
+  close (first);
+  close (second);
+  close (caller);
+}
+
 /* The server restarts on the same address: requests go to the new instance. */
 static void
 test_server_restart (void)
@@ -1476,6 +1551,10 @@
   g_test_add_func ("/path/resend-after-stale-connection",
                    test_resend_after_stale_connection);
   g_test_add_func ("/path/failed-answer-lost", test_failed_answer_lost);
+  g_test_add_func ("/path/late-request-cut-by-stop",
+                   test_late_request_cut_by_stop);
+  g_test_add_func ("/path/pipelined-request-cut-by-stop",
+                   test_pipelined_request_cut_by_stop);
   g_test_add_func ("/path/second-life", test_server_restart);
   g_test_add_func ("/path/suspects-run-together", test_suspects_run_together);
   g_test_add_func ("/path/quarantined-request-sent",
