--- a/source/stream/frames.c
+++ b/source/stream/frames.c
@@ -116,7 +116,7 @@
 cs_dispatch_request_unpack (cs_unpack_cursor_t *cursor, uint64_t *number,
                             cs_dispatch_request_t *request)
 {
-  *request = (cs_dispatch_request_t){ 0 };
+  *request = (cs_dispatch_request_t){ .wait_max = INT64_MAX };
   *number = cs_unpack_uint64 (cursor);
   int64_t flags = cs_unpack_int64 (cursor);
   request->idempotent = flags & JOB_IDEMPOTENT;
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -1197,12 +1197,24 @@
     }
 }
 
-/* Send a job to the node beside the server, as a node that has just joined;
-   the connection of that node.  */
+/* Connect to the node beside the server as a node that has just joined.  */
 static int
-send_job_of_other_node (const mesh_t *mesh)
+connect_other_node (const mesh_t *mesh)
 {
   cs_node_info_t peer = { .name = "other", .dc = "a", .region = "r" };
+  int fd = connect_to (mesh->proxy.target_port);
+  peer.boot_ms = 1;
+  g_snprintf (peer.address, sizeof peer.address, "127.0.0.1:%u",
+              mesh->proxy.port);
+  send_hello (fd, &peer);
+  return fd;
+}
+
+/* Send the job NUMBER, with 10 s left, that was sent at SENT_AT by the clock
+   of the other node.  */
+static void
+send_job_frame (int fd, uint64_t number, cs_usec_t sent_at)
+{
   cs_dispatch_request_t request
       = { .id = CS_STR ("o1"),
           .route = CS_STR ("read"),
@@ -1212,18 +1224,23 @@
           .target_remaining = 10 * CS_SEC,
           .latency_target = 10 * CS_SEC,
           .deadline_remaining = 10 * CS_SEC,
+          .sent_at = sent_at,
+          .wait_max = INT64_MAX,
           .idempotent = true,
           .fingerprint = 5 };
   cs_pack_t pack;
-  int fd = connect_to (mesh->proxy.target_port);
-  peer.boot_ms = 1;
-  g_snprintf (peer.address, sizeof peer.address, "127.0.0.1:%u",
-              mesh->proxy.port);
-  send_hello (fd, &peer);
   cs_pack_init (&pack);
-  cs_dispatch_request_pack (&pack, 1, &request);
+  cs_dispatch_request_pack (&pack, number, &request);
   send_frame (fd, &pack);
   cs_pack_clear (&pack);
+}
+
+/* Both of them; the connection.  */
+static int
+send_job_of_other_node (const mesh_t *mesh)
+{
+  int fd = connect_other_node (mesh);
+  send_job_frame (fd, 1, 0);
   return fd;
 }
 
@@ -1243,6 +1260,27 @@
   return kind;
 }
 
+/* A job has been under way for longer than it had left, as the one before it
+   on the same stream shows: it does not reach the server.  */
+static void
+test_expired_on_the_way (void)
+{
+  mesh_t *mesh = start_mesh (4);
+  cs_usec_t clock = 1000 * CS_SEC;
+  int fd = connect_other_node (mesh);
+  send_job_frame (fd, 1, clock);
+  int server = accept_request (mesh, "/read/2");
+  send_answer (server, "o1", "in time");
+  g_assert_cmpint (receive_frame_kind (mesh->ctx, fd), ==, CS_FRAME_HELLO);
+  g_assert_cmpint (receive_frame_kind (mesh->ctx, fd), ==, CS_FRAME_OUTCOME);
+  send_job_frame (fd, 2, clock - 11 * CS_SEC);
+  g_assert_cmpint (receive_frame_kind (mesh->ctx, fd), ==, CS_FRAME_OUTCOME);
+  g_assert_false (readable (server, 50));
+  g_assert_false (readable (mesh->server_listener, 50));
+  close (server);
+  close (fd);
+}
+
 /* A server that has nothing else to do ends while it runs a request: the node
    that sent the request is told of the crash ahead of the outcome, so that it
    does not try again in ignorance.  */
@@ -1572,6 +1610,7 @@
                    test_leaving_known_to_its_node_only);
   g_test_add_func ("/path/full-server-taken-for-ended",
                    test_full_server_taken_for_ended);
+  g_test_add_func ("/path/expired-on-the-way", test_expired_on_the_way);
   g_test_add_func ("/path/outcome-before-crash-record",
                    test_outcome_before_crash_record);
   g_test_add_func ("/path/server-ready-between-hellos",
