--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -13,6 +13,9 @@
 #define RETURNING_CALLER_DIVISOR 5
 /* A call is refused once this many nodes have refused it as overloaded.  */
 #define MAX_OVERLOAD_REFUSALS 3
+/* A node without a budget for a retry is rarely alone: such a refusal counts as
+   so many.  */
+#define BUDGET_REFUSAL_WEIGHT 2
 /* Timeout of a request without a deadline field, or with one that is invalid
    or larger.  */
 #define DEFAULT_CALL_TIMEOUT (30 * CS_SEC)
@@ -303,8 +306,10 @@
   call->was_refused = true;
   call->refusal_reason = outcome->reason;
   call->redirects += outcome->reason == CS_REFUSED_LONGER_WAIT;
-  call->overload_refusals += outcome->reason == CS_REFUSED_OVERLOADED
-                             || outcome->reason == CS_REFUSED_RETRY_BUDGET;
+  if (outcome->reason == CS_REFUSED_OVERLOADED)
+    call->overload_refusals++;
+  else if (outcome->reason == CS_REFUSED_RETRY_BUDGET)
+    call->overload_refusals += BUDGET_REFUSAL_WEIGHT;
   if (outcome->reached_server)
     {
       if (may_retry (call))
