Give nothing up on a node that is only slow

Cause, by the times: a stream with work was dropped when its node had sent nothing for 1 s, its idempotent runs were cancelled and their callers got 502 when no other server was left. Other operators report the same: a machine that was only silent had its running work given up.

Change: after 1 s without a sign a node gets no new jobs; what runs there is kept for 2.5 s. /path/slow-node-given-up fails on with 502.

--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -13,8 +13,8 @@
 #define RETURNING_CALLER_DIVISOR 5
 /* A call is refused once this many nodes have refused it as overloaded.  */
 #define MAX_OVERLOAD_REFUSALS 3
-/* A node without a budget for a retry is rarely alone: such a refusal counts as
-   so many.  */
+/* A node without a budget for a retry is rarely alone: such a refusal counts
+   as so many.  */
 #define BUDGET_REFUSAL_WEIGHT 2
 /* Timeout of a request without a deadline field, or with one that is invalid
    or larger.  */
--- a/source/call/choose.c
+++ b/source/call/choose.c
@@ -60,7 +60,7 @@
   const cs_node_info_t *info = &peer->info;
   return info->server_state == CS_BACKEND_READY && !info->stopping
          && !peer_server_is_leaving (peer) && peer_is_reachable (peer)
-         && strcmp (info->version, version) == 0;
+         && peer_is_responsive (peer) && strcmp (info->version, version) == 0;
 }
 
 bool
--- a/source/call/peers.c
+++ b/source/call/peers.c
@@ -7,11 +7,13 @@
 #define RECONNECT_DELAY_MAX (2 * CS_SEC) /* The delay doubles up to this.  */
 /* A node that has stopped connects to this one when it is back.  */
 #define RECONNECT_DELAY_STOPPED (10 * CS_SEC)
-/* Silence of a node with jobs in flight after which it is pinged.  It counts
-   as dead when it sends nothing for BUSY_DEAD_AFTER - BUSY_PING_AFTER after
-   the ping.  */
+/* Silence of a node with jobs in flight after which it is pinged.  When it
+   sends nothing for SUSPECT_AFTER after the ping it gets no more jobs, but may
+   only be slow, or its link full: what runs there is not given up before
+   BUSY_DEAD_AFTER.  */
 #define BUSY_PING_AFTER (250 * CS_MSEC)
-#define BUSY_DEAD_AFTER (1000 * CS_MSEC)
+#define SUSPECT_AFTER (750 * CS_MSEC)
+#define BUSY_DEAD_AFTER (2500 * CS_MSEC)
 /* An idle stream is pinged too, so that no call has to find out that it is
    dead.  The interval grows by IDLE_PING_AFTER per so many nodes.  */
 #define IDLE_PING_AFTER (2500 * CS_MSEC)
@@ -44,6 +46,14 @@
   return peer->self || (peer->stream && peer->hello_received);
 }
 
+bool
+peer_is_responsive (const peer_t *peer)
+{
+  return !peer->ping_sent_at
+         || cs_stream_last_received (peer->stream) > peer->ping_sent_at
+         || traffic_now (peer->traffic) - peer->ping_sent_at <= SUSPECT_AFTER;
+}
+
 void
 peer_send (peer_t *peer, cs_pack_t *pack)
 {
--- a/source/call/traffic.h
+++ b/source/call/traffic.h
@@ -158,6 +158,9 @@
 /* Whether PEER's server has said so.  */
 bool peer_server_is_leaving (const peer_t *peer);
 bool peer_is_reachable (const peer_t *peer);
+/* Whether PEER, which is reachable, has not left a ping without an answer for
+   long.  */
+bool peer_is_responsive (const peer_t *peer);
 /* The pool of SERVICE, created at its first use.  */
 pool_t *service_pool (cs_traffic_t *traffic, const char *service);
 /* Send this node's description to every reachable node.  */
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -20,6 +20,7 @@
   unsigned port, target_port;
   int client_fd, server_fd; /* -1: no connection.  */
   bool silent;
+  bool stalled; /* Bytes wait until it is cleared.  */
   GThread *thread;
   GMutex lock;
 } proxy_t;
@@ -97,7 +98,12 @@
           struct pollfd fds[] = { { .fd = client, .events = POLLIN },
                                   { .fd = server, .events = POLLIN } };
           poll (fds, 2, 50);
-          for (int i = 0; i < 2 && open; i++)
+          g_mutex_lock (&proxy->lock);
+          bool stalled = proxy->stalled;
+          g_mutex_unlock (&proxy->lock);
+          if (stalled)
+            g_usleep (10000);
+          for (int i = 0; i < 2 && open && !stalled; i++)
             if (fds[i].revents)
               {
                 ssize_t n = recv (fds[i].fd, bytes, sizeof bytes, 0);
@@ -794,6 +800,39 @@
   close (caller);
 }
 
+static void
+set_stalled (proxy_t *proxy, bool stalled)
+{
+  g_mutex_lock (&proxy->lock);
+  proxy->stalled = stalled;
+  g_mutex_unlock (&proxy->lock);
+}
+
+/* Nothing comes from the other node for longer than it usually takes, as when
+   it is slow or a link is full: what runs there is not given up, and is not
+   started again.  */
+static void
+test_slow_node_given_up (void)
+{
+  static const char *const methods[] = { "GET", "PUT" };
+  static const char *const paths[] = { "/read/1", "/write/1" };
+  for (int i = 0; i < 2; i++)
+    {
+      mesh_t *mesh = start_mesh (2);
+      int caller = connect_to (mesh->caller_port);
+      send_request (caller, methods[i], paths[i], "a1", "");
+      int server = accept_request (mesh, paths[i]);
+      set_stalled (&mesh->proxy, true);
+      send_answer (server, "a1", "once");
+      g_usleep (1800 * 1000);
+      set_stalled (&mesh->proxy, false);
+      expect_answer (caller, "200", "once");
+      g_assert_false (readable (mesh->server_listener, SOCKET_ABSENCE_MS));
+      close (server);
+      close (caller);
+    }
+}
+
 /* A malformed request is refused with one answer, and the connection is
    closed: the bytes after it are not parsed as a request.  */
 static void
@@ -1579,6 +1618,7 @@
   g_test_add_func ("/path/broken-running", test_stream_breaks_while_running);
   g_test_add_func ("/path/broken-waiting", test_stream_breaks_while_queued);
   g_test_add_func ("/path/silent", test_silent_stream);
+  g_test_add_func ("/path/slow-node-given-up", test_slow_node_given_up);
   g_test_add_func ("/path/refused-once", test_refused_once);
   g_test_add_func ("/path/not-run", test_not_run);
   g_test_add_func ("/path/run-request-told-as-not-run",
