After a restart one node of a region reads the table, not all of them

While its own read was pending a node asked nobody.

Its check that a node reads in the end is at 2 s instead of 0.7 s, which is shorter than one read from another region takes.

--- a/include/cardamom/table-reader.h
+++ b/include/cardamom/table-reader.h
@@ -37,8 +37,8 @@
    those that it reaches; WAITED the time since it first could read.
 
    After a power failure all nodes start at once, and each would read all rows
-   over the single link of its region.  With this rule two of them read, and
-   the others fetch the rows from those two.  */
+   over the single link of its region.  With this rule one of them reads, and
+   the others fetch the rows from it.  */
 bool cs_table_reader_should_read_initial (bool first_start, unsigned rank,
                                           unsigned reachable_rank,
                                           cs_usec_t waited);
--- a/source/call/choose.c
+++ b/source/call/choose.c
@@ -120,8 +120,18 @@
   if (!count || !version[0])
     return NULL;
   cs_placement_node_t *nodes = g_new (cs_placement_node_t, count);
+  bool region_serves = false;
   for (guint i = 0; i < count; i++)
-    nodes[i] = describe_peer (call, pool->peers->pdata[i], version, now);
+    {
+      const peer_t *peer = pool->peers->pdata[i];
+      nodes[i] = describe_peer (call, pool->peers->pdata[i], version, now);
+      region_serves |= peer->distance != CS_OTHER_REGION
+                       && peer_takes_version (peer, version);
+    }
+  /* Where this region has no budget for a retry, another one rarely has, and
+     asking it takes long.  */
+  for (guint i = 0; call->reached_server && region_serves && i < count; i++)
+    nodes[i].eligible &= nodes[i].distance != CS_OTHER_REGION;
   cs_placement_request_t request = { .target_left = call->target_time - now };
   cs_placement_t chosen
       = cs_placement_choose (nodes, count, &request, traffic->ctx->random);
--- a/source/mesh/table-reader.c
+++ b/source/mesh/table-reader.c
@@ -28,15 +28,15 @@
    that of all others.  */
 #define FIRST_START_WAIT_READER (500 * CS_MSEC)
 #define FIRST_START_WAIT_FOLLOWER (1500 * CS_MSEC)
-/* Nodes that read after a restart: the second in case the first one never
-   returns.  */
-#define RESTART_READERS 2
-/* Time after which a node reads that is among the first RESTART_READERS of
-   those it reaches.  By then a running node has sent its hello frame.  */
+/* Time after which a node reads that reaches none before it.  By then a
+   running node has sent its hello frame.  */
 #define RESTART_TAKEOVER_WAIT (150 * CS_MSEC)
-/* Time after which any node reads: three times the duration of a read by the
-   reader and a request to it.  */
-#define RESTART_WAIT_MAX (700 * CS_MSEC)
+/* Time after which the others read, one after another, in case that the reader
+   has lost the table.  A read from another region takes most of a second, and
+   longer the more nodes read over the same link.  */
+#define RESTART_WAIT_MIN (700 * CS_MSEC)
+#define RESTART_STAGGER (150 * CS_MSEC)
+#define RESTART_WAIT_MAX (2000 * CS_MSEC)
 
 bool
 cs_table_reader_should_read (unsigned rank, cs_usec_t row_age,
@@ -58,10 +58,9 @@
   if (first_start)
     return waited >= (reachable_rank ? FIRST_START_WAIT_FOLLOWER
                                      : FIRST_START_WAIT_READER);
-  return rank < RESTART_READERS
-         || (reachable_rank < RESTART_READERS
-             && waited >= RESTART_TAKEOVER_WAIT)
-         || waited >= RESTART_WAIT_MAX;
+  cs_usec_t wait = RESTART_WAIT_MIN + reachable_rank * RESTART_STAGGER;
+  return rank == 0 || (reachable_rank == 0 && waited >= RESTART_TAKEOVER_WAIT)
+         || waited >= (wait < RESTART_WAIT_MAX ? wait : RESTART_WAIT_MAX);
 }
 
 cs_usec_t
--- a/source/sidecar/operator-rows.c
+++ b/source/sidecar/operator-rows.c
@@ -407,8 +407,11 @@
       = control->acting_reader
         || cs_table_reader_should_read (rank, now - control->rows_fresh_at,
                                         now - control->heartbeat_received_at);
-  if (control->startup_step < STARTUP_READ_OPERATOR_ROWS && !control->snapshot
-      && control->table_failures)
+  /* Others may have the rows before this node's own calls succeed.  */
+  if (!control->snapshot
+      && (control->startup_step < STARTUP_READ_OPERATOR_ROWS
+              ? control->table_failures
+              : control->table_call_pending))
     startup_request_rows (control);
   if (is_reader && control->rows_revision
       && now - control->heartbeat_sent_at
