Read the table over the fastest link of a region

Change: the nodes with the fastest link read for their region; a watch that has failed twice is replaced by a read, which brings each row once. /decide/reader-behind-slow-link shows the order.

Not shown by a test: the death of reads under a storm of configurations.

--- a/include/cardamom/frames.h
+++ b/include/cardamom/frames.h
@@ -48,6 +48,7 @@
   /* Grows with each change of the description between two starts.  */
   int64_t revision;
   bool stopping;
+  int64_t link_mbps; /* Speed of the host's link; 0: not known.  */
   cs_backend_state_t server_state; /* Of the backend server beside the node. */
   /* All that follows is of that server too; empty and 0 without one.  */
   char service[CS_NAME_SIZE], version[CS_NAME_SIZE], instance[CS_NAME_SIZE];
@@ -62,6 +63,10 @@
 /* Whether A is a newer description than B of the same node.  */
 bool cs_node_info_is_newer (const cs_node_info_t *a, const cs_node_info_t *b);
 
+/* Whether A is asked before B to read the platform's table for their region:
+   the one with the faster link, for the rows are large, then by name.  */
+bool cs_node_reads_before (const cs_node_info_t *a, const cs_node_info_t *b);
+
 void cs_node_info_pack (cs_pack_t *pack, const cs_node_info_t *info);
 /* Sets CURSOR->failed unless a valid description follows.  */
 void cs_node_info_unpack (cs_unpack_cursor_t *cursor, cs_node_info_t *info);
--- a/include/cardamom/table-reader.h
+++ b/include/cardamom/table-reader.h
@@ -3,8 +3,8 @@
 
    Hundreds of nodes must all have a change within seconds, calls of the table
    are rate-limited and billed, and a reader may die or lose its connection to
-   the table.  So in each region the node whose name sorts first reads the
-   table and forwards its rows; the others follow that reader's heartbeats,
+   the table.  So in each region the first node by cs_node_reads_before reads
+   the table and forwards its rows; the others follow that reader's heartbeats,
    which carry the age of the rows.  When the heartbeats stop, the others
    take over one after another by rank, and from a certain rank on at the same
    moment.  When readers still send heartbeats but have lost the table
--- a/source/sidecar/control.c
+++ b/source/sidecar/control.c
@@ -272,6 +272,7 @@
           .grace_period = settings->grace,
           .snapshot = &control->snapshot };
   traffic_settings.self.boot_ms = control->boot_ms;
+  traffic_settings.self.link_mbps = (int64_t)settings->link_mbps;
   g_strlcpy (traffic_settings.self.name, settings->node, CS_NAME_SIZE);
   g_strlcpy (traffic_settings.self.dc, settings->dc, CS_NAME_SIZE);
   g_strlcpy (traffic_settings.self.region, settings->region, CS_NAME_SIZE);
--- a/source/sidecar/operator-rows.c
+++ b/source/sidecar/operator-rows.c
@@ -20,12 +20,25 @@
 #define HEAD_TIMEOUT_DEFAULT_MS 3000
 #define IDLE_TIMEOUT_DEFAULT_MS 15000
 
+/* A watch that has failed so often in a row is replaced by a read.  */
+#define WATCH_FAILURES_MAX 2
+
+/* What of this node decides whether it is asked to read the table.  */
+static cs_node_info_t
+own_reader_info (const control_t *control)
+{
+  cs_node_info_t self = { .link_mbps = (int64_t)control->settings.link_mbps };
+  g_strlcpy (self.name, control->settings.node, sizeof self.name);
+  return self;
+}
+
 unsigned
 rows_reader_rank (const control_t *control, bool include_unreachable)
 {
   GHashTableIter iter;
   gpointer value;
   unsigned rank = 0;
+  cs_node_info_t self = own_reader_info (control);
   g_hash_table_iter_init (&iter, control->members);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -33,7 +46,7 @@
       const cs_node_info_t *member = &info->member;
       rank += (info->reachable || include_unreachable) && !member->stopping
               && strcmp (member->region, control->settings.region) == 0
-              && strcmp (member->name, control->settings.node) < 0;
+              && cs_node_reads_before (member, &self);
     }
   return rank;
 }
@@ -278,7 +291,9 @@
   if (in->failed || age < 0 || age > REPORTED_ROWS_AGE_MAX)
     return;
   control->heartbeat_received_at = control_now (control);
-  if (reads_table && strcmp (from, control->settings.node) < 0)
+  const member_info_t *reader = g_hash_table_lookup (control->members, from);
+  cs_node_info_t self = own_reader_info (control);
+  if (reads_table && reader && cs_node_reads_before (&reader->member, &self))
     control->acting_reader = false;
   if ((!control->rows_revision || revision > control->rows_revision)
       && digest != rows_digest (control))
@@ -430,8 +445,14 @@
     {
       control->acting_reader = rank > 0;
       control->table_call_pending = true;
-      control->table->vtable->watch (
-          control->table, CS_KEYSPACE_OPERATOR, control->rows_revision,
-          CS_TABLE_WATCH_TIMEOUT, on_changes, control);
+      /* A watch brings each change since the last one, which a node that has
+         fallen behind may not get over its link in time.  */
+      if (control->table_failures >= WATCH_FAILURES_MAX)
+        control->table->vtable->read (control->table, CS_KEYSPACE_OPERATOR,
+                                      on_changes, control);
+      else
+        control->table->vtable->watch (
+            control->table, CS_KEYSPACE_OPERATOR, control->rows_revision,
+            CS_TABLE_WATCH_TIMEOUT, on_changes, control);
     }
 }
--- a/source/sidecar/settings.c
+++ b/source/sidecar/settings.c
@@ -40,6 +40,8 @@
   { "server", TEXT, AT (server), "",
     "IP:PORT of the backend server, to go on with it after a restart" },
   { "table", TEXT, AT (table), NULL, "IP:PORT of the platform's table" },
+  { "link_mbps", NUMBER, AT (link_mbps), "0",
+    "speed of the host's link; the fastest of a region read the table" },
   { "first_start", COUNT, AT (first_start), "0",
     "1 when the whole mesh starts for the first time" },
   { "grace", DURATION, AT (grace), "6s",
--- a/source/sidecar/settings.h
+++ b/source/sidecar/settings.h
@@ -21,6 +21,7 @@
   char service[CS_NAME_SIZE];    /* Of the backend server; may be empty.  */
   char server[CS_NAME_SIZE];     /* The backend server; may be empty.  */
   char table[CS_NAME_SIZE];      /* The platform's table.  */
+  double link_mbps;              /* Speed of the host's link; 0: unknown.  */
   int64_t first_start;           /* 1: the mesh starts for the first time.  */
   cs_usec_t grace;               /* From a stop signal to the end.  */
   cs_retry_window_settings_t retry_window; /* Limits retries.  */
--- a/source/sidecar/startup.c
+++ b/source/sidecar/startup.c
@@ -48,6 +48,7 @@
   char *row_key = g_strconcat (KEY_NODE_PREFIX, control->settings.node, NULL);
   const cs_backend_report_t *report = &control->backend.report;
   cs_node_info_t self = { .boot_ms = control->boot_ms,
+                          .link_mbps = (int64_t)control->settings.link_mbps,
                           .server_state = control->backend.state,
                           .slots = report->slots,
                           .server_started_ms = report->started_ms };
--- a/source/stream/frames.c
+++ b/source/stream/frames.c
@@ -4,7 +4,7 @@
 
 /* Elements of the msgpack arrays of a cs_node_info_t, a job message and an
    outcome message.  */
-#define NODE_INFO_FIELDS 13
+#define NODE_INFO_FIELDS 14
 #define JOB_FIELDS 17
 #define OUTCOME_FIELDS 21
 /* A job message is invalid when its deadline or target time is further away
@@ -27,6 +27,13 @@
                                   : a->revision > b->revision;
 }
 
+bool
+cs_node_reads_before (const cs_node_info_t *a, const cs_node_info_t *b)
+{
+  return a->link_mbps != b->link_mbps ? a->link_mbps > b->link_mbps
+                                      : strcmp (a->name, b->name) < 0;
+}
+
 void
 cs_node_info_pack (cs_pack_t *pack, const cs_node_info_t *info)
 {
@@ -44,6 +51,7 @@
   cs_pack_text (pack, info->instance);
   cs_pack_int64 (pack, info->slots);
   cs_pack_int64 (pack, info->server_started_ms);
+  cs_pack_int64 (pack, info->link_mbps);
 }
 
 void
@@ -79,8 +87,11 @@
   cs_name_unpack (&in, info->instance);
   info->slots = cs_unpack_int64 (&in);
   info->server_started_ms = cs_unpack_int64 (&in);
+  /* Earlier releases do not send it.  */
+  if (in.remaining)
+    info->link_mbps = cs_unpack_int64 (&in);
   if (in.failed || state < CS_BACKEND_NONE || state > CS_BACKEND_LOST
-      || !info->name[0] || info->slots < 0)
+      || !info->name[0] || info->slots < 0 || info->link_mbps < 0)
     cursor->failed = true;
   else
     info->server_state = (cs_backend_state_t)state;
--- a/tests/test-decide.c
+++ b/tests/test-decide.c
@@ -7,6 +7,7 @@
 #include "cardamom/move-owner.h"
 #include "cardamom/placement.h"
 #include "cardamom/request-queue.h"
+#include "cardamom/frames.h"
 #include "cardamom/retry-window.h"
 #include "cardamom/stop-plan.h"
 #include "cardamom/service-times.h"
@@ -550,6 +551,21 @@
   g_assert_true (cs_move_baseline_is_drained (0, 100 * MS, CS_SEC));
 }
 
+/* Rows of some hundred kilobytes are not read over the link of a small host
+   while the region has a larger one.  */
+static void
+test_reader_behind_slow_link (void)
+{
+  cs_node_info_t small = { .name = "a", .link_mbps = 10 };
+  cs_node_info_t large = { .name = "b", .link_mbps = 200 };
+  cs_node_info_t equal = { .name = "c", .link_mbps = 200 };
+  g_assert_true (cs_node_reads_before (&large, &small));
+  g_assert_false (cs_node_reads_before (&small, &large));
+  g_assert_true (cs_node_reads_before (&large, &equal));
+  g_assert_false (cs_node_reads_before (&equal, &large));
+  g_assert_false (cs_node_reads_before (&large, &large));
+}
+
 /* After a power loss 47 nodes of a region start within 200 ms.  Each can read
    the table 50 ms after its start, reaches the others 100 ms later, and has
    the rows 100 ms after asking a node that has them.  All reads share the
@@ -848,6 +864,8 @@
   g_test_add_func ("/decide/life", test_server_state);
   g_test_add_func ("/decide/leaving-in-answers", test_leaving_in_answers);
   g_test_add_func ("/decide/roles", test_readers_and_move_owners);
+  g_test_add_func ("/decide/reader-behind-slow-link",
+                   test_reader_behind_slow_link);
   g_test_add_func ("/decide/power-returns", test_readers_after_power_loss);
   g_test_add_func ("/decide/unknown-speed", test_queue_with_unknown_run_times);
   return g_test_run ();
