Test that a server that has left stays so after a restart of its node

Asked by the reports of other operators: after a restart of a process a server that had left was in use again. It does not happen here: the node's row says that the server has left, and a server that the row names is asked first whether it still serves.

--- a/tests/sidecar.t
+++ b/tests/sidecar.t
@@ -109,12 +109,29 @@
 is "an earlier or torn one is kept out" " 404" "$(send_request 2 /nowhere)"
 ok "and told" log_has 2 "event=config-refused"
 
+# raw_row TABLE KEY: the row as the table holds it.
+raw_row () { curl -s "http://$table/api/rows-get?table=$1&part=" | grep -o "\"key\": *\"$2\"[^}]*"; }
+row_changes () { [ "$(raw_row "$1" "$2")" != "$3" ]; }
+row_before=$(raw_row mesh node/n3)
 send_report 3 draining v2 9 >/dev/null
 until_ok log_has 1 "member=n3 service=desk version=v2 state=draining"
 runs_before=$(curl -s "http://127.0.0.1:$(port 3 9)/count")
 for i in $(seq 10); do send_request 1 /d/x >/dev/null; done
 is "a leaving server gets nothing more" "$runs_before" "$(curl -s "http://127.0.0.1:$(port 3 9)/count")"
 
+until_ok row_changes mesh node/n3 "$row_before"
+starts=$(grep -c event=start "$dir/n3.log")
+kill -KILL "${node_pids[3]}"
+wait "${node_pids[3]}" 2>/dev/null
+start_node 3
+restarted () { [ "$(grep -c event=start "$dir/n3.log")" -gt "$starts" ] && is_ready 3; }
+until_ok restarted
+for i in $(seq 10); do
+  send_request 1 /d/x >/dev/null
+  send_request 3 /d/x >/dev/null
+done
+is "nor after a restart of its node" "$runs_before" "$(curl -s "http://127.0.0.1:$(port 3 9)/count")"
+
 echo '{"node": "n1"' >"$dir/n1.json"
 kill -HUP "${node_pids[1]}"
 ok "a torn settings file changes nothing" until_ok log_has 1 "event=settings state=kept"
