End a stop with the listener closed; bound what a job says of its time

/path/accepted-at-the-end-of-stop: a node with nothing in flight said that it had stopped while it still listened; what it accepted until the process ended was cut. It closes the listener first. Fails without the change.

A job whose time of sending or longest wait is out of range is refused as malformed, and no delay over 60 s is believed: it made the node's outcomes malformed for all others.

The answer of a failed attempt is also passed on when the next one breaks at the deadline.

--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -388,7 +388,8 @@
         send_again (call);
       else if (call->route->idempotent && may_retry (call))
         retry_call (call, "broken");
-      else if (traffic_now (call->traffic) >= call->deadline)
+      else if (!call->failed_answer
+               && traffic_now (call->traffic) >= call->deadline)
         finish_failed (call, 504, "no answer by the limit");
       else
         finish_unserved (call, "broken at the server");
--- a/source/call/traffic.c
+++ b/source/call/traffic.c
@@ -25,8 +25,15 @@
       = traffic->calls.length == 0 && traffic->inbound_job_count == 0
         && cs_dispatcher_in_flight (traffic->dispatcher) == 0
         && cs_http1_server_connection_count (traffic->caller_server) == 0;
-  if ((step >= CS_STOP_DRAIN && idle) || step == CS_STOP_END)
+  if (step == CS_STOP_END || traffic->stop_idle)
     traffic->handler.stopped (traffic->user);
+  else if (step >= CS_STOP_DRAIN && idle)
+    {
+      /* The process ends a moment later, on another thread: nothing may be
+         accepted in between.  */
+      cs_http1_server_stop_listening (traffic->caller_server);
+      traffic->stop_idle = true;
+    }
 }
 
 static void
--- a/source/call/traffic.h
+++ b/source/call/traffic.h
@@ -132,6 +132,7 @@
   cs_usec_t next_crash_expiry_at;
   cs_stop_plan_t stop;
   cs_stop_step_t stop_step; /* The last that was taken.  */
+  bool stop_idle; /* Nothing is in flight, and nothing more can come.  */
 };
 
 static inline cs_usec_t
--- a/source/stream/frames.c
+++ b/source/stream/frames.c
@@ -157,6 +157,9 @@
       request->inherited_retry = (double)CLAMP (permille, 0, 1000) / 1000.0;
       request->sent_at = cs_unpack_int64 (cursor);
       request->wait_max = cs_unpack_int64 (cursor);
+      if (request->sent_at < 0 || request->sent_at > INT64_MAX / 2
+          || request->wait_max < 0)
+        cursor->failed = true;
     }
 }
 
--- a/source/stream/transit.c
+++ b/source/stream/transit.c
@@ -2,6 +2,8 @@
 
 #include "cardamom/transit.h"
 
+/* A longer delay is not believed: the times are those of another node.  */
+#define DELAY_MAX (60 * CS_SEC)
 /* Weight of one message in the mean.  */
 #define MEAN_WEIGHT 0.1
 /* A delay counts in full for this long, and half after as long again: a node
@@ -16,7 +18,7 @@
   if (!path->used || difference < path->least)
     path->least = difference;
   path->used = true;
-  return difference - path->least;
+  return MIN (difference - path->least, DELAY_MAX);
 }
 
 cs_usec_t
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -62,13 +62,32 @@
   (void)user, (void)record;
 }
 
+/* The port that on_stopped tries to connect to; 0: none.  */
+static unsigned stopped_probe_port;
+/* Whether on_stopped was called, and could connect.  */
+static gint was_stopped, stopped_still_listens;
+
+static void
+on_stopped (void *user)
+{
+  (void)user;
+  if (!stopped_probe_port || g_atomic_int_get (&was_stopped))
+    return;
+  struct sockaddr_in address = loopback_address (stopped_probe_port);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (connect (fd, (struct sockaddr *)&address, sizeof address) == 0)
+    g_atomic_int_set (&stopped_still_listens, 1);
+  close (fd);
+  g_atomic_int_set (&was_stopped, 1);
+}
+
 static const cs_traffic_handler_t handler
     = { .control_received = on_control,
         .member_changed = on_member,
         .server_lost = on_ignored,
         .server_leaving = on_ignored,
         .crash_record_lasting = on_crash_record,
-        .stopped = on_ignored };
+        .stopped = on_stopped };
 
 /* Forward bytes in both directions, one connection at a time.  */
 static void *
@@ -1021,6 +1040,21 @@
   close (brief);
 }
 
+/* A node that is told to stop and has nothing in flight takes no connection
+   any more when it says that it has stopped: the process ends then.  */
+static void
+test_accepted_at_the_end_of_stop (void)
+{
+  mesh_t *mesh = start_mesh (1);
+  stopped_probe_port = mesh->caller_port;
+  cs_traffic_stop (mesh->caller_node);
+  for (int i = 0; i < 50 && !g_atomic_int_get (&was_stopped); i++)
+    g_usleep (100 * 1000);
+  stopped_probe_port = 0;
+  g_assert_true (g_atomic_int_get (&was_stopped));
+  g_assert_false (g_atomic_int_get (&stopped_still_listens));
+}
+
 /* Two pipelined requests run when connections are closed for a stop: both are
    answered, and the connection closes after the second.  */
 static void
@@ -1631,6 +1665,8 @@
   g_test_add_func ("/path/failed-answer-lost", test_failed_answer_lost);
   g_test_add_func ("/path/late-request-cut-by-stop",
                    test_late_request_cut_by_stop);
+  g_test_add_func ("/path/accepted-at-the-end-of-stop",
+                   test_accepted_at_the_end_of_stop);
   g_test_add_func ("/path/pipelined-request-cut-by-stop",
                    test_pipelined_request_cut_by_stop);
   g_test_add_func ("/path/second-life", test_server_restart);
--- a/tests/test-placement.c
+++ b/tests/test-placement.c
@@ -431,6 +431,8 @@
   g_assert_cmpint (
       cs_transit_path_delay (&path, now + apart, now + 301 * CS_MSEC), ==,
       300 * CS_MSEC);
+  g_assert_cmpint (cs_transit_path_delay (&path, G_MAXINT64 / 2, now), ==, 0);
+  g_assert_cmpint (cs_transit_path_delay (&path, 0, now), ==, 60 * CS_SEC);
   for (int i = 0; i < 100; i++)
     cs_transit_note (&transit, 300 * CS_MSEC, now);
   g_assert_cmpint (cs_transit_mean (&transit, now), >, 290 * CS_MSEC);
