--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -62,18 +62,20 @@
   (void)user, (void)record;
 }
 
-/* The port that on_stopped tries to connect to; 0: none.  */
-static unsigned stopped_probe_port;
+/* The mesh whose caller node is probed when it says that it has stopped. Nodes
+   of earlier tests still say so, again and again.  */
+static gpointer probed_mesh;
+static unsigned probed_port;
 /* Whether on_stopped was called, and could connect.  */
 static gint was_stopped, stopped_still_listens;
 
 static void
 on_stopped (void *user)
 {
-  (void)user;
-  if (!stopped_probe_port || g_atomic_int_get (&was_stopped))
+  if (user != g_atomic_pointer_get (&probed_mesh)
+      || g_atomic_int_get (&was_stopped))
     return;
-  struct sockaddr_in address = loopback_address (stopped_probe_port);
+  struct sockaddr_in address = loopback_address (probed_port);
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (connect (fd, (struct sockaddr *)&address, sizeof address) == 0)
     g_atomic_int_set (&stopped_still_listens, 1);
@@ -216,7 +218,7 @@
           .grace_period = 6 * CS_SEC,
           .snapshot = &mesh->snapshot };
   cs_traffic_t *traffic
-      = cs_traffic_new (mesh->ctx, &settings, &handler, NULL);
+      = cs_traffic_new (mesh->ctx, &settings, &handler, mesh);
   g_assert_nonnull (traffic);
   cs_traffic_start (traffic);
   return traffic;
@@ -1046,11 +1048,11 @@
 test_accepted_at_the_end_of_stop (void)
 {
   mesh_t *mesh = start_mesh (1);
-  stopped_probe_port = mesh->caller_port;
+  probed_port = mesh->caller_port;
+  g_atomic_pointer_set (&probed_mesh, mesh);
   cs_traffic_stop (mesh->caller_node);
   for (int i = 0; i < 50 && !g_atomic_int_get (&was_stopped); i++)
     g_usleep (100 * 1000);
-  stopped_probe_port = 0;
   g_assert_true (g_atomic_int_get (&was_stopped));
   g_assert_false (g_atomic_int_get (&stopped_still_listens));
 }
