Retry in another region when this one has no server left untried

Found in reading the diff: with one server of a service in a region, a request that broke off there was not sent to the other region any more, for the server that had been tried counted as one that serves. Not shown by a test: test-path has one server.

--- a/source/call/choose.c
+++ b/source/call/choose.c
@@ -120,17 +120,19 @@
   if (!count || !version[0])
     return NULL;
   cs_placement_node_t *nodes = g_new (cs_placement_node_t, count);
-  bool region_serves = false;
+  bool untried_in_region = false;
   for (guint i = 0; i < count; i++)
     {
       const peer_t *peer = pool->peers->pdata[i];
       nodes[i] = describe_peer (call, pool->peers->pdata[i], version, now);
-      region_serves |= peer->distance != CS_OTHER_REGION
-                       && peer_takes_version (peer, version);
+      untried_in_region |= peer->distance != CS_OTHER_REGION
+                           && peer_takes_version (peer, version)
+                           && !was_peer_tried (call, peer);
     }
   /* Where this region has no budget for a retry, another one rarely has, and
      asking it takes long.  */
-  for (guint i = 0; call->reached_server && region_serves && i < count; i++)
+  for (guint i = 0; call->reached_server && untried_in_region && i < count;
+       i++)
     nodes[i].eligible &= nodes[i].distance != CS_OTHER_REGION;
   cs_placement_request_t request = { .target_left = call->target_time - now };
   cs_placement_t chosen
