One function gives the answer of a failed attempt; retries are derived

Read again: four ends of a call asked each for itself whether a failed attempt has left an answer; finish_failed does now. Whether a further attempt is a retry follows from the attempts counted and sent_again.

--- a/source/call/call.h
+++ b/source/call/call.h
@@ -44,7 +44,6 @@
   unsigned tried_count;           /* Of TRIED.  */
   failed_answer_t *failed_answer; /* NULL: none.  */
   unsigned server_attempts;       /* Attempts that reached a server.  */
-  bool reached_server;            /* So that a further attempt is a retry.  */
   cs_usec_t wait_max;             /* As in the cs_dispatch_request_t.  */
   unsigned redirects;             /* Refusals as CS_REFUSED_LONGER_WAIT.  */
   bool sent_again; /* To the same server, after a stale connection.  */
@@ -60,6 +59,14 @@
   bool may_have_run;    /* An attempt has run or had an unknown outcome.  */
 };
 
+/* Whether an attempt of CALL has reached a server, so that a further one is a
+   retry.  */
+static inline bool
+call_is_retry (const call_t *call)
+{
+  return call->server_attempts > 0 || call->sent_again;
+}
+
 /* choose.c: the next node for CALL, among those not tried yet; NULL when there
    is none.  */
 peer_t *call_choose_peer (call_t *call);
--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -120,9 +120,29 @@
   free_call (call);
 }
 
+static void
+finish_answered (call_t *call, unsigned status, const char *fields,
+                 cs_str_t body, bool close_delimited)
+{
+  cs_counter_add (CS_C_CALLS_DONE, 1);
+  call->exchange->close_delimited = close_delimited;
+  cs_exchange_answer (call->exchange, status, fields, body, false);
+  free_call (call);
+}
+
+/* End CALL, which may have run: with the answer of an attempt that failed at a
+   server, if there is one; else with STATUS, and WHY goes to the log.  */
 static void
 finish_failed (call_t *call, unsigned status, const char *why)
 {
+  const failed_answer_t *answer = call->failed_answer;
+  if (answer)
+    {
+      finish_answered (call, answer->status, answer->fields,
+                       cs_str_of_gstring (answer->body),
+                       answer->close_delimited);
+      return;
+    }
   cs_counter_add (CS_C_CALLS_UNKNOWN, 1);
   cs_event_log (
       CS_E_FAILED,
@@ -136,16 +156,6 @@
   free_call (call);
 }
 
-static void
-finish_answered (call_t *call, unsigned status, const char *fields,
-                 cs_str_t body, bool close_delimited)
-{
-  cs_counter_add (CS_C_CALLS_DONE, 1);
-  call->exchange->close_delimited = close_delimited;
-  cs_exchange_answer (call->exchange, status, fields, body, false);
-  free_call (call);
-}
-
 static void
 on_local_outcome (void *user, const cs_outcome_t *outcome)
 {
@@ -175,7 +185,7 @@
           .wait_max = call->wait_max,
           .idempotent = call->route->idempotent,
           .method_is_head = parser->method == HTTP_HEAD,
-          .retry = call->reached_server,
+          .retry = call_is_retry (call),
           .inherited_retry = call->inherited_retry,
           .fingerprint = call->fingerprint };
   call->peer = peer;
@@ -203,18 +213,12 @@
   cs_pack_clear (&pack);
 }
 
-/* End CALL, which gets no further attempt: with the answer of an attempt that
-   failed at a server, if there is one; else as not run, unless an earlier
-   attempt may have run: it has failed then, and WHY goes to the log.  */
+/* End CALL, which gets no further attempt: as not run, unless an earlier one
+   may have run; it has failed then, and WHY goes to the log.  */
 static void
 finish_unserved (call_t *call, const char *why)
 {
-  const failed_answer_t *answer = call->failed_answer;
-  if (answer)
-    finish_answered (call, answer->status, answer->fields,
-                     cs_str_of_gstring (answer->body),
-                     answer->close_delimited);
-  else if (call->may_have_run)
+  if (call->may_have_run)
     finish_failed (call, 502, why);
   else
     finish_refused (call);
@@ -366,7 +370,6 @@
 call_handle_outcome (call_t *call, const cs_outcome_t *outcome)
 {
   call->server_attempts += outcome->reached_server;
-  call->reached_server |= outcome->reached_server;
   if (outcome->retries_strained)
     cs_dispatcher_hold_retries (call->traffic->dispatcher);
   call->may_have_run |= outcome->kind != CS_OUTCOME_REFUSED;
@@ -388,11 +391,10 @@
         send_again (call);
       else if (call->route->idempotent && may_retry (call))
         retry_call (call, "broken");
-      else if (!call->failed_answer
-               && traffic_now (call->traffic) >= call->deadline)
+      else if (traffic_now (call->traffic) >= call->deadline)
         finish_failed (call, 504, "no answer by the limit");
       else
-        finish_unserved (call, "broken at the server");
+        finish_failed (call, 502, "broken at the server");
     }
 }
 
@@ -426,12 +428,11 @@
       return;
     }
   call->server_attempts++;
-  call->reached_server = true;
   call->may_have_run = true;
   if (may_retry (call))
     retry_call (call, "stream");
   else
-    finish_unserved (call, "stream lost");
+    finish_failed (call, 502, "stream lost");
 }
 
 /* Cancel the attempt of CALL that is in flight, because nobody waits for its
@@ -475,8 +476,6 @@
       call->refusal_reason = reason;
       finish_refused (call);
     }
-  else if (call->failed_answer)
-    finish_unserved (call, why);
   else
     finish_failed (call, 504, why);
 }
--- a/source/call/choose.c
+++ b/source/call/choose.c
@@ -96,7 +96,7 @@
     .distance = peer->distance,
     .eligible = peer_takes_version (peer, version)
                 && !was_peer_tried (call, peer)
-                && !(call->reached_server && load.refuses_retries
+                && !(call_is_retry (call) && load.refuses_retries
                      && age <= LOAD_FRESH_FOR),
     .slots = slots,
     .outstanding = MAX (other_load, 0) + own_calls,
@@ -131,7 +131,7 @@
     }
   /* Where this region has no budget for a retry, another one rarely has, and
      asking it takes long.  */
-  for (guint i = 0; call->reached_server && untried_in_region && i < count;
+  for (guint i = 0; call_is_retry (call) && untried_in_region && i < count;
        i++)
     nodes[i].eligible &= nodes[i].distance != CS_OTHER_REGION;
   cs_placement_request_t request = { .target_left = call->target_time - now };
