Sum a retry window in one place; count callers without copying names

Read again: has_room and is_strained each advanced, summed and allowed by themselves; a request copied its service's name into the table of callers each time, and halving the counts took two passes.

--- a/source/call/route-callers.c
+++ b/source/call/route-callers.c
@@ -11,7 +11,7 @@
 typedef struct
 {
   guint total;
-  GHashTable *by_service; /* service -> requests as GUINT_TO_POINTER.  */
+  GHashTable *by_service; /* service -> guint *, its requests.  */
 } route_t;
 
 struct cs_route_callers
@@ -45,27 +45,17 @@
   g_free (callers);
 }
 
+/* Halve the count of a service and add it to its route; TRUE if none is left.
+ */
 static gboolean
-halve (gpointer service, gpointer count, gpointer user)
+halve (gpointer service, gpointer value, gpointer user)
 {
+  guint *count = value;
   route_t *route = user;
-  guint half = GPOINTER_TO_UINT (count) / 2;
   (void)service;
-  route->total += half;
-  return half == 0;
-}
-
-static void
-halve_counts (route_t *route)
-{
-  GHashTableIter iter;
-  gpointer count;
-  route->total = 0;
-  g_hash_table_foreach_remove (route->by_service, halve, route);
-  g_hash_table_iter_init (&iter, route->by_service);
-  while (g_hash_table_iter_next (&iter, NULL, &count))
-    g_hash_table_iter_replace (
-        &iter, GUINT_TO_POINTER (GPOINTER_TO_UINT (count) / 2));
+  *count /= 2;
+  route->total += *count;
+  return *count == 0;
 }
 
 void
@@ -77,15 +67,20 @@
     {
       route = g_new0 (route_t, 1);
       route->by_service
-          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
       g_hash_table_insert (callers->routes, g_strdup (path), route);
     }
-  guint count
-      = GPOINTER_TO_UINT (g_hash_table_lookup (route->by_service, service));
-  g_hash_table_insert (route->by_service, g_strdup (service),
-                       GUINT_TO_POINTER (count + 1));
-  if (++route->total >= REQUESTS_MAX)
-    halve_counts (route);
+  guint *count = g_hash_table_lookup (route->by_service, service);
+  if (!count)
+    {
+      count = g_new0 (guint, 1);
+      g_hash_table_insert (route->by_service, g_strdup (service), count);
+    }
+  (*count)++;
+  if (++route->total < REQUESTS_MAX)
+    return;
+  route->total = 0;
+  g_hash_table_foreach_remove (route->by_service, halve, route);
 }
 
 bool
@@ -104,11 +99,10 @@
   g_hash_table_iter_init (&iter, hosts);
   while (g_hash_table_iter_next (&iter, &service, &count))
     {
-      guint seen = GPOINTER_TO_UINT (
-          g_hash_table_lookup (route->by_service, service));
+      const guint *seen = g_hash_table_lookup (route->by_service, service);
       double expected = (double)route->total * GPOINTER_TO_UINT (count)
                         / MAX (all_hosts, 1);
-      if (seen == 0 || seen < USUAL_SHARE_MIN * expected)
+      if (!seen || *seen < USUAL_SHARE_MIN * expected)
         return true;
     }
   return false;
--- a/source/run/retry-window.c
+++ b/source/run/retry-window.c
@@ -19,6 +19,7 @@
 typedef struct
 {
   double requests, retries, calls, inherited;
+  double allowed; /* Retries and inherited ones.  */
 } sums_t;
 
 void
@@ -44,10 +45,19 @@
     }
 }
 
+/* The sums of the window until NOW, and the retries that this node's part of
+   the budget allows in it.  A node that restarts has lost its account; were it
+   given its part of the slack at once, a node that restarts often would give
+   it away each time.  */
 static sums_t
-sum_slices (const cs_retry_window_t *window)
+sum_window (cs_retry_window_t *window,
+            const cs_retry_window_settings_t *settings, unsigned servers,
+            cs_usec_t now)
 {
   sums_t sums = { 0 };
+  double age
+      = (double)(now - window->started_at) / (double)MAX (settings->window, 1);
+  advance_slices (window, settings, now);
   for (int i = 0; i < CS_RETRY_WINDOW_SLICES; i++)
     {
       sums.requests += window->requests[i];
@@ -55,24 +65,12 @@
       sums.calls += window->calls[i];
       sums.inherited += window->inherited[i];
     }
+  sums.allowed = USABLE_SHARE
+                 * (settings->ratio * sums.requests
+                    + MIN (age, 1.0) * settings->slack / MAX (servers, 1));
   return sums;
 }
 
-/* The retries that this node's part of the budget allows in the window.  A
-   node that restarts has lost its account; were it given its part of the slack
-   at once, a node that restarts often would give it away each time.  */
-static double
-allowance (const cs_retry_window_t *window,
-           const cs_retry_window_settings_t *settings, const sums_t *sums,
-           unsigned servers, cs_usec_t now)
-{
-  double age
-      = (double)(now - window->started_at) / (double)MAX (settings->window, 1);
-  return USABLE_SHARE
-         * (settings->ratio * sums->requests
-            + MIN (age, 1.0) * settings->slack / MAX (servers, 1));
-}
-
 static int
 newest (const cs_retry_window_t *window)
 {
@@ -106,13 +104,11 @@
                           const cs_retry_window_settings_t *settings,
                           unsigned servers, cs_usec_t now)
 {
-  advance_slices (window, settings, now);
-  sums_t sums = sum_slices (window);
-  double allowed = allowance (window, settings, &sums, servers, now);
+  sums_t sums = sum_window (window, settings, servers, now);
   /* The callers keep to the ratio too.  */
   double reserved
-      = MIN (RESERVED_SHARE * allowed, settings->ratio * sums.calls);
-  return sums.retries + MAX (sums.inherited, reserved) + 1.0 <= allowed;
+      = MIN (RESERVED_SHARE * sums.allowed, settings->ratio * sums.calls);
+  return sums.retries + MAX (sums.inherited, reserved) + 1.0 <= sums.allowed;
 }
 
 bool
@@ -120,10 +116,8 @@
                              const cs_retry_window_settings_t *settings,
                              unsigned servers, cs_usec_t now)
 {
-  advance_slices (window, settings, now);
-  sums_t sums = sum_slices (window);
-  return sums.inherited
-         > STRAINED_SHARE * allowance (window, settings, &sums, servers, now);
+  sums_t sums = sum_window (window, settings, servers, now);
+  return sums.inherited > STRAINED_SHARE * sums.allowed;
 }
 
 void
