Decide in placement whether a retry may leave the region

Read again: choose.c narrowed the nodes after the fact, in a part without a test. The rule is one of placement's now, with /decide/retry-sent-to-other-region; its third case is the fault that mended without a test.

--- a/include/cardamom/placement.h
+++ b/include/cardamom/placement.h
@@ -21,7 +21,8 @@
   /* Connected and ready, runs the wanted version, and has not been tried for
      this request.  */
   bool eligible;
-  int64_t slots; /* Requests that its server runs at once.  */
+  bool refuses_retries; /* It has no budget for a retry.  */
+  int64_t slots;        /* Requests that its server runs at once.  */
   /* Requests running and queued there, including those that this node has sent
      since the last load report.  */
   int64_t outstanding;
@@ -38,6 +39,10 @@
 typedef struct
 {
   cs_usec_t target_left; /* Time left until the request's latency target.  */
+  /* An earlier attempt has reached a server.  Another region is not asked then
+     while this one has an eligible node: where that has no budget, the others
+     rarely have, and asking them takes long.  */
+  bool is_retry;
 } cs_placement_request_t;
 
 typedef struct
--- a/source/call/choose.c
+++ b/source/call/choose.c
@@ -94,10 +94,10 @@
       &peer->run_times, call->route->path, call_expected_run_time (call));
   return (cs_placement_node_t){
     .distance = peer->distance,
-    .eligible = peer_takes_version (peer, version)
-                && !was_peer_tried (call, peer)
-                && !(call_is_retry (call) && load.refuses_retries
-                     && age <= LOAD_FRESH_FOR),
+    .eligible
+    = peer_takes_version (peer, version) && !was_peer_tried (call, peer),
+    .refuses_retries
+    = call_is_retry (call) && load.refuses_retries && age <= LOAD_FRESH_FOR,
     .slots = slots,
     .outstanding = MAX (other_load, 0) + own_calls,
     .mean_service_time
@@ -120,21 +120,10 @@
   if (!count || !version[0])
     return NULL;
   cs_placement_node_t *nodes = g_new (cs_placement_node_t, count);
-  bool untried_in_region = false;
   for (guint i = 0; i < count; i++)
-    {
-      const peer_t *peer = pool->peers->pdata[i];
-      nodes[i] = describe_peer (call, pool->peers->pdata[i], version, now);
-      untried_in_region |= peer->distance != CS_OTHER_REGION
-                           && peer_takes_version (peer, version)
-                           && !was_peer_tried (call, peer);
-    }
-  /* Where this region has no budget for a retry, another one rarely has, and
-     asking it takes long.  */
-  for (guint i = 0; call_is_retry (call) && untried_in_region && i < count;
-       i++)
-    nodes[i].eligible &= nodes[i].distance != CS_OTHER_REGION;
-  cs_placement_request_t request = { .target_left = call->target_time - now };
+    nodes[i] = describe_peer (call, pool->peers->pdata[i], version, now);
+  cs_placement_request_t request = { .target_left = call->target_time - now,
+                                     .is_retry = call_is_retry (call) };
   cs_placement_t chosen
       = cs_placement_choose (nodes, count, &request, traffic->ctx->random);
   g_free (nodes);
--- a/source/call/placement.c
+++ b/source/call/placement.c
@@ -43,6 +43,23 @@
          + (node->distance == CS_SAME_DC ? 0 : surcharge);
 }
 
+static bool
+is_usable (const cs_placement_node_t *node)
+{
+  return node->eligible && !node->refuses_retries;
+}
+
+/* How far away the node for REQUEST may be.  */
+static cs_distance_t
+farthest_for (const cs_placement_node_t *nodes, size_t count,
+              const cs_placement_request_t *request)
+{
+  for (size_t i = 0; request->is_retry && i < count; i++)
+    if (nodes[i].eligible && nodes[i].distance != CS_OTHER_REGION)
+      return CS_SAME_REGION;
+  return CS_OTHER_REGION;
+}
+
 /* Index of the node with the lowest expected latency at the distances from
    NEAREST to FARTHEST, chosen at random among near equals at its distance; -1
    when there is none.  Nodes in other data centres count as slower by
@@ -59,7 +76,7 @@
     for (size_t i = 0; i < count; i++)
       {
         const cs_placement_node_t *node = &nodes[i];
-        if (!node->eligible || node->distance < nearest
+        if (!is_usable (node) || node->distance < nearest
             || node->distance > farthest
             || (!failing && node->failure_permille > MAX_FAILING_PERMILLE))
           continue;
@@ -86,7 +103,7 @@
   cs_usec_t second = INT64_MAX;
   const cs_placement_node_t *best = &nodes[chosen];
   for (size_t i = 0; i < count; i++)
-    if ((int)i != chosen && nodes[i].eligible
+    if ((int)i != chosen && is_usable (&nodes[i])
         && nodes[i].failure_permille <= MAX_FAILING_PERMILLE
         && nodes[i].distance <= MAX (best->distance, CS_SAME_REGION))
       second = MIN (second, cost_of (&nodes[i], surcharge));
@@ -109,13 +126,14 @@
   static const int percents[] = { NEAR_TARGET_PERCENT, 100 };
   cs_usec_t surcharge
       = MAX (request->target_left, 0) * OTHER_DC_SURCHARGE_PERCENT / 100;
+  cs_distance_t farthest = farthest_for (nodes, count, request);
   const struct
   {
     cs_distance_t nearest, farthest;
     cs_usec_t surcharge;
   } ranges[] = { { CS_SAME_DC, CS_SAME_REGION, surcharge },
                  { CS_SAME_DC, CS_SAME_REGION, 0 },
-                 { CS_OTHER_REGION, CS_OTHER_REGION, 0 } };
+                 { CS_OTHER_REGION, farthest, 0 } };
   for (size_t pass = 0; pass < G_N_ELEMENTS (percents); pass++)
     for (size_t r = 0; r < G_N_ELEMENTS (ranges); r++)
       {
@@ -133,11 +151,10 @@
   int i = choose_fastest (nodes, count, CS_SAME_DC, CS_SAME_REGION, surcharge,
                           false, random);
   if (i < 0)
-    i = choose_fastest (nodes, count, CS_OTHER_REGION, CS_OTHER_REGION, 0,
-                        false, random);
-  if (i < 0)
-    i = choose_fastest (nodes, count, CS_SAME_DC, CS_OTHER_REGION, 0, true,
+    i = choose_fastest (nodes, count, CS_OTHER_REGION, farthest, 0, false,
                         random);
+  if (i < 0)
+    i = choose_fastest (nodes, count, CS_SAME_DC, farthest, 0, true, random);
   return i < 0 ? (cs_placement_t){ -1, -1, 0 }
                : chosen_node (nodes, count, i, surcharge);
 }
--- a/tests/test-decide.c
+++ b/tests/test-decide.c
@@ -93,6 +93,39 @@
   g_rand_free (random);
 }
 
+/* A retry goes to another region only when this one has no server left that
+   was not tried; that none there has a budget is no reason.  */
+static void
+test_retry_sent_to_other_region (void)
+{
+  static const struct
+  {
+    const char *what;
+    bool is_retry, eligible_near, refuses_near;
+    int chosen;
+  } cases[] = {
+    { "the region has a budget", true, true, false, 0 },
+    { "the region has none", true, true, true, -1 },
+    { "the region has no server left", true, false, false, 1 },
+    { "no retry, no server left", false, false, false, 1 },
+  };
+  GRand *random = g_rand_new_with_seed (3);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      cs_placement_node_t nodes[]
+          = { make_node (CS_SAME_REGION, 0, 3 * MS),
+              make_node (CS_OTHER_REGION, 0, 60 * MS) };
+      nodes[0].eligible = cases[i].eligible_near;
+      nodes[0].refuses_retries = cases[i].refuses_near;
+      cs_placement_request_t request
+          = { .target_left = 300 * MS, .is_retry = cases[i].is_retry };
+      g_test_message ("%s", cases[i].what);
+      g_assert_cmpint (cs_placement_choose (nodes, 2, &request, random).index,
+                       ==, cases[i].chosen);
+    }
+  g_rand_free (random);
+}
+
 /* Many choices among equal nodes spread over all of them.  */
 static void
 test_placement_spreads_ties (void)
@@ -847,6 +880,8 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/decide/place", test_placement);
+  g_test_add_func ("/decide/retry-sent-to-other-region",
+                   test_retry_sent_to_other_region);
   g_test_add_func ("/decide/place-herd", test_placement_spreads_ties);
   g_test_add_func ("/decide/waiting-overload", test_queue_overload);
   g_test_add_func ("/decide/waiting-priority", test_queue_priority);
