Share the event queue of two simulations and a set-up of test-path

Read again: test-budget and test-placement each had the same queue of events; two tests of a kept connection began alike.

--- a/tests/test-budget.c
+++ b/tests/test-budget.c
@@ -6,6 +6,7 @@
 #include "cardamom/cardamom.h"
 #include "cardamom/retry-window.h"
 #include "cardamom/route-callers.h"
+#include "event-queue.h"
 
 #define FRONT_SERVERS 21
 #define BACK_SERVERS 9
@@ -79,13 +80,6 @@
 
 typedef struct request request_t;
 
-typedef struct
-{
-  cs_usec_t at;
-  void (*run) (mesh_t *mesh, request_t *request, cs_usec_t now);
-  request_t *request;
-} event_t;
-
 struct request
 {
   service_t service;
@@ -101,23 +95,6 @@
 static const cs_retry_window_settings_t settings
     = { .ratio = 0.2, .slack = 30, .window = 10 * CS_SEC };
 
-static gint
-compare_events (gconstpointer a, gconstpointer b, gpointer user)
-{
-  cs_usec_t x = ((const event_t *)a)->at, y = ((const event_t *)b)->at;
-  (void)user;
-  return (x > y) - (x < y);
-}
-
-static void
-schedule (mesh_t *mesh, cs_usec_t at,
-          void (*run) (mesh_t *, request_t *, cs_usec_t), request_t *request)
-{
-  event_t *event = g_new (event_t, 1);
-  *event = (event_t){ .at = at, .run = run, .request = request };
-  g_sequence_insert_sorted (mesh->events, event, compare_events, NULL);
-}
-
 static size_t
 bucket (cs_usec_t now)
 {
@@ -201,8 +178,10 @@
 }
 
 static void
-end_run (mesh_t *mesh, request_t *request, cs_usec_t now)
+end_run (void *simulation, void *item, cs_usec_t now)
 {
+  mesh_t *mesh = simulation;
+  request_t *request = item;
   const pattern_t *p = mesh->pattern;
   bool hit = request->service == BACK && now >= p->from && now < p->to
              && g_rand_double (mesh->random) < p->broken;
@@ -216,8 +195,10 @@
 }
 
 static void
-make_call (mesh_t *mesh, request_t *run, cs_usec_t now)
+make_call (void *simulation, void *item, cs_usec_t now)
 {
+  mesh_t *mesh = simulation;
+  request_t *run = item;
   request_t *call = g_new0 (request_t, 1);
   g_ptr_array_add (mesh->all_requests, call);
   *call = (request_t){ .service = BACK,
@@ -247,7 +228,7 @@
     {
       parent->call_failed |= !ok;
       if (--parent->calls_pending == 0)
-        schedule (mesh, now + RUN_TIME / 2, end_run, parent);
+        event_queue_add (mesh->events, now + RUN_TIME / 2, end_run, parent);
     }
 }
 
@@ -283,12 +264,12 @@
   server->repeated_runs += request->attempts > 1 || request->is_repeat;
   if (request->service == BACK)
     {
-      schedule (mesh, now + CALL_TIME, end_run, request);
+      event_queue_add (mesh->events, now + CALL_TIME, end_run, request);
       return;
     }
   request->calls_pending = CALLS_PER_RUN;
   for (int i = 0; i < CALLS_PER_RUN; i++)
-    schedule (mesh, now + RUN_TIME / 2, make_call, request);
+    event_queue_add (mesh->events, now + RUN_TIME / 2, make_call, request);
 }
 
 static void
@@ -358,22 +339,14 @@
   mesh->pattern = pattern;
   mesh->policy = policy;
   mesh->random = g_rand_new_with_seed (seed);
-  mesh->events = g_sequence_new (g_free);
+  mesh->events = event_queue_new ();
   mesh->all_requests = g_ptr_array_new_with_free_func (g_free);
   for (unsigned i = 0; i < NODES; i++)
     init_node (&mesh->nodes[i], i, -start);
   for (cs_usec_t ms = 0; ms < SECONDS * 1000; ms++)
     {
       now = ms * CS_MSEC;
-      while (!g_sequence_is_empty (mesh->events))
-        {
-          GSequenceIter *first = g_sequence_get_begin_iter (mesh->events);
-          event_t event = *(event_t *)g_sequence_get (first);
-          if (event.at > now)
-            break;
-          g_sequence_remove (first);
-          event.run (mesh, event.request, event.at);
-        }
+      event_queue_run (mesh->events, mesh, now);
       if (pattern->restart_every
           && ms % (pattern->restart_every / CS_MSEC) == 0)
         {
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -914,14 +914,11 @@
   close (caller);
 }
 
-/* The server runs an idempotent request that came on a kept connection, and
-   ends: that it refuses the connection for the second send does not make the
-   attempt free.  */
-static void
-test_resend_counts_as_attempt (void)
+/* Let the server answer a first request, and send it a second one, a2, on the
+   kept connection, which is returned.  */
+static int
+send_on_kept_connection (const mesh_t *mesh, int caller)
 {
-  mesh_t *mesh = start_mesh (1);
-  int caller = connect_to (mesh->caller_port);
   send_request (caller, "GET", "/read/1", "a1", "");
   int server = accept_request (mesh, "/read/1");
   send_answer (server, "a1", "one");
@@ -930,29 +927,33 @@
   char *request = receive_message (server);
   g_assert_nonnull (strstr (request, "GET /read/2"));
   g_free (request);
-  close (mesh->server_listener);
-  close (server);
-  expect_answer (caller, "502", "");
-  close (caller);
+  return server;
 }
 
-/* Let the server run a first request, and break the kept connection under a
-   second one, a2.  Returns the connection that the node opens then.  */
+/* The same, and break that connection.  Returns the one that the node opens
+   then.  */
 static int
 break_kept_connection (const mesh_t *mesh, int caller)
 {
-  send_request (caller, "GET", "/read/1", "a1", "");
-  int server = accept_request (mesh, "/read/1");
-  send_answer (server, "a1", "one");
-  expect_answer (caller, "200", "one");
-  send_request (caller, "GET", "/read/2", "a2", "");
-  char *request = receive_message (server);
-  g_assert_nonnull (strstr (request, "GET /read/2"));
-  g_free (request);
-  close (server);
+  close (send_on_kept_connection (mesh, caller));
   return accept_one (mesh->server_listener);
 }
 
+/* The server runs an idempotent request that came on a kept connection, and
+   ends: that it refuses the connection for the second send does not make the
+   attempt free.  */
+static void
+test_resend_counts_as_attempt (void)
+{
+  mesh_t *mesh = start_mesh (1);
+  int caller = connect_to (mesh->caller_port);
+  int server = send_on_kept_connection (mesh, caller);
+  close (mesh->server_listener);
+  close (server);
+  expect_answer (caller, "502", "");
+  close (caller);
+}
+
 /* A request whose kept connection breaks may have run: sending it once more is
    a retry, and there is no budget for one.  */
 static void
--- a/tests/test-placement.c
+++ b/tests/test-placement.c
@@ -8,6 +8,7 @@
 #include "cardamom/dispatcher.h"
 #include "cardamom/service-times.h"
 #include "cardamom/transit.h"
+#include "event-queue.h"
 
 #define SENDERS 40
 #define SERVERS 16
@@ -76,7 +77,7 @@
   cs_usec_t arrived_at, sent_at, started_at, wait_max;
 } job_t;
 
-typedef struct simulation
+typedef struct
 {
   const pattern_t *pattern;
   policy_t policy;
@@ -88,30 +89,6 @@
   unsigned offered[2], in_target[2], refused; /* Small and large ones.  */
 } simulation_t;
 
-typedef struct
-{
-  cs_usec_t at;
-  void (*run) (simulation_t *sim, job_t *job, cs_usec_t now);
-  job_t *job;
-} event_t;
-
-static gint
-compare_events (gconstpointer a, gconstpointer b, gpointer user)
-{
-  cs_usec_t x = ((const event_t *)a)->at, y = ((const event_t *)b)->at;
-  (void)user;
-  return (x > y) - (x < y);
-}
-
-static void
-schedule (simulation_t *sim, cs_usec_t at,
-          void (*run) (simulation_t *, job_t *, cs_usec_t), job_t *job)
-{
-  event_t *event = g_new (event_t, 1);
-  *event = (event_t){ .at = at, .run = run, .job = job };
-  g_sequence_insert_sorted (sim->events, event, compare_events, NULL);
-}
-
 static cs_distance_t
 distance_of (const simulation_t *sim, int sender, int server)
 {
@@ -165,7 +142,7 @@
   return cs_placement_choose (nodes, SERVERS, request, random).index;
 }
 
-static void reach (simulation_t *sim, job_t *job, cs_usec_t now);
+static void reach (void *simulation, void *item, cs_usec_t now);
 
 static void
 send_job (simulation_t *sim, job_t *job, cs_usec_t now)
@@ -195,7 +172,8 @@
   double bytes = job->large ? LARGE_BODY : 500.0;
   server->link_free_at
       = MAX (server->link_free_at, now) + (cs_usec_t)(bytes / LINK_RATE * 1e6);
-  schedule (sim, server->link_free_at + ROUND_TRIP / 2, reach, job);
+  event_queue_add (sim->events, server->link_free_at + ROUND_TRIP / 2, reach,
+                   job);
 }
 
 /* Tell JOB's sender of the load of its server.  */
@@ -217,7 +195,7 @@
   };
 }
 
-static void finish (simulation_t *sim, job_t *job, cs_usec_t now);
+static void finish (void *simulation, void *item, cs_usec_t now);
 
 static void
 fill (simulation_t *sim, server_t *server, cs_usec_t now)
@@ -239,13 +217,16 @@
       double work = (double)sim->pattern->work * 0.75 * exp (0.75 * (z - 6));
       job->started_at = now;
       g_queue_push_tail (&server->running, job);
-      schedule (sim, now + (cs_usec_t)(work / server->speed), finish, job);
+      event_queue_add (sim->events, now + (cs_usec_t)(work / server->speed),
+                       finish, job);
     }
 }
 
 static void
-finish (simulation_t *sim, job_t *job, cs_usec_t now)
+finish (void *simulation, void *item, cs_usec_t now)
 {
+  simulation_t *sim = simulation;
+  job_t *job = item;
   server_t *server = &sim->servers[job->server];
   view_t *view = &sim->views[job->sender][job->server];
   g_queue_remove (&server->running, job);
@@ -257,8 +238,10 @@
 }
 
 static void
-reach (simulation_t *sim, job_t *job, cs_usec_t now)
+reach (void *simulation, void *item, cs_usec_t now)
 {
+  simulation_t *sim = simulation;
+  job_t *job = item;
   server_t *server = &sim->servers[job->server];
   const view_t *view = &sim->views[job->sender][job->server];
   cs_server_capacity_t capacity
@@ -318,7 +301,7 @@
   sim->pattern = pattern;
   sim->policy = policy;
   sim->random = g_rand_new_with_seed (seed);
-  sim->events = g_sequence_new (g_free);
+  sim->events = event_queue_new ();
   sim->jobs = g_ptr_array_new_with_free_func (g_free);
   for (int i = 0; i < SERVERS; i++)
     {
@@ -330,15 +313,7 @@
       cs_service_times_init (&sim->views[s][i].run_times);
   for (cs_usec_t now = 0; now < SECONDS * CS_SEC; now += 500)
     {
-      while (!g_sequence_is_empty (sim->events))
-        {
-          GSequenceIter *first = g_sequence_get_begin_iter (sim->events);
-          event_t event = *(event_t *)g_sequence_get (first);
-          if (event.at > now)
-            break;
-          g_sequence_remove (first);
-          event.run (sim, event.job, event.at);
-        }
+      event_queue_run (sim->events, sim, now);
       for (int dc = 0; dc < 2; dc++)
         if (now < (SECONDS - 2) * CS_SEC
             && g_rand_double (sim->random) < pattern->per_s[dc] * 0.0005)
