--- /dev/null
+++ b/review/standins/case-memory.c
@@ -0,0 +1,141 @@
+/* Case 3.  Clients upload bodies that are within maxBodyBytes, at a steady
+   rate; then the upstreams turn slow, three times.  A machine has 260 MB.  */
+#include "rig.h"
+
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BODY_BYTES (20 * 1000 * 1000)
+#define UPLOADS_PER_S 3 /* At each of the two machines: 480 Mbit/s.  */
+#define WORK_MS 560
+#define SLOW_X 5
+#define SLOW_FOR_S 6.5
+#define SLOW_TIMES 3
+#define QUIET_S 6.0
+
+static char *body;
+static volatile bool slow;
+static machine_t *m1, *m2;
+static volatile bool done;
+static int sent, served, refused, failed, open_now;
+
+static bool
+serve (upstream_t *upstream, request_t *request, int fd)
+{
+  (void)upstream;
+  if (strcmp (request->path, "/u/up"))
+    return upstream_answer (request, fd, "warm", 4, false);
+  sleep_ms (slow ? WORK_MS * SLOW_X : WORK_MS);
+  return upstream_answer (request, fd, "taken", 5, false);
+}
+
+static void *
+upload (void *arg)
+{
+  machine_t *m = arg;
+  char text[400], *id = unique_id ();
+  reader_t reader;
+  answer_t answer = { 0 };
+  __sync_add_and_fetch (&sent, 1);
+  __sync_add_and_fetch (&open_now, 1);
+  reader_init (&reader, connect_port (m->callers));
+  int n = snprintf (text, sizeof text,
+                    "POST /u/up HTTP/1.1\r\nHost: h.example\r\n"
+                    "Attempt-Id: %s\r\nTimeout-Remaining-Ms: 6000\r\n"
+                    "Content-Length: %d\r\n\r\n",
+                    id, BODY_BYTES);
+  bool written = reader.fd >= 0 && send_all (reader.fd, text, (size_t)n)
+                 && send_all (reader.fd, body, BODY_BYTES);
+  if (reader.fd >= 0)
+    {
+      read_answer (&reader, &answer, 6.5);
+      reader_clear (&reader);
+    }
+  if (answer.status == 200)
+    __sync_add_and_fetch (&served, 1);
+  else if (answer.status)
+    __sync_add_and_fetch (&refused, 1);
+  else
+    {
+      __sync_add_and_fetch (&failed, 1);
+      note ("upload %s at %s: %s", id, m->name,
+            written ? "read, and the connection ended without an answer"
+                    : "the connection ended while it was sent");
+    }
+  free (answer.body);
+  free (id);
+  __sync_add_and_fetch (&open_now, -1);
+  return NULL;
+}
+
+static void *
+send_uploads (void *arg)
+{
+  while (!done)
+    {
+      for (int i = 0; i < 2; i++)
+        {
+          pthread_t thread;
+          /* Clients send to a machine that the platform finds ready.  */
+          if (machine_is_ready (&machines[i]) && open_now < 60
+              && pthread_create (&thread, NULL, upload, &machines[i]) == 0)
+            pthread_detach (thread);
+        }
+      sleep_ms (1000 / UPLOADS_PER_S);
+    }
+  return arg;
+}
+
+static void
+tell (const char *what)
+{
+  note ("%s: %d uploads sent, %d served, %d answered otherwise, %d without an "
+        "answer; %s at most %ld kB, %d ends; %s at most %ld kB, %d ends",
+        what, sent, served, refused, failed, m1->name, m1->peak_kb,
+        m1->memory_kills, m2->name, m2->peak_kb, m2->memory_kills);
+}
+
+static void
+run (void)
+{
+  pthread_t sender;
+  body = malloc (BODY_BYTES);
+  memset (body, 'u', BODY_BYTES);
+  table_start ();
+  put_config (1, "fixdesk", "6s");
+  m1 = machine_add ("bratislava-a", "fixdesk");
+  m2 = machine_add ("trnava-b", "fixdesk");
+  m1->memory_mb = m2->memory_mb = 260;
+  machine_start (m1);
+  machine_start (m2);
+  machine_wait_ready (m1);
+  machine_wait_ready (m2);
+  upstream_start (m1, "fixdesk", "i-1", serve);
+  upstream_start (m2, "fixdesk", "i-2", serve);
+  wait_served (m1, "h.example", "/s/warm");
+  wait_served (m2, "h.example", "/s/warm");
+  memory_watch_start ();
+  pthread_create (&sender, NULL, send_uploads, NULL);
+  sleep_ms ((int)(QUIET_S * 1e3));
+  tell ("before");
+  for (int i = 0; i < SLOW_TIMES; i++)
+    {
+      if (trouble)
+        note ("the upstreams turn slow, %d times as long", SLOW_X);
+      slow = trouble;
+      sleep_ms ((int)(SLOW_FOR_S * 1e3));
+      slow = false;
+      tell (trouble ? "they are as before" : "no disruption");
+      sleep_ms ((int)(QUIET_S * 1e3));
+    }
+  done = true;
+  tell ("at the end");
+  finish (m1->memory_kills >= 3 && m2->memory_kills >= 3 ? 1 : 0);
+}
+
+int
+main (int argc, char **argv)
+{
+  return rig_run (argc, argv, run);
+}
