--- a/review/standins/case-memory.c
+++ b/review/standins/case-memory.c
@@ -1,5 +1,6 @@
-/* Case 3.  Clients upload bodies that are within maxBodyBytes, at a steady
-   rate; then the upstreams turn slow, three times.  A machine has 260 MB.  */
+/* Case 3.  Clients at two machines upload bodies that are within maxBodyBytes,
+   at a steady rate; then the upstreams on three other machines turn slow,
+   three times.  A machine has 260 MB.  */
 #include "rig.h"
 
 #include <pthread.h>
@@ -7,7 +8,7 @@
 #include <string.h>
 
 #define BODY_BYTES (20 * 1000 * 1000)
-#define UPLOADS_PER_S 3 /* At each of the two machines: 480 Mbit/s.  */
+#define UPLOADS_PER_S 4 /* At each of the two machines: 640 Mbit/s.  */
 #define WORK_MS 560
 #define SLOW_X 5
 #define SLOW_FOR_S 6.5
@@ -16,6 +17,7 @@
 
 static char *body;
 static volatile bool slow;
+/* Where clients upload; the upstreams beside them get no uploads.  */
 static machine_t *m1, *m2;
 static volatile bool done;
 static int sent, served, refused, failed, open_now;
@@ -104,15 +106,23 @@
   memset (body, 'u', BODY_BYTES);
   table_start ();
   put_config (1, "fixdesk", "6s");
-  m1 = machine_add ("bratislava-a", "fixdesk");
-  m2 = machine_add ("trnava-b", "fixdesk");
-  m1->memory_mb = m2->memory_mb = 260;
-  machine_start (m1);
-  machine_start (m2);
-  machine_wait_ready (m1);
-  machine_wait_ready (m2);
-  upstream_start (m1, "fixdesk", "i-1", serve);
-  upstream_start (m2, "fixdesk", "i-2", serve);
+  m1 = machine_add ("bratislava-a", "other");
+  m2 = machine_add ("trnava-b", "other");
+  for (int i = 0; i < 3; i++)
+    machine_add (i ? "trnava-b" : "bratislava-a", "fixdesk");
+  for (int i = 0; i < machine_count; i++)
+    {
+      machines[i].memory_mb = 260;
+      machine_start (&machines[i]);
+    }
+  for (int i = 0; i < machine_count; i++)
+    machine_wait_ready (&machines[i]);
+  for (int i = 0; i < machine_count; i++)
+    {
+      char name[16];
+      snprintf (name, sizeof name, "i-%d", i + 1);
+      upstream_start (&machines[i], machines[i].service, name, serve);
+    }
   wait_served (m1, "h.example", "/s/warm");
   wait_served (m2, "h.example", "/s/warm");
   memory_watch_start ();
--- a/review/standins/rig.c
+++ b/review/standins/rig.c
@@ -101,19 +101,31 @@
   finish (2);
 }
 
+/* A port that nobody listens on, below those of outgoing connections.  */
 int
 free_port (void)
 {
-  int fd = socket (AF_INET, SOCK_STREAM, 0), one = 1;
+  static int next;
   struct sockaddr_in at = { .sin_family = AF_INET };
-  socklen_t len = sizeof at;
   at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-  if (bind (fd, (struct sockaddr *)&at, sizeof at) != 0
-      || getsockname (fd, (struct sockaddr *)&at, &len) != 0)
-    need (false, "a free port");
-  close (fd);
-  return ntohs (at.sin_port);
+  if (!next)
+    {
+      struct timespec t;
+      clock_gettime (CLOCK_REALTIME, &t);
+      next = 10000 + (int)((t.tv_nsec / 1000 + getpid () * 97L) % 9000);
+    }
+  for (int tries = 0; tries < 2000; tries++)
+    {
+      int port = next++;
+      int fd = socket (AF_INET, SOCK_STREAM, 0);
+      at.sin_port = htons ((uint16_t)port);
+      bool is_free = bind (fd, (struct sockaddr *)&at, sizeof at) == 0;
+      close (fd);
+      if (is_free)
+        return port;
+    }
+  need (false, "a free port");
+  return 0;
 }
 
 static int
@@ -1081,6 +1093,17 @@
   need (false, "a request that is served");
 }
 
+/* A run that takes too long is ended: so are its children.  */
+static void
+on_end (int number)
+{
+  (void)number;
+  for (int i = 0; i < machine_count; i++)
+    if (machines[i].pid > 0)
+      kill (machines[i].pid, SIGKILL);
+  _exit (2);
+}
+
 int
 rig_run (int argc, char **argv, void (*run) (void))
 {
@@ -1088,6 +1111,8 @@
   trouble = !asked || strcmp (asked, "0") != 0;
   started_at = clock_s ();
   signal (SIGPIPE, SIG_IGN);
+  signal (SIGTERM, on_end);
+  signal (SIGINT, on_end);
   record = fopen (argc > 1 ? argv[1] : "record.txt", "w");
   if (!record)
     return 2;
