--- a/review/standins/case-memory.c
+++ b/review/standins/case-memory.c
@@ -25,11 +25,14 @@
 static bool
 serve (upstream_t *upstream, request_t *request, int fd)
 {
-  (void)upstream;
   if (strcmp (request->path, "/u/up"))
     return upstream_answer (request, fd, "warm", 4, false);
+  note ("upstream %s runs %s", upstream->instance, request->id);
   sleep_ms (slow ? WORK_MS * SLOW_X : WORK_MS);
-  return upstream_answer (request, fd, "taken", 5, false);
+  bool answered = upstream_answer (request, fd, "taken", 5, false);
+  note ("upstream %s has answered %s with 200", upstream->instance,
+        request->id);
+  return answered;
 }
 
 static void *
@@ -40,6 +43,7 @@
   reader_t reader;
   answer_t answer = { 0 };
   __sync_add_and_fetch (&sent, 1);
+  note ("client sends POST /u/up %s to %s, %d bytes", id, m->name, BODY_BYTES);
   __sync_add_and_fetch (&open_now, 1);
   reader_init (&reader, connect_port (m->callers));
   int n = snprintf (text, sizeof text,
@@ -54,6 +58,8 @@
       read_answer (&reader, &answer, 6.5);
       reader_clear (&reader);
     }
+  if (answer.status)
+    note ("client has for %s: status %d", id, answer.status);
   if (answer.status == 200)
     __sync_add_and_fetch (&served, 1);
   else if (answer.status)
