Log and count answers that belong to another request

What operators saw: nothing. An answer whose id is not that of the request in flight was dropped without a trace, so that a log could not tell whether such answers came, and whether the check was made. Change: the event "mismatched" at the node beside the server, with both ids and whether the answer ends with the connection, and the counter cardamom_answers_mismatched_total for every user of the client.

--- a/include/cardamom/counters.h
+++ b/include/cardamom/counters.h
@@ -25,6 +25,8 @@
   X (SERVED, "cardamom_served_total", "Requests run on the local upstream.")  \
   X (SERVED_ERRORS, "cardamom_served_errors_total",                           \
      "Requests on which the local upstream failed.")                          \
+  X (ANSWERS_MISMATCHED, "cardamom_answers_mismatched_total",                 \
+     "Answers dropped because they belong to another request.")               \
   X (LATE_RESULTS, "cardamom_late_results_total",                             \
      "Results dropped because their caller had been answered.")               \
   X (SPILL_DC, "cardamom_spill_dc_total",                                     \
--- a/include/cardamom/event.h
+++ b/include/cardamom/event.h
@@ -26,6 +26,8 @@
   X (REPEATED, "repeated", 10, "A request was sent once more.")               \
   X (UNANSWERED, "unanswered", 40,                                            \
      "The server beside the node left a request without an answer.")          \
+  X (MISMATCHED, "mismatched", 10,                                            \
+     "The server answered with another request's id; that is dropped.")       \
   X (CRASH, "crash", 40,                                                      \
      "A request is suspected of a server's crash, or no longer.")             \
   X (LIMIT, "limit", 20,                                                      \
--- a/source/http1/client.c
+++ b/source/http1/client.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "cardamom/client.h"
+#include "cardamom/counters.h"
 
 /* Limits in bytes; that of the body is the default.  */
 #define ANSWER_HEAD_MAX 65536
@@ -212,7 +213,11 @@
           fail (client, CS_HTTP1_ANSWER_MALFORMED);
           return;
         }
-      client->out_of_sync = client->out_of_sync || !informational;
+      if (!informational)
+        {
+          cs_counter_add (CS_C_ANSWERS_MISMATCHED, 1);
+          client->out_of_sync = true;
+        }
       reset_answer (client);
     }
 }
--- a/source/run/dispatcher.c
+++ b/source/run/dispatcher.c
@@ -29,6 +29,8 @@
    least this part of its runs.  */
 #define CANDIDATE_FAILURES_MIN 6
 #define CANDIDATE_FAILURE_PERCENT 20
+/* Bytes of a mismatched answer's id that are logged.  */
+#define ANSWER_ID_LOGGED_MAX 64
 
 const char *
 cs_refusal_reason_name (cs_refusal_reason_t reason)
@@ -384,9 +386,18 @@
   cs_str_t sent_id = cs_str_of_gstring (conn->dispatch->id);
   /* On a kept connection, an answer without an id may be to an earlier
      request.  */
-  if (!id.data)
-    return conn->uses == 1 || sent_id.len == 0;
-  return cs_str_equal (id, sent_id);
+  bool matches = id.data ? cs_str_equal (id, sent_id)
+                         : conn->uses == 1 || sent_id.len == 0;
+  if (!matches)
+    cs_event_log (CS_E_MISMATCHED,
+                  "id=%s answer_id=\"%.*s\" route=%s instance=%s status=%u "
+                  "close_delimited=%d uses=%u",
+                  sent_id.data, (int)MIN (id.len, ANSWER_ID_LOGGED_MAX),
+                  id.data ? id.data : "", conn->dispatch->route->str,
+                  conn->dispatcher->server.report.instance,
+                  answer->parser.status_code, answer->close_delimited,
+                  conn->uses);
+  return matches;
 }
 
 /* Log that DISPATCH, which was sent to the server, ends without an answer.  */
