Check whose answer it is before its end, not at one of its ends

Cause: the client asked the owner whether an answer matches the request only where an answer ends by its length or its chunks. One that ends with the connection was delivered from another branch, unchecked, whatever its id. Change: the check is made once, when the head has been read, and what it says holds however the answer ends (length, chunks, close, reset, cut). A mismatched answer that ends with its connection is known by its head to be the last one there: the caller is told at once. A safe request is sent again on a new connection; one that may run once is "unknown", and its connection stays until the server ends it, so that the run is not interrupted. Evidence: /path/late-answer-passed-to-unsafe-request failed before ("expected 502", got 200 with the id of the earlier request), and ...-to-safe-request too (no second connection); both pass, three times each. Why it works: there is one place that lets an answer through, and it needs a match.

--- a/include/cardamom/client.h
+++ b/include/cardamom/client.h
@@ -17,7 +17,9 @@
   /* The server closed the connection before the end of the answer.  */
   CS_HTTP1_ANSWER_TRUNCATED,
   CS_HTTP1_ANSWER_TOO_LARGE, /* The body exceeds a memory limit.  */
-  CS_HTTP1_ANSWER_MALFORMED  /* What came is not a valid answer.  */
+  CS_HTTP1_ANSWER_MALFORMED, /* What came is not a valid answer.  */
+  /* The connection ended with an answer that does not match the request.  */
+  CS_HTTP1_ANSWER_MISMATCHED
 } cs_http1_client_error_t;
 
 /* Whether a request that ended with ERROR was certainly not sent.  */
@@ -42,11 +44,18 @@
   /* A whole answer was received; it is borrowed for the call.  */
   void (*answer_received) (void *user, cs_http1_message_t *answer);
   /* The request got no answer and the connection is closed.  PARTIAL is
-     set when part of an answer was received.  */
+     set when part of an answer was received that matches as far as is
+     known.  */
   void (*failed) (void *user, cs_http1_client_error_t error, bool partial);
-  /* Whether ANSWER is for the request that was sent.  One that is not is
-     dropped and the next one awaited.  NULL accepts every answer.  */
+  /* Whether ANSWER, of which the head has been read, is for the request that
+     was sent.  One that is not is dropped and the next one awaited.  NULL
+     accepts every answer.  */
   bool (*answer_matches) (void *user, const cs_http1_message_t *answer);
+  /* An answer that does not match ends with the connection, so none can follow
+     it.  FAILED is called when the connection has ended, unless the owner
+     drops the client before, which may interrupt the request at the server.
+     NULL waits for FAILED.  */
+  void (*answer_precluded) (void *user);
   /* Of cs_http1_client_connect only.  */
   void (*connected) (void *user);
 } cs_http1_client_handler_t;
--- a/source/http1/client.c
+++ b/source/http1/client.c
@@ -37,6 +37,8 @@
   bool connected;
   bool busy;        /* A request is in flight.  */
   bool out_of_sync; /* A mismatched answer came: not used again.  */
+  bool matched;     /* The present answer is for the request.  */
+  bool mismatched;  /* It is for another one.  */
   /* CLOSED: the connection has ended and is not used again.  DROPPED: the
      owner has released the client, which is freed when TCP is closed. CLOSING:
      uv_close was called for TCP and has not finished.  */
@@ -49,9 +51,10 @@
 {
   /* In the order of cs_http1_client_error_t.  */
   static const char *const texts[]
-      = { "connection refused", "connection reset as it opened",
-          "connection broken",  "answer truncated",
-          "answer too large",   "answer malformed" };
+      = { "connection refused",       "connection reset as it opened",
+          "connection broken",        "answer truncated",
+          "answer too large",         "answer malformed",
+          "answer to another request" };
   return texts[error];
 }
 
@@ -118,7 +121,8 @@
 fail (cs_http1_client_t *client, cs_http1_client_error_t error)
 {
   bool busy = client->busy;
-  bool partial = cs_http1_message_has_started (&client->answer);
+  bool partial
+      = !client->mismatched && cs_http1_message_has_started (&client->answer);
   client->busy = false;
   release_body (client);
   close_connection (client);
@@ -171,13 +175,32 @@
   release_body (client);
   cs_http1_message_reset (&client->answer);
   client->answer.skip_body = client->is_head;
+  client->matched = client->mismatched = false;
 }
 
 static bool
-answer_matches (const cs_http1_client_t *client)
+is_interim (const cs_http1_message_t *answer)
 {
-  return !client->handler.answer_matches
-         || client->handler.answer_matches (client->user, &client->answer);
+  return answer->parser.status_code < 200;
+}
+
+/* Decide from the head of the answer, once it has been read, whether it is for
+   the request, so that this holds however the answer ends.  */
+static void
+check_match (cs_http1_client_t *client)
+{
+  if (!client->answer.head_complete || client->matched || client->mismatched
+      || is_interim (&client->answer))
+    return;
+  client->matched
+      = !client->handler.answer_matches
+        || client->handler.answer_matches (client->user, &client->answer);
+  if (client->matched)
+    return;
+  client->mismatched = client->out_of_sync = true;
+  cs_counter_add (CS_C_ANSWERS_MISMATCHED, 1);
+  if (client->answer.close_delimited && client->handler.answer_precluded)
+    client->handler.answer_precluded (client->user);
 }
 
 /* Parse DATA, skipping interim and mismatched answers.  */
@@ -195,6 +218,9 @@
                             : CS_HTTP1_ANSWER_MALFORMED);
           return;
         }
+      check_match (client);
+      if (client->dropped)
+        return;
       if (!count_body (client))
         {
           fail (client, CS_HTTP1_ANSWER_TOO_LARGE);
@@ -202,8 +228,7 @@
         }
       if (!client->answer.complete)
         continue;
-      bool informational = client->answer.parser.status_code < 200;
-      if (!informational && answer_matches (client))
+      if (client->matched)
         {
           finish_answer (client, used < len);
           return;
@@ -213,15 +238,22 @@
           fail (client, CS_HTTP1_ANSWER_MALFORMED);
           return;
         }
-      if (!informational)
-        {
-          cs_counter_add (CS_C_ANSWERS_MISMATCHED, 1);
-          client->out_of_sync = true;
-        }
       reset_answer (client);
     }
 }
 
+/* The server has closed its side of the connection.  */
+static void
+consume_end (cs_http1_client_t *client)
+{
+  if (!cs_http1_message_end_input (&client->answer))
+    fail (client, CS_HTTP1_ANSWER_TRUNCATED);
+  else if (client->matched)
+    finish_answer (client, false);
+  else
+    fail (client, CS_HTTP1_ANSWER_MISMATCHED);
+}
+
 static void
 on_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
@@ -237,11 +269,10 @@
     }
   if (n > 0)
     consume (client, buf->base, (size_t)n);
-  else if (n == UV_EOF && cs_http1_message_end_input (&client->answer))
-    finish_answer (client, false);
+  else if (n == UV_EOF)
+    consume_end (client);
   else
-    fail (client, n == UV_EOF ? CS_HTTP1_ANSWER_TRUNCATED
-                              : CS_HTTP1_CONNECTION_BROKEN);
+    fail (client, CS_HTTP1_CONNECTION_BROKEN);
 }
 
 static void
--- a/source/run/dispatcher.c
+++ b/source/run/dispatcher.c
@@ -181,8 +181,9 @@
   g_free (dispatch);
 }
 
-void
-dispatcher_finish (cs_dispatch_t *dispatch, cs_outcome_t *outcome)
+/* Report OUTCOME to the owner of DISPATCH, unless it was cancelled.  */
+static void
+report_outcome (cs_dispatch_t *dispatch, cs_outcome_t *outcome)
 {
   cs_dispatcher_t *dispatcher = dispatch->dispatcher;
   outcome->load = cs_dispatcher_load (dispatcher);
@@ -193,6 +194,12 @@
             dispatcher->server_count, dispatcher_now (dispatcher));
   if (!dispatch->cancelled)
     dispatch->done (dispatch->user, outcome);
+}
+
+void
+dispatcher_finish (cs_dispatch_t *dispatch, cs_outcome_t *outcome)
+{
+  report_outcome (dispatch, outcome);
   free_dispatch (dispatch);
 }
 
@@ -451,10 +458,32 @@
   dispatcher_schedule_fill (dispatcher);
 }
 
+/* A request that must not be interrupted at the server ends by itself, with
+   its connection; its caller is told at once.  */
+static void
+on_answer_precluded (void *user)
+{
+  const dispatcher_conn_t *conn = user;
+  cs_dispatch_t *dispatch = conn->dispatch;
+  if (dispatch->idempotent)
+    {
+      on_failed (user, CS_HTTP1_ANSWER_MISMATCHED, false);
+      return;
+    }
+  cs_outcome_t outcome
+      = { .kind = CS_OUTCOME_UNKNOWN,
+          .reached_server = true,
+          .service_time
+          = dispatcher_now (dispatch->dispatcher) - dispatch->sent_at };
+  report_outcome (dispatch, &outcome);
+  dispatch->cancelled = true;
+}
+
 static const cs_http1_client_handler_t client_handler
     = { .answer_received = on_answer,
         .failed = on_failed,
-        .answer_matches = answer_matches };
+        .answer_matches = answer_matches,
+        .answer_precluded = on_answer_precluded };
 
 dispatcher_conn_t *
 dispatcher_open_conn (cs_dispatcher_t *dispatcher)
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -599,6 +599,112 @@
     }
 }
 
+/* As accept_request, where the request may also come on IDLE_FD.  */
+static int
+accept_request_or_on (const mesh_t *mesh, int idle_fd, const char *text)
+{
+  struct pollfd fds[] = { { .fd = idle_fd, .events = POLLIN },
+                          { .fd = mesh->server_listener, .events = POLLIN } };
+  g_assert_cmpint (poll (fds, 2, SOCKET_TIMEOUT_MS), >, 0);
+  if (!fds[0].revents)
+    return accept_request (mesh, text);
+  char *request = receive_message (idle_fd);
+  g_assert_nonnull (strstr (request, text));
+  g_free (request);
+  return idle_fd;
+}
+
+/* Let the server answer a first request of METHOD, and send it a second one,
+   a2, on the kept connection, which is returned.  */
+static int
+send_on_kept_connection (const mesh_t *mesh, int caller, const char *method)
+{
+  const char *path = strcmp (method, "PUT") == 0 ? "/write/" : "/read/";
+  send_request (caller, method, path, "a1", "");
+  int server = accept_request (mesh, path);
+  send_answer (server, "a1", "one");
+  expect_answer (caller, "200", "one");
+  send_request (caller, method, path, "a2", "");
+  char *request = receive_message (server);
+  g_assert_nonnull (strstr (request, "Cardamom-Attempt: a2"));
+  g_free (request);
+  return server;
+}
+
+/* Late second answers to a1 that end with the connection.  */
+static const char *const late_answers[] = {
+  "HTTP/1.1 200 OK\r\nCardamom-Attempt: a1\r\nCardamom-Seal: s\r\n\r\none",
+  "HTTP/1.1 503 Busy\r\nCardamom-Attempt: a1\r\n"
+  "Cardamom-Not-Run: 1\r\nConnection: close\r\n\r\n",
+  "HTTP/1.1 500 Error\r\nCardamom-Attempt: a1\r\nCardamom-Seal: s\r\n\r\n",
+  "HTTP/1.1 503 Busy\r\nCardamom-Not-Run: 1\r\n\r\n",
+};
+
+/* A late second answer without a length comes where that of a request is due
+   which may run once: whatever it says, its end is not taken for the end of
+   that request's answer.  The outcome is told as unknown at once, and the
+   request is not interrupted at the server.  */
+static void
+test_late_answer_to_unsafe_request (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (late_answers); i++)
+    for (int stays_open = 0; stays_open < 2; stays_open++)
+      {
+        mesh_t *mesh = start_mesh (1);
+        int caller = connect_to (mesh->caller_port);
+        int server = send_on_kept_connection (mesh, caller, "PUT");
+        g_test_message ("late answer %zu, connection stays open: %d", i,
+                        stays_open);
+        send_text (server, late_answers[i]);
+        if (!stays_open)
+          close (server);
+        expect_answer (caller, "502", "");
+        if (stays_open)
+          {
+            g_assert_false (readable (server, SOCKET_ABSENCE_MS));
+            close (server);
+          }
+        /* The slot is free again.  The node has opened a connection to see
+           whether the server has ended.  */
+        int check = accept_one (mesh->server_listener);
+        send_request (caller, "PUT", "/write/", "a3", "");
+        server = accept_request_or_on (mesh, check, "Cardamom-Attempt: a3");
+        send_answer (server, "a3", "three");
+        expect_answer (caller, "200", "three");
+        close (server);
+        close (caller);
+      }
+}
+
+/* The same with a request that may be sent again: it is, at once, on a new
+   connection.  */
+static void
+test_late_answer_to_safe_request (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (late_answers); i++)
+    for (int stays_open = 0; stays_open < 2; stays_open++)
+      {
+        mesh_t *mesh = start_mesh (1);
+        int caller = connect_to (mesh->caller_port);
+        int server = send_on_kept_connection (mesh, caller, "GET");
+        g_test_message ("late answer %zu, connection stays open: %d", i,
+                        stays_open);
+        send_text (server, late_answers[i]);
+        if (!stays_open)
+          close (server);
+        int second_server = accept_request (mesh, "Cardamom-Attempt: a2");
+        send_answer (second_server, "a2", "two");
+        expect_answer (caller, "200", "two");
+        if (stays_open)
+          {
+            g_assert_true (readable (server, SOCKET_TIMEOUT_MS));
+            close (server);
+          }
+        close (second_server);
+        close (caller);
+      }
+}
+
 /* On a new connection, where no earlier answer can be written again, a refusal
    counts without an id.  */
 static void
@@ -914,28 +1020,12 @@
   close (caller);
 }
 
-/* Let the server answer a first request, and send it a second one, a2, on the
-   kept connection, which is returned.  */
-static int
-send_on_kept_connection (const mesh_t *mesh, int caller)
-{
-  send_request (caller, "GET", "/read/1", "a1", "");
-  int server = accept_request (mesh, "/read/1");
-  send_answer (server, "a1", "one");
-  expect_answer (caller, "200", "one");
-  send_request (caller, "GET", "/read/2", "a2", "");
-  char *request = receive_message (server);
-  g_assert_nonnull (strstr (request, "GET /read/2"));
-  g_free (request);
-  return server;
-}
-
-/* The same, and break that connection.  Returns the one that the node opens
-   then.  */
+/* Break the kept connection on which a second request, a2, is in flight.
+   Returns the one that the node opens then.  */
 static int
 break_kept_connection (const mesh_t *mesh, int caller)
 {
-  close (send_on_kept_connection (mesh, caller));
+  close (send_on_kept_connection (mesh, caller, "GET"));
   return accept_one (mesh->server_listener);
 }
 
@@ -947,7 +1037,7 @@
 {
   mesh_t *mesh = start_mesh (1);
   int caller = connect_to (mesh->caller_port);
-  int server = send_on_kept_connection (mesh, caller);
+  int server = send_on_kept_connection (mesh, caller, "GET");
   close (mesh->server_listener);
   close (server);
   expect_answer (caller, "502", "");
@@ -977,7 +1067,8 @@
   int caller = connect_to (mesh->caller_port);
   int server = break_kept_connection (mesh, caller);
   char *request = receive_message (server);
-  g_assert_nonnull (strstr (request, "GET /read/2"));
+  g_assert_nonnull (strstr (request, "GET /read/"));
+  g_assert_nonnull (strstr (request, "Cardamom-Attempt: a2"));
   g_free (request);
   send_answer (server, "a2", "two");
   expect_answer (caller, "200", "two");
@@ -1648,6 +1739,10 @@
   g_test_add_func ("/path/foreign-answer", test_foreign_answer);
   g_test_add_func ("/path/earlier-refusal-written-again",
                    test_earlier_refusal_written_again);
+  g_test_add_func ("/path/late-answer-passed-to-unsafe-request",
+                   test_late_answer_to_unsafe_request);
+  g_test_add_func ("/path/late-answer-passed-to-safe-request",
+                   test_late_answer_to_safe_request);
   g_test_add_func ("/path/refusal-without-id", test_refusal_without_id);
   g_test_add_func ("/path/answer-cut-short", test_answer_cut_short);
   g_test_add_func ("/path/endless-answer", test_endless_answer);
