Test every end of an answer, of the request in flight and of another one

tests/test-client.c plays 27 answers against the client, each whole and byte by byte: by length, chunks, close, reset and cut, after interim answers, successes and rejections, matching the request or not.

--- /dev/null
+++ b/tests/test-client.c
@@ -0,0 +1,214 @@
+/* Tests the event-driven HTTP client against every way in which an answer can
+   end, with answers to its request and to others.  */
+#include <netinet/tcp.h>
+
+#include "cardamom/client.h"
+#include "cardamom/clock.h"
+#include "sockets.h"
+
+#define OWN "HTTP/1.1 200 OK\r\nId: own\r\n"
+#define OTHER "HTTP/1.1 200 OK\r\nId: other\r\n"
+#define OTHER_REFUSAL "HTTP/1.1 503 Busy\r\nId: other\r\n"
+#define LENGTH "Content-Length: 4\r\n\r\nbody"
+#define CHUNKS "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+#define NO_LENGTH "\r\nbody"
+
+/* What the server does with the connection after its bytes.  */
+typedef enum
+{
+  STAYS_OPEN,
+  CLOSES,
+  RESETS
+} end_t;
+
+static const struct
+{
+  const char *name, *bytes;
+  end_t end;
+  const char *expected; /* As in events_t.  */
+} cases[] = {
+  { "length", OWN LENGTH, STAYS_OPEN, "200 body;" },
+  { "chunks", OWN CHUNKS, STAYS_OPEN, "200 body;" },
+  { "close", OWN NO_LENGTH, CLOSES, "200 body;" },
+  { "interim", "HTTP/1.1 103 Early\r\n\r\n" OWN LENGTH, STAYS_OPEN,
+    "200 body;" },
+  { "reset", OWN NO_LENGTH, RESETS, "connection broken, partial;" },
+  { "length-cut", OWN "Content-Length: 9\r\n\r\nbody", CLOSES,
+    "answer truncated, partial;" },
+  { "chunks-cut", OWN "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+    CLOSES, "answer truncated, partial;" },
+  { "head-cut", OWN, CLOSES, "answer truncated, partial;" },
+  { "nothing", "", CLOSES, "answer truncated;" },
+  { "other-length", OTHER LENGTH OWN LENGTH, STAYS_OPEN, "200 body;" },
+  { "other-chunks", OTHER CHUNKS OWN CHUNKS, STAYS_OPEN, "200 body;" },
+  { "other-then-close", OTHER LENGTH OWN NO_LENGTH, CLOSES, "200 body;" },
+  { "other-empty", "HTTP/1.1 204 Gone\r\nId: other\r\n\r\n" OWN LENGTH,
+    STAYS_OPEN, "200 body;" },
+  { "other-not-modified", "HTTP/1.1 304 Old\r\nId: other\r\n\r\n" OWN LENGTH,
+    STAYS_OPEN, "200 body;" },
+  { "other-alone", OTHER LENGTH, CLOSES, "answer truncated;" },
+  { "other-length-cut", OTHER "Content-Length: 9\r\n\r\nbody", CLOSES,
+    "answer truncated;" },
+  { "other-chunks-cut", OTHER "Transfer-Encoding: chunked\r\n\r\n9\r\nbody",
+    CLOSES, "answer truncated;" },
+  { "other-length-reset", OTHER "Content-Length: 9\r\n\r\nbody", RESETS,
+    "connection broken;" },
+  { "other-close", OTHER NO_LENGTH, CLOSES,
+    "precluded;answer to another request;" },
+  { "other-close-empty", OTHER "\r\n", CLOSES,
+    "precluded;answer to another request;" },
+  { "other-close-open", OTHER NO_LENGTH, STAYS_OPEN, "precluded;" },
+  { "other-close-reset", OTHER NO_LENGTH, RESETS,
+    "precluded;connection broken;" },
+  { "other-close-own-inside", OTHER NO_LENGTH OWN LENGTH, CLOSES,
+    "precluded;answer to another request;" },
+  { "other-refusal", OTHER_REFUSAL LENGTH OWN LENGTH, STAYS_OPEN,
+    "200 body;" },
+  { "other-refusal-close", OTHER_REFUSAL NO_LENGTH, CLOSES,
+    "precluded;answer to another request;" },
+  { "interim-other-close", "HTTP/1.1 103 Early\r\n\r\n" OTHER NO_LENGTH,
+    CLOSES, "precluded;answer to another request;" },
+  { "other-length-other-close", OTHER LENGTH OTHER NO_LENGTH, CLOSES,
+    "precluded;answer to another request;" },
+};
+
+/* What the client reports, in order: "STATUS BODY;" for an answer, the text of
+   the error with ", partial" for a failure, "precluded;".  */
+typedef struct
+{
+  GString *text;
+  bool ended; /* Answered or failed.  */
+} events_t;
+
+static void
+on_answer (void *user, cs_http1_message_t *answer)
+{
+  events_t *events = user;
+  g_string_append_printf (events->text, "%u %s;", answer->parser.status_code,
+                          answer->body->str);
+  events->ended = true;
+}
+
+static void
+on_failed (void *user, cs_http1_client_error_t error, bool partial)
+{
+  events_t *events = user;
+  g_string_append_printf (events->text, "%s%s;",
+                          cs_http1_client_error_text (error),
+                          partial ? ", partial" : "");
+  events->ended = true;
+}
+
+static void
+on_precluded (void *user)
+{
+  events_t *events = user;
+  g_string_append (events->text, "precluded;");
+}
+
+static bool
+answer_matches (void *user, const cs_http1_message_t *answer)
+{
+  (void)user;
+  return cs_str_equal (cs_http1_message_field (answer, "id"), CS_STR ("own"));
+}
+
+static const cs_http1_client_handler_t handler
+    = { .answer_received = on_answer,
+        .failed = on_failed,
+        .answer_matches = answer_matches,
+        .answer_precluded = on_precluded };
+
+static void
+on_pump_end (uv_timer_t *timer)
+{
+  uv_stop (timer->loop);
+}
+
+/* Run LOOP for MS milliseconds.  */
+static void
+pump (uv_loop_t *loop, unsigned ms)
+{
+  uv_timer_t timer;
+  uv_timer_init (loop, &timer);
+  uv_update_time (loop);
+  uv_timer_start (&timer, on_pump_end, ms, 0);
+  uv_run (loop, UV_RUN_DEFAULT);
+  uv_close ((uv_handle_t *)&timer, NULL);
+  uv_run (loop, UV_RUN_NOWAIT);
+}
+
+/* Send BYTES, PIECE of them at a time.  */
+static void
+send_pieces (uv_loop_t *loop, int fd, const char *bytes, size_t piece)
+{
+  int no_delay = 1;
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &no_delay, sizeof no_delay);
+  for (size_t len = strlen (bytes), sent = 0; sent < len; sent += piece)
+    {
+      char *part = g_strndup (bytes + sent, piece);
+      send_text (fd, part);
+      g_free (part);
+      uv_run (loop, UV_RUN_NOWAIT);
+    }
+}
+
+/* Send a request, answer it as cases[INDEX] says, PIECE bytes at a time, and
+   compare what the client reports.  */
+static void
+play_case (size_t index, size_t piece)
+{
+  uv_loop_t loop;
+  unsigned port;
+  events_t events = { .text = g_string_new (NULL) };
+  int listener = listen_on_free_port (&port);
+  struct sockaddr_in address = loopback_address (port);
+  uv_loop_init (&loop);
+  cs_http1_client_t *client
+      = cs_http1_client_new (&loop, cs_clock_system (), &address, 5 * CS_SEC);
+  cs_http1_client_send (client,
+                        g_string_new ("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
+                        false, &handler, &events);
+  int server = accept_one (listener);
+  while (!readable (server, 0))
+    uv_run (&loop, UV_RUN_ONCE);
+  g_free (receive_message (server));
+  send_pieces (&loop, server, cases[index].bytes, piece);
+  pump (&loop, 20);
+  if (cases[index].end == RESETS)
+    reset_connection (server);
+  else if (cases[index].end == CLOSES)
+    close (server);
+  if (cases[index].end != STAYS_OPEN)
+    while (!events.ended)
+      uv_run (&loop, UV_RUN_ONCE);
+  g_assert_cmpstr (events.text->str, ==, cases[index].expected);
+  cs_http1_client_drop (client);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  g_assert_cmpint (uv_loop_close (&loop), ==, 0);
+  if (cases[index].end == STAYS_OPEN)
+    close (server);
+  close (listener);
+  g_string_free (events.text, TRUE);
+}
+
+static void
+test_case (gconstpointer data)
+{
+  size_t index = GPOINTER_TO_SIZE (data);
+  play_case (index, strlen (cases[index].bytes) + 1);
+  play_case (index, 1);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *path = g_strconcat ("/client/", cases[i].name, NULL);
+      g_test_add_data_func (path, GSIZE_TO_POINTER (i), test_case);
+      g_free (path);
+    }
+  return g_test_run ();
+}
