Send a request on a new connection where a late answer could not be told apart

What callers saw: on a kept connection, the answer of an earlier request, or bytes of its body, for HEAD and for a request without an attempt id; after HEAD, 502 where the server had answered. One without an id was taken for that to a request without one. The framing of an answer depends on the method of its request: a late one to GET, read while HEAD was in flight, had its body read as the next answer; one to HEAD, read after it, had the next answer read as its body. Change: such requests take a new connection, HEAD's is not kept, and a mismatched answer to HEAD ends the connection. Evidence: /path/late-answer-not-told-apart failed before (500 with the id of the request, made of an earlier body) and /path/late-answer-to-head-before too (502); both pass, and /client/head-*.

--- a/source/http1/client.c
+++ b/source/http1/client.c
@@ -149,12 +149,13 @@
 }
 
 /* Deliver the whole answer in CLIENT->answer.  HAS_EXCESS tells that bytes
-   follow it, so that the connection cannot be reused.  */
+   follow it, so that the connection cannot be reused.  After HEAD it is not
+   either: that answer, if it came once more, would be read with a body.  */
 static void
 finish_answer (cs_http1_client_t *client, bool has_excess)
 {
   bool keep_alive = cs_http1_message_should_keep_alive (&client->answer)
-                    && !has_excess && !client->out_of_sync
+                    && !has_excess && !client->out_of_sync && !client->is_head
                     && client->tcp.write_queue_size == 0;
   client->busy = false;
   update_idle_deadline (client, client->clock->monotonic (client->clock));
@@ -199,7 +200,10 @@
     return;
   client->mismatched = client->out_of_sync = true;
   cs_counter_add (CS_C_ANSWERS_MISMATCHED, 1);
-  if (client->answer.close_delimited && client->handler.answer_precluded)
+  /* It may have a body, which would be read as the next answer.  */
+  if (client->is_head)
+    fail (client, CS_HTTP1_ANSWER_MISMATCHED);
+  else if (client->answer.close_delimited && client->handler.answer_precluded)
     client->handler.answer_precluded (client->user);
 }
 
@@ -219,7 +223,7 @@
           return;
         }
       check_match (client);
-      if (client->dropped)
+      if (!client->busy)
         return;
       if (!count_body (client))
         {
--- a/source/run/dispatcher.c
+++ b/source/run/dispatcher.c
@@ -393,8 +393,7 @@
   cs_str_t sent_id = cs_str_of_gstring (conn->dispatch->id);
   /* On a kept connection, an answer without an id may be to an earlier
      request.  */
-  bool matches = id.data ? cs_str_equal (id, sent_id)
-                         : conn->uses == 1 || sent_id.len == 0;
+  bool matches = id.data ? cs_str_equal (id, sent_id) : conn->uses == 1;
   if (!matches)
     cs_event_log (CS_E_MISMATCHED,
                   "id=%s answer_id=\"%.*s\" route=%s instance=%s status=%u "
@@ -497,8 +496,17 @@
   return conn;
 }
 
-/* An idle connection that is safe for DISPATCH, or a new one.  A retry takes
-   no kept connection: that may be why the attempt before failed.  */
+/* Whether DISPATCH is sent on a new connection only.  A kept one may be why
+   the attempt before a retry failed.  A late answer there to an earlier
+   request could not be told from that to one without an id, and would be read
+   without its body if the method is HEAD.  */
+static bool
+needs_new_conn (const cs_dispatch_t *dispatch)
+{
+  return dispatch->retry || dispatch->id->len == 0 || dispatch->method_is_head;
+}
+
+/* An idle connection that is safe for DISPATCH, or a new one.  */
 static dispatcher_conn_t *
 acquire_conn (cs_dispatcher_t *dispatcher, const cs_dispatch_t *dispatch)
 {
@@ -514,7 +522,7 @@
           dispatcher_drop_conn (conn);
           continue;
         }
-      if (dispatch->retry && conn->uses > 0)
+      if (needs_new_conn (dispatch) && conn->uses > 0)
         break;
       if (!dispatch->idempotent
           && now - cs_http1_client_idle_since (conn->client)
--- a/tests/test-client.c
+++ b/tests/test-client.c
@@ -26,6 +26,7 @@
   const char *name, *bytes;
   end_t end;
   const char *expected; /* As in events_t.  */
+  bool is_head;
 } cases[] = {
   { "length", OWN LENGTH, STAYS_OPEN, "200 body;" },
   { "chunks", OWN CHUNKS, STAYS_OPEN, "200 body;" },
@@ -70,6 +71,11 @@
     CLOSES, "precluded;answer to another request;" },
   { "other-length-other-close", OTHER LENGTH OTHER NO_LENGTH, CLOSES,
     "precluded;answer to another request;" },
+  { "head", OWN "Content-Length: 4\r\n\r\n", STAYS_OPEN, "200 ;", true },
+  { "head-other-length", OTHER "Content-Length: 26\r\n\r\n" OWN "\r\n",
+    STAYS_OPEN, "answer to another request;", true },
+  { "head-other-close", OTHER "\r\n" OWN "\r\n", CLOSES,
+    "answer to another request;", true },
 };
 
 /* What the client reports, in order: "STATUS BODY;" for an answer, the text of
@@ -138,17 +144,19 @@
   uv_run (loop, UV_RUN_NOWAIT);
 }
 
-/* Send BYTES, PIECE of them at a time.  */
+/* Send BYTES, PIECE of them at a time, until the client closes.  */
 static void
 send_pieces (uv_loop_t *loop, int fd, const char *bytes, size_t piece)
 {
   int no_delay = 1;
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &no_delay, sizeof no_delay);
-  for (size_t len = strlen (bytes), sent = 0; sent < len; sent += piece)
+  for (size_t left = strlen (bytes); left > 0;)
     {
-      char *part = g_strndup (bytes + sent, piece);
-      send_text (fd, part);
-      g_free (part);
+      ssize_t n = send (fd, bytes, MIN (piece, left), MSG_NOSIGNAL);
+      if (n <= 0)
+        return;
+      bytes += n;
+      left -= (size_t)n;
       uv_run (loop, UV_RUN_NOWAIT);
     }
 }
@@ -168,7 +176,7 @@
       = cs_http1_client_new (&loop, cs_clock_system (), &address, 5 * CS_SEC);
   cs_http1_client_send (client,
                         g_string_new ("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
-                        false, &handler, &events);
+                        cases[index].is_head, &handler, &events);
   int server = accept_one (listener);
   while (!readable (server, 0))
     uv_run (&loop, UV_RUN_ONCE);
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -609,6 +609,11 @@
   if (!fds[0].revents)
     return accept_request (mesh, text);
   char *request = receive_message (idle_fd);
+  if (!*request) /* The node has closed it.  */
+    {
+      g_free (request);
+      return accept_request (mesh, text);
+    }
   g_assert_nonnull (strstr (request, text));
   g_free (request);
   return idle_fd;
@@ -705,6 +710,81 @@
       }
 }
 
+/* Answers in which a late second one cannot be told from that of the next
+   request on the connection.  A2 is the request in flight.  */
+static const struct
+{
+  const char *method, *id;
+  const char *late;   /* To the request before A2.  */
+  const char *answer; /* To A2.  */
+} indistinct[] = {
+  /* What the late answer has for a body looks like the next answer.  */
+  { "HEAD", "Cardamom-Attempt: a2\r\n",
+    "HTTP/1.1 200 OK\r\nCardamom-Attempt: a1\r\nCardamom-Seal: s\r\n"
+    "Content-Length: 52\r\n\r\n"
+    "HTTP/1.1 500 Error\r\nCardamom-Attempt: a2\r\nEnd: 1\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nCardamom-Attempt: a2\r\nCardamom-Seal: s\r\n\r\n" },
+  { "GET", "",
+    "HTTP/1.1 500 Error\r\nCardamom-Seal: s\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nCardamom-Seal: s\r\nContent-Length: 0\r\n\r\n" },
+};
+
+/* A request gets no kept connection if a late second answer there would be
+   taken for its own.  */
+static void
+test_late_answer_not_told_apart (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (indistinct); i++)
+    {
+      mesh_t *mesh = start_mesh (1);
+      int caller = connect_to (mesh->caller_port);
+      send_request (caller, "GET", "/read/1", "a1", "");
+      int kept = accept_request (mesh, "/read/1");
+      send_answer (kept, "a1", "one");
+      expect_answer (caller, "200", "one");
+      char *text = g_strdup_printf ("%s /read/2 HTTP/1.1\r\nHost: h\r\n%s"
+                                    "Cardamom-Deadline-Ms: 15000\r\n\r\n",
+                                    indistinct[i].method, indistinct[i].id);
+      send_text (caller, text);
+      g_free (text);
+      int server = accept_request_or_on (mesh, kept, "/read/2 HTTP/1.1\r\n");
+      if (server == kept)
+        send_text (server, indistinct[i].late);
+      send_text (server, indistinct[i].answer);
+      expect_answer (caller, "200", "");
+      if (server != kept)
+        close (server);
+      close (kept);
+      close (caller);
+    }
+}
+
+/* After HEAD the connection is not kept: a late second answer to it would be
+   read with a body, and take the answer to the next request for that.  */
+static void
+test_late_answer_to_head_before (void)
+{
+  mesh_t *mesh = start_mesh (1);
+  int caller = connect_to (mesh->caller_port);
+  send_text (caller, "HEAD /read/1 HTTP/1.1\r\nHost: h\r\n"
+                     "Cardamom-Attempt: a1\r\n\r\n");
+  int kept = accept_request (mesh, "/read/1");
+  const char *answer = "HTTP/1.1 200 OK\r\nCardamom-Attempt: a1\r\n"
+                       "Cardamom-Seal: s\r\nContent-Length: 3\r\n\r\n";
+  send_text (kept, answer);
+  expect_answer (caller, "200", "");
+  send_request (caller, "GET", "/read/2", "a2", "");
+  int server = accept_request_or_on (mesh, kept, "/read/2");
+  if (server == kept)
+    send_text (server, answer);
+  send_answer (server, "a2", "two");
+  expect_answer (caller, "200", "two");
+  if (server != kept)
+    close (server);
+  close (kept);
+  close (caller);
+}
+
 /* On a new connection, where no earlier answer can be written again, a refusal
    counts without an id.  */
 static void
@@ -1743,6 +1823,10 @@
                    test_late_answer_to_unsafe_request);
   g_test_add_func ("/path/late-answer-passed-to-safe-request",
                    test_late_answer_to_safe_request);
+  g_test_add_func ("/path/late-answer-not-told-apart",
+                   test_late_answer_not_told_apart);
+  g_test_add_func ("/path/late-answer-to-head-before",
+                   test_late_answer_to_head_before);
   g_test_add_func ("/path/refusal-without-id", test_refusal_without_id);
   g_test_add_func ("/path/answer-cut-short", test_answer_cut_short);
   g_test_add_func ("/path/endless-answer", test_endless_answer);
