Number the requests on cardamomd's connections to its backend servers

What callers saw: through cardamomd, for a safe request on a kept connection, the answer that the server had given to the request before, when it sent that once more. Change: requests bear Cardamom-Sequence. An answer with another number is dropped, or ends the call at once where none can follow; a server that does not send the number back gets each request on a new connection. The platform's store and the operators' tool send no number: nothing is known of late answers there.

--- a/include/cardamom/http.h
+++ b/include/cardamom/http.h
@@ -40,6 +40,11 @@
   const GPtrArray *headers; /* NULL for none.  */
   cs_str_t body;
   size_t answer_max; /* Maximum bytes of the answer's body.  */
+  /* A header with which the request is numbered and that the server sends
+     back; NULL for none.  An answer with another number is dropped, and the
+     connection is reused only after answers with their number, so that none to
+     an earlier request is taken for that of this one.  */
+  const char *number_header;
   /* Reuse the previous request's connection if it is still open.  The server
      may close it just as the request is sent, and then it is unknown whether
      the request ran.  Without it the request opens a new connection; requests
--- a/source/node/local-upstream.c
+++ b/source/node/local-upstream.c
@@ -255,7 +255,8 @@
                                                    "Trailer",
                                                    "Upgrade",
                                                    "Cardamom-Depth",
-                                                   "Cardamom-Deadline-Ms" };
+                                                   "Cardamom-Deadline-Ms",
+                                                   "Cardamom-Sequence" };
 
 static bool
 is_unforwarded (const char *name)
@@ -352,6 +353,7 @@
           .path = job_request->path,
           .headers = headers,
           .body = cs_str_of_gstring (job_request->body),
+          .number_header = "Cardamom-Sequence",
           .answer_max = (size_t)local_upstream->node->settings.body_max,
           .reuse_connection = job_request->idempotent };
   cs_http_answer_t answer;
--- a/source/platform/http.c
+++ b/source/platform/http.c
@@ -28,7 +28,11 @@
   bool address_valid;
   cs_usec_t timeout;
   cs_http1_client_t *client; /* NULL: no connection.  */
+  unsigned uses;             /* Requests sent on it.  */
   cs_usec_t last_used;
+  const char *number_header; /* Of the current request.  */
+  int64_t number;            /* Of the last numbered request.  */
+  bool number_returned;      /* By the answer to the current request.  */
   call_state_t state;
   cs_http1_client_error_t error;
   bool close_delimited;
@@ -157,6 +161,9 @@
       const cs_header_t *header = request->headers->pdata[i];
       g_string_append_printf (out, "%s: %s\r\n", header->name, header->value);
     }
+  if (request->number_header)
+    g_string_append_printf (out, "%s: %" G_GINT64_FORMAT "\r\n",
+                            request->number_header, http->number);
   if (request->body.len || strcmp (request->method, "GET") != 0)
     g_string_append_printf (out, "Content-Length: %zu\r\n", request->body.len);
   g_string_append (out, "\r\n");
@@ -186,6 +193,32 @@
   http->state = CALL_FAILED;
 }
 
+static void
+on_answer_precluded (void *user)
+{
+  on_failed (user, CS_HTTP1_ANSWER_MISMATCHED, false);
+}
+
+/* Whether ANSWER is to the current request, as its number tells.  One without
+   a number is to the first request on the connection.  On a reused connection
+   it may be to any, and whether another answer follows is not known.  */
+static bool
+answer_matches (void *user, const cs_http1_message_t *answer)
+{
+  cs_http_client_t *http = user;
+  if (!http->number_header)
+    return true;
+  http->number_returned
+      = cs_http1_message_field (answer, http->number_header).data;
+  if (!http->number_returned && http->uses > 1)
+    on_failed (http, CS_HTTP1_ANSWER_MISMATCHED, false);
+  if (!http->number_returned)
+    return http->uses == 1;
+  return cs_http1_message_field_number (answer, http->number_header, INT64_MAX,
+                                        -1)
+         == http->number;
+}
+
 static void
 on_timeout (uv_timer_t *timer)
 {
@@ -208,6 +241,7 @@
     close_client (http);
   http->client = cs_http1_client_new (&http->loop, ctx->clock, &http->address,
                                       UNACKED_DATA_TIMEOUT);
+  http->uses = 0;
 }
 
 static cs_status_t
@@ -241,14 +275,20 @@
                      cs_http_answer_t *answer)
 {
   static const cs_http1_client_handler_t handler
-      = { .answer_received = on_answer_received, .failed = on_failed };
+      = { .answer_received = on_answer_received,
+          .failed = on_failed,
+          .answer_matches = answer_matches,
+          .answer_precluded = on_answer_precluded };
   memset (answer, 0, sizeof *answer);
   if (!http->address_valid)
     return cs_fail (ctx, CS_BAD_INPUT, "the server's address is no IP number");
   acquire_client (http, ctx, request->reuse_connection);
   http->answer = answer;
   http->state = CALL_IN_FLIGHT;
-  http->close_delimited = false;
+  http->close_delimited = http->number_returned = false;
+  http->number_header = request->number_header;
+  http->number += request->number_header != NULL;
+  http->uses++;
   cs_http1_client_set_body_max (http->client, request->answer_max);
   uv_update_time (&http->loop);
   uv_timer_start (&http->timer, on_timeout,
@@ -261,10 +301,9 @@
   http->last_used = cs_now (ctx);
   cs_status_t status = call_status (ctx, http, request);
   if (status != CS_OK)
-    {
-      cs_http_answer_clear (answer);
-      close_client (http);
-    }
+    cs_http_answer_clear (answer);
+  if (status != CS_OK || (request->number_header && !http->number_returned))
+    close_client (http);
   return status;
 }
 
--- a/tests/standins/standin-backend.c
+++ b/tests/standins/standin-backend.c
@@ -221,6 +221,10 @@
   answer->headers = cs_headers_new ();
   cs_headers_add (answer->headers, "X-Request-Id", id ? id : "");
   cs_headers_add (answer->headers, "X-Version", backend->settings.version);
+  const char *sequence
+      = cs_headers_get (request->headers, "Cardamom-Sequence");
+  if (sequence)
+    cs_headers_add (answer->headers, "Cardamom-Sequence", sequence);
   cs_headers_add (answer->headers, "X-Depth",
                   cs_headers_get (request->headers, "Cardamom-Depth")
                       ? cs_headers_get (request->headers, "Cardamom-Depth")
--- a/tests/test-http.c
+++ b/tests/test-http.c
@@ -180,6 +180,75 @@
   cs_ctx_drop (ctx);
 }
 
+#define NUMBERED(n) STATUS_200 "Request-Number: " #n "\r\n"
+#define BODY(text) "Content-Length: 3\r\n\r\n" text
+
+/* Send two numbered requests to a server that sends ANSWERS, on the same
+   connection with SINGLE_CONNECTION, and check the result of the second.  */
+static void
+check_second_answer (const char *const answers[2], bool single_connection,
+                     cs_status_t status, const char *body)
+{
+  cs_ctx_t *ctx = cs_ctx_new (NULL, cs_clock_system (), 1);
+  server_t server = { .single_connection = single_connection,
+                      .keep_connections_open = !single_connection,
+                      .answers = { answers[0], answers[1] } };
+  start_server (&server);
+  cs_http_client_t *http
+      = cs_http_client_new (ctx, "127.0.0.1", server.port, 5 * CS_SEC);
+  cs_http_request_t request = { .method = "GET",
+                                .path = "/x",
+                                .number_header = "Request-Number",
+                                .answer_max = 100,
+                                .reuse_connection = true };
+  cs_http_answer_t answer;
+  g_assert_cmpint (cs_http_client_call (ctx, http, &request, &answer), ==,
+                   CS_OK);
+  cs_http_answer_clear (&answer);
+  g_assert_cmpint (cs_http_client_call (ctx, http, &request, &answer), ==,
+                   status);
+  if (body)
+    g_assert_cmpstr (answer.body->str, ==, body);
+  cs_http_answer_clear (&answer);
+  cs_http_client_drop (ctx, http);
+  stop_server (&server);
+  g_assert_cmpint (server.requests, ==, 2);
+  cs_ctx_drop (ctx);
+}
+
+/* The answer to an earlier request comes once more, late, where that of the
+   next one on the connection is due: it is never returned for that.  */
+static void
+test_late_answer_returned (void)
+{
+  static const struct
+  {
+    const char *second;
+    cs_status_t status;
+    const char *body;
+  } late[] = {
+    { NUMBERED (1) BODY ("abc") NUMBERED (2) BODY ("def"), CS_OK, "def" },
+    { NUMBERED (1) BODY ("abc"), CS_UNKNOWN, NULL },
+    { NUMBERED (1) "\r\nabc", CS_UNKNOWN, NULL },
+    { STATUS_200 BODY ("abc"), CS_UNKNOWN, NULL },
+    { STATUS_200 "\r\nabc", CS_UNKNOWN, NULL },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (late); i++)
+    check_second_answer (
+        (const char *[]){ NUMBERED (1) BODY ("abc"), late[i].second }, true,
+        late[i].status, late[i].body);
+}
+
+/* A server that does not send the number back could send an earlier answer
+   once more unnoticed, so that its connections are not reused.  */
+static void
+test_unnumbered_connection_reused (void)
+{
+  check_second_answer (
+      (const char *[]){ STATUS_200 BODY ("abc"), STATUS_200 BODY ("def") },
+      false, CS_OK, "def");
+}
+
 /* Without reuse each request opens a new connection, even while the previous
    one is open.  */
 static void
@@ -235,6 +304,9 @@
       g_free (path);
     }
   g_test_add_func ("/http/never-sent-twice", test_no_resend_after_close);
+  g_test_add_func ("/http/late-answer-returned", test_late_answer_returned);
+  g_test_add_func ("/http/unnumbered-connection-reused",
+                   test_unnumbered_connection_reused);
   g_test_add_func ("/http/own-connections",
                    test_no_reuse_opens_new_connections);
   g_test_add_func ("/http/nobody-listens", test_connection_refused);
