Soak: servers answer some requests a second time, late and without a length

The soak had no way to break MIXED: its servers answered each request once. 3 in 100 answers now come again in the place of the next answer on their connection, as done or as not run, and end it.

--- a/tests/soak/hosts.c
+++ b/tests/soak/hosts.c
@@ -25,6 +25,7 @@
   host_t *host;
   cs_exchange_t *exchange; /* NULL after the connection was closed.  */
   bool abort_connection;   /* Instead of an answer.  */
+  bool answered_twice;     /* Late, where the next answer is expected.  */
 } running_request_t;
 
 static void
@@ -39,37 +40,59 @@
   return cs_str_dup (cs_http1_message_field (&exchange->request, name));
 }
 
-/* End a running request: answer it, or break its connection.  */
+/* Answer EXCHANGE with what the server answers to the request ID.  */
+static void
+answer_done (cs_exchange_t *exchange, const char *id)
+{
+  char *fields
+      = g_strdup_printf ("Attempt-Id: %s\r\nResponse-Seal: %s\r\n", id, id);
+  cs_exchange_answer (exchange, 200, fields, cs_str_of (id), false);
+  g_free (fields);
+}
+
+/* Refuse a request with STATUS, asserting that it has not run.  */
+static void
+answer_not_run (cs_exchange_t *exchange, const char *id, unsigned status)
+{
+  char *fields = g_strdup_printf ("Attempt-Id: %s\r\nNot-Run: 1\r\n", id);
+  cs_exchange_answer (exchange, status, fields, CS_STR (""), false);
+  g_free (fields);
+}
+
+/* End a running request: answer it, or break its connection.  If an earlier
+   request of the connection is answered twice, its second answer, a success or
+   a refusal without a length, takes the place of this one's.  */
 static void
 finish_request (uv_timer_t *timer)
 {
   running_request_t *running = timer->data;
   cs_exchange_t *exchange = running->exchange;
+  GHashTable *second_answers = running->host->second_answers;
   g_ptr_array_remove_fast (running->host->running_requests, running);
   if (exchange && running->abort_connection)
     cs_exchange_abort (exchange);
   else if (exchange)
     {
+      void *connection = exchange->conn;
       char *id = copy_field (exchange, "attempt-id");
-      char *fields = g_strdup_printf (
-          "Attempt-Id: %s\r\nResponse-Seal: %s\r\n", id, id);
+      char *earlier_id
+          = g_strdup (g_hash_table_lookup (second_answers, connection));
       exchange->user = NULL;
-      cs_exchange_answer (exchange, 200, fields, cs_str_of (id), false);
-      g_free (fields);
+      exchange->close_delimited = earlier_id != NULL;
+      if (earlier_id && running->answered_twice)
+        answer_not_run (exchange, earlier_id, 503);
+      else
+        answer_done (exchange, earlier_id ? earlier_id : id);
+      if (earlier_id)
+        g_hash_table_remove (second_answers, connection);
+      else if (running->answered_twice)
+        g_hash_table_insert (second_answers, connection, g_strdup (id));
+      g_free (earlier_id);
       g_free (id);
     }
   uv_close ((uv_handle_t *)timer, free_running_request);
 }
 
-/* Refuse a request with STATUS, asserting that it has not run.  */
-static void
-answer_not_run (cs_exchange_t *exchange, const char *id, unsigned status)
-{
-  char *fields = g_strdup_printf ("Attempt-Id: %s\r\nNot-Run: 1\r\n", id);
-  cs_exchange_answer (exchange, status, fields, CS_STR (""), false);
-  g_free (fields);
-}
-
 /* Check a request ID that begins to run, and record a violation unless: a
    caller has sent it, with this path; an unsafe one has neither run before nor
    been answered as not run; it names the caller's service, which the sidecar
@@ -121,8 +144,8 @@
   char *id = copy_field (exchange, "attempt-id");
   char *expected_instance = copy_field (exchange, "expect-instance");
   double random = g_rand_double (soak->load_random);
-  /* The server refuses 2 % of the requests, breaks the connection of 1 %, and
-     runs 1 % slowly.  */
+  /* The server refuses 2 % of the requests, breaks the connection of 1 %,
+     answers 3 % twice, and runs 1 % slowly.  */
   if (*expected_instance && strcmp (expected_instance, host->instance_id) != 0)
     answer_not_run (exchange, id, 421);
   else if (random < 0.02)
@@ -135,6 +158,7 @@
       running->exchange = exchange;
       g_ptr_array_add (host->running_requests, running);
       running->abort_connection = random < 0.03;
+      running->answered_twice = random >= 0.03 && random < 0.06;
       running->timer.data = running;
       exchange->user = running;
       uv_timer_init (&soak->loop, &running->timer);
@@ -192,6 +216,7 @@
   host->server_up = false;
   for (guint i = 0; i < host->running_requests->len; i++)
     ((running_request_t *)host->running_requests->pdata[i])->exchange = NULL;
+  g_hash_table_remove_all (host->second_answers);
   cs_http1_server_close (host->server);
   host->server_restart_at = soak_now (host->soak) + downtime;
 }
@@ -372,6 +397,7 @@
   host->settings_path
       = g_strdup_printf ("%s/%s.json", soak->work_dir, host->name);
   host->running_requests = g_ptr_array_new ();
+  host->second_answers = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   host->peer_proxy
       = proxy_new (&soak->loop, host->first_port + PORT_PEER_PROXY,
                    host->first_port + PORT_PEERS);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -109,6 +109,8 @@
   int64_t report_sequence;     /* Of its last report.  */
   int64_t server_start_ms;     /* Wall-clock time.  */
   GPtrArray *running_requests; /* running_request_t *.  */
+  /* Connection -> id of its request that is still to be answered again.  */
+  GHashTable *second_answers;
   bool server_up, draining;
   cs_usec_t drain_acknowledged_at; /* By the sidecar; 0: not yet.  */
   cs_usec_t server_restart_at;     /* Valid while the server is down.  */
