--- a/include/cardamom/client.h
+++ b/include/cardamom/client.h
@@ -18,7 +18,7 @@
   CS_HTTP1_ANSWER_TRUNCATED,
   CS_HTTP1_ANSWER_TOO_LARGE, /* The body exceeds a memory limit.  */
   CS_HTTP1_ANSWER_MALFORMED, /* What came is not a valid answer.  */
-  /* The connection ended with an answer that does not match the request.  */
+  /* A mismatched answer came, and none can follow it.  */
   CS_HTTP1_ANSWER_MISMATCHED
 } cs_http1_client_error_t;
 
@@ -48,8 +48,9 @@
      known.  */
   void (*failed) (void *user, cs_http1_client_error_t error, bool partial);
   /* Whether ANSWER, of which the head has been read, is for the request that
-     was sent.  One that is not is dropped and the next one awaited.  NULL
-     accepts every answer.  */
+     was sent.  One that is not is dropped and the next one awaited, unless the
+     request is HEAD: the connection is closed then, for it is not known
+     whether a body follows.  NULL accepts every answer.  */
   bool (*answer_matches) (void *user, const cs_http1_message_t *answer);
   /* An answer that does not match ends with the connection, so none can follow
      it.  FAILED is called when the connection has ended, unless the owner
--- a/source/http1/client.c
+++ b/source/http1/client.c
@@ -200,7 +200,7 @@
     return;
   client->mismatched = client->out_of_sync = true;
   cs_counter_add (CS_C_ANSWERS_MISMATCHED, 1);
-  /* It may have a body, which would be read as the next answer.  */
+  /* After HEAD, a body that it has would be read as the next answer.  */
   if (client->is_head)
     fail (client, CS_HTTP1_ANSWER_MISMATCHED);
   else if (client->answer.close_delimited && client->handler.answer_precluded)
--- a/source/platform/http.c
+++ b/source/platform/http.c
@@ -199,9 +199,9 @@
   on_failed (user, CS_HTTP1_ANSWER_MISMATCHED, false);
 }
 
-/* Whether ANSWER is to the current request, as its number tells.  One without
-   a number is to the first request on the connection.  On a reused connection
-   it may be to any, and whether another answer follows is not known.  */
+/* Whether ANSWER is to the current request, by its number.  One without a
+   number is, if the request is the first one on the connection.  Otherwise it
+   may be to any, and the call fails, for another one may never come.  */
 static bool
 answer_matches (void *user, const cs_http1_message_t *answer)
 {
@@ -210,13 +210,14 @@
     return true;
   http->number_returned
       = cs_http1_message_field (answer, http->number_header).data;
-  if (!http->number_returned && http->uses > 1)
-    on_failed (http, CS_HTTP1_ANSWER_MISMATCHED, false);
-  if (!http->number_returned)
-    return http->uses == 1;
-  return cs_http1_message_field_number (answer, http->number_header, INT64_MAX,
-                                        -1)
-         == http->number;
+  if (http->number_returned)
+    return cs_http1_message_field_number (answer, http->number_header,
+                                          INT64_MAX, -1)
+           == http->number;
+  if (http->uses == 1)
+    return true;
+  on_failed (http, CS_HTTP1_ANSWER_MISMATCHED, false);
+  return false;
 }
 
 static void
--- a/source/run/dispatcher-internal.h
+++ b/source/run/dispatcher-internal.h
@@ -45,8 +45,9 @@
   int64_t sent_wall_ms;   /* SENT_AT as wall time.  */
   uint64_t fingerprint;   /* 0: not known.  */
   bool suspect;           /* It was suspected when it was sent.  */
-  bool idempotent, method_is_head, cancelled;
-  bool retry; /* An earlier attempt has reached a server.  */
+  bool idempotent, method_is_head;
+  bool cancelled; /* Nobody waits for the outcome, or for a further one.  */
+  bool retry;     /* An earlier attempt has reached a server.  */
   /* The part of it that counts as a retry for the services that it calls.  */
   double retry_share;
   bool may_be_call;
