Move what the server answers out of the dispatcher, into answers.c

dispatcher.c decides what is sent and when; answers.c says what comes of it. The code is moved, and functions that both use have the prefix dispatcher_.

--- a/source/run/dispatcher-internal.h
+++ b/source/run/dispatcher-internal.h
@@ -1,4 +1,4 @@
-/* The dispatcher's state, shared by dispatcher.c, crash-check.c and
+/* The dispatcher's state, shared by dispatcher.c, answers.c, crash-check.c and
    server-fields.c.  */
 #ifndef RUN_DISPATCHER_INTERNAL_H
 #define RUN_DISPATCHER_INTERNAL_H
@@ -120,9 +120,17 @@
 /* A new connection to the server, not yet opened.  */
 dispatcher_conn_t *dispatcher_open_conn (cs_dispatcher_t *dispatcher);
 void dispatcher_drop_conn (dispatcher_conn_t *conn);
+/* Detach DISPATCH from its connection, and keep that for reuse if possible. */
+void dispatcher_release_conn (cs_dispatch_t *dispatch);
+/* Report OUTCOME to the owner of DISPATCH, unless it was cancelled.  */
+void dispatcher_report (cs_dispatch_t *dispatch, cs_outcome_t *outcome);
 /* Report OUTCOME to the owner of DISPATCH, which is in no queue any more, and
    free DISPATCH.  */
 void dispatcher_finish (cs_dispatch_t *dispatch, cs_outcome_t *outcome);
+/* Report that DISPATCH, which is in no queue any more, has not run and never
+   will, and free it.  WAIT: after how long it might be taken; 0: not known. */
+void dispatcher_refuse (cs_dispatch_t *dispatch, cs_refusal_reason_t reason,
+                        cs_usec_t wait);
 /* Refuse all queued requests with REASON.  */
 void dispatcher_refuse_queued (cs_dispatcher_t *dispatcher,
                                cs_refusal_reason_t reason);
@@ -134,6 +142,23 @@
    is sent to it until its next report.  */
 void dispatcher_mark_server_lost (cs_dispatcher_t *dispatcher);
 
+/* Count a run, or a refusal of the server's own, in its failure rate.  */
+void dispatcher_record_failure_rate (cs_dispatcher_t *dispatcher, bool failed);
+/* Record a run, of a candidate or not, that has ended.  */
+void dispatcher_record_run (cs_dispatcher_t *dispatcher,
+                            const cs_dispatch_t *dispatch, bool failed,
+                            cs_usec_t service_time);
+/* Whether DISPATCH is suspected to crash servers.  */
+bool dispatcher_is_suspect (const cs_dispatch_t *dispatch);
+/* Log that DISPATCH, which was sent to the server, ends without an answer.  */
+void dispatcher_log_unanswered (const cs_dispatch_t *dispatch,
+                                const char *why);
+
+/* answers.c */
+/* Handles what comes on a dispatcher_conn_t, its USER, with a request in
+   flight.  */
+extern const cs_http1_client_handler_t dispatcher_answer_handler;
+
 /* server-fields.c */
 /* Heed what ANSWER, which can be trusted, says of the server itself.  */
 void server_fields_note (cs_dispatcher_t *dispatcher,
--- a/source/run/dispatcher.c
+++ b/source/run/dispatcher.c
@@ -29,8 +29,6 @@
    least this part of its runs.  */
 #define CANDIDATE_FAILURES_MIN 6
 #define CANDIDATE_FAILURE_PERCENT 20
-/* Bytes of a mismatched answer's id that are logged.  */
-#define ANSWER_ID_LOGGED_MAX 64
 
 const char *
 cs_refusal_reason_name (cs_refusal_reason_t reason)
@@ -53,8 +51,8 @@
                    / (1.0 + (double)age / (double)FAILURE_HALF_LIFE);
 }
 
-static void
-record_failure_rate (cs_dispatcher_t *dispatcher, bool failed)
+void
+dispatcher_record_failure_rate (cs_dispatcher_t *dispatcher, bool failed)
 {
   dispatcher->failure_rate
       += FAILURE_SMOOTHING * ((failed ? 1.0 : 0.0) - dispatcher->failure_rate);
@@ -166,8 +164,8 @@
                                  dispatch->fingerprint);
 }
 
-static bool
-is_suspect (const cs_dispatch_t *dispatch)
+bool
+dispatcher_is_suspect (const cs_dispatch_t *dispatch)
 {
   return trust_of (dispatch) != CS_REQUEST_TRUSTED;
 }
@@ -181,9 +179,8 @@
   g_free (dispatch);
 }
 
-/* Report OUTCOME to the owner of DISPATCH, unless it was cancelled.  */
-static void
-report_outcome (cs_dispatch_t *dispatch, cs_outcome_t *outcome)
+void
+dispatcher_report (cs_dispatch_t *dispatch, cs_outcome_t *outcome)
 {
   cs_dispatcher_t *dispatcher = dispatch->dispatcher;
   outcome->load = cs_dispatcher_load (dispatcher);
@@ -199,13 +196,13 @@
 void
 dispatcher_finish (cs_dispatch_t *dispatch, cs_outcome_t *outcome)
 {
-  report_outcome (dispatch, outcome);
+  dispatcher_report (dispatch, outcome);
   free_dispatch (dispatch);
 }
 
-static void
-refuse_dispatch (cs_dispatch_t *dispatch, cs_refusal_reason_t reason,
-                 cs_usec_t wait)
+void
+dispatcher_refuse (cs_dispatch_t *dispatch, cs_refusal_reason_t reason,
+                   cs_usec_t wait)
 {
   cs_outcome_t outcome = { .kind = CS_OUTCOME_REFUSED,
                            .reason = reason,
@@ -220,15 +217,15 @@
   cs_queued_request_t *next;
   cs_dispatch_t *isolated;
   while ((next = cs_request_queue_pop_any (&dispatcher->queue)))
-    refuse_dispatch ((cs_dispatch_t *)next, reason, 0);
+    dispatcher_refuse ((cs_dispatch_t *)next, reason, 0);
   while ((isolated = g_queue_pop_head (&dispatcher->isolated)))
-    refuse_dispatch (isolated, reason, 0);
+    dispatcher_refuse (isolated, reason, 0);
 }
 
-/* Record a run, of a candidate or not, that has ended.  */
-static void
-record_stats (cs_dispatcher_t *dispatcher, const cs_dispatch_t *dispatch,
-              bool failed, cs_usec_t service_time)
+void
+dispatcher_record_run (cs_dispatcher_t *dispatcher,
+                       const cs_dispatch_t *dispatch, bool failed,
+                       cs_usec_t service_time)
 {
   cs_call_stats_record (
       stats_of_route (dispatcher->stats, dispatch->route->str), failed,
@@ -252,9 +249,8 @@
     dispatcher_drop_conn (conn);
 }
 
-/* Detach DISPATCH from its connection, and keep that for reuse if possible. */
-static void
-release_conn (cs_dispatch_t *dispatch)
+void
+dispatcher_release_conn (cs_dispatch_t *dispatch)
 {
   cs_dispatcher_t *dispatcher = dispatch->dispatcher;
   dispatcher_conn_t *conn = dispatch->conn;
@@ -267,41 +263,6 @@
     dispatcher_drop_conn (conn);
 }
 
-/* The header fields of ANSWER that are passed on to the caller: none that are
-   hop-by-hop or meant for the node.  */
-static GString *
-caller_fields (const cs_http1_message_t *answer)
-{
-  GString *out = g_string_sized_new (answer->head->len);
-  for (guint i = 0; i < answer->fields->len; i++)
-    {
-      const cs_http1_field_t *f
-          = &g_array_index (answer->fields, cs_http1_field_t, i);
-      if (cs_http1_field_is_hop_by_hop (f->name)
-          || cs_str_equal_nocase (f->name, "content-length")
-          || cs_str_equal_nocase (f->name, cs_header_names->server_load))
-        continue;
-      g_string_append_len (out, f->name.data, (gssize)f->name.len);
-      g_string_append (out, ": ");
-      g_string_append_len (out, f->value.data, (gssize)f->value.len);
-      g_string_append (out, "\r\n");
-    }
-  return out;
-}
-
-/* Whether ANSWER can be passed on: one with status 300 or above, or one below
-   that carries the seal, a header field that the backend server sets, and no
-   content coding.  */
-static bool
-is_trusted (const cs_http1_message_t *answer)
-{
-  unsigned status = answer->parser.status_code;
-  if (status >= 300)
-    return true;
-  return cs_http1_message_field (answer, cs_header_names->seal).len > 0
-         && !cs_http1_message_field (answer, "content-encoding").data;
-}
-
 void
 dispatcher_mark_server_lost (cs_dispatcher_t *dispatcher)
 {
@@ -312,103 +273,8 @@
   dispatcher->handler.server_lost (dispatcher->user);
 }
 
-static void
-on_answer (void *user, cs_http1_message_t *answer)
-{
-  dispatcher_conn_t *conn = user;
-  cs_dispatch_t *dispatch = conn->dispatch;
-  cs_dispatcher_t *dispatcher = dispatch->dispatcher;
-  unsigned status = answer->parser.status_code;
-  cs_usec_t service_time = dispatcher_now (dispatcher) - dispatch->sent_at;
-  bool not_run = cs_http1_message_field (answer, cs_header_names->not_run).data
-                 || status == 421;
-  cs_outcome_t outcome = { .reached_server = true,
-                           .service_time = service_time,
-                           .status = status };
-  GString *fields = NULL;
-  release_conn (dispatch);
-  if (status != 421)
-    cs_crash_detector_note_answer (&dispatcher->crash_detector,
-                                   dispatch->sent_at);
-  /* An answer that is spoilt, or of another server, says nothing of this
-     server.  */
-  if (status != 421 && (not_run || is_trusted (answer)))
-    {
-      outcome.server_leaving
-          = cs_http1_message_field (answer, cs_header_names->server_leaving)
-                .data;
-      server_fields_note (dispatcher, answer);
-    }
-  if (not_run)
-    {
-      outcome.kind = CS_OUTCOME_REFUSED;
-      outcome.reason
-          = status == 421 ? CS_REFUSED_MISMATCH : CS_REFUSED_BY_SERVER;
-      /* A server that refuses requests with slots free is not overloaded, and
-         no wait can be predicted.  */
-      if (dispatcher->in_flight.length >= dispatcher->server.report.slots)
-        outcome.expected_wait
-            = cs_service_times_mean (&dispatcher->service_times,
-                                     dispatch->queued.expected_service_time);
-      if (status != 421)
-        record_failure_rate (dispatcher, true);
-    }
-  else if (!is_trusted (answer))
-    {
-      outcome.kind = CS_OUTCOME_UNKNOWN;
-      record_failure_rate (dispatcher, true);
-      record_stats (dispatcher, dispatch, true, service_time);
-    }
-  else
-    {
-      outcome.kind = CS_OUTCOME_ANSWERED;
-      fields = caller_fields (answer);
-      outcome.fields = cs_str_of_gstring (fields);
-      outcome.body = cs_str_of_gstring (answer->body);
-      outcome.close_delimited = answer->close_delimited;
-      record_failure_rate (dispatcher, status >= 500);
-      record_stats (dispatcher, dispatch, status >= 500, service_time);
-      cs_service_times_add (&dispatcher->service_times, dispatch->route->str,
-                            service_time);
-      cs_crash_history_clear (dispatcher->crash_history, dispatch->fingerprint,
-                              dispatcher_wall_ms (dispatcher));
-    }
-  dispatcher_finish (dispatch, &outcome);
-  if (fields)
-    g_string_free (fields, TRUE);
-  if (status == 421)
-    {
-      /* A different server than the one that reported.  */
-      crash_check_suspect (dispatcher, false);
-      dispatcher_mark_server_lost (dispatcher);
-    }
-  dispatcher_schedule_fill (dispatcher);
-}
-
-static bool
-answer_matches (void *user, const cs_http1_message_t *answer)
-{
-  const dispatcher_conn_t *conn = user;
-  cs_str_t id = cs_http1_message_field (answer, cs_header_names->attempt_id);
-  cs_str_t sent_id = cs_str_of_gstring (conn->dispatch->id);
-  /* On a kept connection, an answer without an id may be to an earlier
-     request.  */
-  bool matches = id.data ? cs_str_equal (id, sent_id) : conn->uses == 1;
-  if (!matches)
-    cs_event_log (CS_E_MISMATCHED,
-                  "id=%s answer_id=\"%.*s\" route=%s instance=%s status=%u "
-                  "close_delimited=%d uses=%u",
-                  sent_id.data, (int)MIN (id.len, ANSWER_ID_LOGGED_MAX),
-                  id.data ? id.data : "", conn->dispatch->route->str,
-                  conn->dispatcher->server.report.instance,
-                  answer->parser.status_code, answer->close_delimited,
-                  conn->uses);
-  return matches;
-}
-
-/* Log that DISPATCH, which was sent to the server, ends without an answer.  */
-static void
-log_unanswered (const cs_dispatch_t *dispatch, const char *why)
+void
+dispatcher_log_unanswered (const cs_dispatch_t *dispatch, const char *why)
 {
   const cs_dispatcher_t *dispatcher = dispatch->dispatcher;
   cs_event_log (
@@ -421,69 +287,6 @@
       (double)(dispatcher_now (dispatcher) - dispatch->sent_at) / 1e3);
 }
 
-/* Count DISPATCH, which got no answer, as a failure.  */
-static void
-record_failure (const cs_dispatch_t *dispatch)
-{
-  record_failure_rate (dispatch->dispatcher, true);
-  record_stats (dispatch->dispatcher, dispatch, true, dispatch->service_time);
-}
-
-static void
-on_failed (void *user, cs_http1_client_error_t error, bool partial)
-{
-  dispatcher_conn_t *conn = user;
-  cs_dispatch_t *dispatch = conn->dispatch;
-  cs_dispatcher_t *dispatcher = dispatch->dispatcher;
-  bool reused = conn->uses > 1;
-  release_conn (dispatch);
-  if (error == CS_HTTP1_CONNECT_FAILED)
-    crash_check_suspect (dispatcher, true);
-  if (cs_http1_client_error_is_unsent (error))
-    {
-      refuse_dispatch (dispatch, CS_REFUSED_NO_SERVER, 0);
-      if (error == CS_HTTP1_CONNECT_FAILED)
-        dispatcher_mark_server_lost (dispatcher);
-      return;
-    }
-  dispatch->stale_connection
-      = reused && dispatch->idempotent && !partial && !is_suspect (dispatch);
-  log_unanswered (dispatch, cs_http1_client_error_text (error));
-  crash_check_note_unanswered (dispatch);
-  if (!dispatch->stale_connection)
-    record_failure (dispatch);
-  crash_check_keep (dispatch);
-  crash_check_start (dispatcher);
-  dispatcher_schedule_fill (dispatcher);
-}
-
-/* A request that must not be interrupted at the server ends by itself, with
-   its connection; its caller is told at once.  */
-static void
-on_answer_precluded (void *user)
-{
-  const dispatcher_conn_t *conn = user;
-  cs_dispatch_t *dispatch = conn->dispatch;
-  if (dispatch->idempotent)
-    {
-      on_failed (user, CS_HTTP1_ANSWER_MISMATCHED, false);
-      return;
-    }
-  cs_outcome_t outcome
-      = { .kind = CS_OUTCOME_UNKNOWN,
-          .reached_server = true,
-          .service_time
-          = dispatcher_now (dispatch->dispatcher) - dispatch->sent_at };
-  report_outcome (dispatch, &outcome);
-  dispatch->cancelled = true;
-}
-
-static const cs_http1_client_handler_t client_handler
-    = { .answer_received = on_answer,
-        .failed = on_failed,
-        .answer_matches = answer_matches,
-        .answer_precluded = on_answer_precluded };
-
 dispatcher_conn_t *
 dispatcher_open_conn (cs_dispatcher_t *dispatcher)
 {
@@ -558,7 +361,7 @@
 {
   cs_usec_t now = dispatcher_now (dispatcher);
   dispatch->state = DISPATCH_IN_FLIGHT;
-  dispatch->suspect = is_suspect (dispatch);
+  dispatch->suspect = dispatcher_is_suspect (dispatch);
   dispatch->conn = conn;
   dispatch->sent_at = now;
   cs_server_limit_take (&dispatcher->limit, now);
@@ -574,9 +377,9 @@
   conn->uses++;
   g_queue_push_tail (&dispatcher->in_flight, dispatch);
   cs_counter_add (CS_C_SERVED, 1);
-  cs_http1_client_send (conn->client,
-                        build_request (dispatcher, dispatch, now),
-                        dispatch->method_is_head, &client_handler, conn);
+  cs_http1_client_send (
+      conn->client, build_request (dispatcher, dispatch, now),
+      dispatch->method_is_head, &dispatcher_answer_handler, conn);
 }
 
 static bool
@@ -629,10 +432,10 @@
   if (trust == CS_REQUEST_QUARANTINED)
     {
       cs_counter_add (CS_C_QUARANTINED, 1);
-      refuse_dispatch (dispatch, CS_REFUSED_QUARANTINED, 0);
+      dispatcher_refuse (dispatch, CS_REFUSED_QUARANTINED, 0);
     }
   else if (dispatch->retry && !takes_retries (dispatcher))
-    refuse_dispatch (dispatch, CS_REFUSED_RETRY_BUDGET, 0);
+    dispatcher_refuse (dispatch, CS_REFUSED_RETRY_BUDGET, 0);
   else if (trust == CS_REQUEST_SUSPECT && suspect_in_flight (dispatcher))
     {
       dispatch->state = DISPATCH_ISOLATED;
@@ -658,7 +461,7 @@
         return;
       g_queue_pop_head (&dispatcher->isolated);
       if (expired)
-        refuse_dispatch (first, CS_REFUSED_EXPIRED, 0);
+        dispatcher_refuse (first, CS_REFUSED_EXPIRED, 0);
       else
         start_dispatch (first);
     }
@@ -671,7 +474,7 @@
   cs_queued_request_t *next;
   while ((next = cs_request_queue_pop_expired (&dispatcher->queue,
                                                dispatcher_now (dispatcher))))
-    refuse_dispatch ((cs_dispatch_t *)next, CS_REFUSED_EXPIRED, 0);
+    dispatcher_refuse ((cs_dispatch_t *)next, CS_REFUSED_EXPIRED, 0);
   start_isolated (dispatcher);
   while (server_takes_request (dispatcher)
          && (next = cs_request_queue_pop (&dispatcher->queue,
@@ -707,9 +510,9 @@
       dispatcher_conn_t *conn = dispatch->conn;
       g_queue_delete_link (&dispatcher->in_flight, link);
       dispatcher_drop_conn (conn);
-      log_unanswered (dispatch, "no answer by the deadline");
+      dispatcher_log_unanswered (dispatch, "no answer by the deadline");
       crash_check_note_unanswered (dispatch);
-      record_failure_rate (dispatcher, true);
+      dispatcher_record_failure_rate (dispatcher, true);
       crash_check_finish (dispatch);
     }
   crash_check_tick (dispatcher, now);
@@ -896,7 +699,7 @@
   if (reason != CS_REFUSED_COUNT)
     {
       cs_counter_add (CS_C_SHED, 1);
-      refuse_dispatch (dispatch, reason, wait);
+      dispatcher_refuse (dispatch, reason, wait);
       return NULL;
     }
   dispatcher_schedule_fill (dispatcher);
