--- a/tests/test-client.c
+++ b/tests/test-client.c
@@ -187,9 +187,10 @@
     reset_connection (server);
   else if (cases[index].end == CLOSES)
     close (server);
-  if (cases[index].end != STAYS_OPEN)
-    while (!events.ended)
-      uv_run (&loop, UV_RUN_ONCE);
+  for (int ms = 0; cases[index].end != STAYS_OPEN && !events.ended
+                   && ms < SOCKET_TIMEOUT_MS;
+       ms += 5)
+    pump (&loop, 5);
   g_assert_cmpstr (events.text->str, ==, cases[index].expected);
   cs_http1_client_drop (client);
   uv_run (&loop, UV_RUN_DEFAULT);
