--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -645,6 +645,22 @@
   "HTTP/1.1 503 Busy\r\nCardamom-Not-Run: 1\r\n\r\n",
 };
 
+/* Send a1 and a2, requests of METHOD, on one connection to the server, and
+   late_answers[INDEX] in the place of the answer to a2.  Returns the
+   connection, closed unless it STAYS_OPEN.  */
+static int
+send_late_answer (const mesh_t *mesh, int caller, const char *method,
+                  size_t index, bool stays_open)
+{
+  int server = send_on_kept_connection (mesh, caller, method);
+  g_test_message ("late answer %zu, connection stays open: %d", index,
+                  stays_open);
+  send_text (server, late_answers[index]);
+  if (!stays_open)
+    close (server);
+  return server;
+}
+
 /* A late second answer without a length comes where that of a request is due
    which may run once: whatever it says, its end is not taken for the end of
    that request's answer.  The outcome is told as unknown at once, and the
@@ -657,12 +673,7 @@
       {
         mesh_t *mesh = start_mesh (1);
         int caller = connect_to (mesh->caller_port);
-        int server = send_on_kept_connection (mesh, caller, "PUT");
-        g_test_message ("late answer %zu, connection stays open: %d", i,
-                        stays_open);
-        send_text (server, late_answers[i]);
-        if (!stays_open)
-          close (server);
+        int server = send_late_answer (mesh, caller, "PUT", i, stays_open);
         expect_answer (caller, "502", "");
         if (stays_open)
           {
@@ -691,12 +702,7 @@
       {
         mesh_t *mesh = start_mesh (1);
         int caller = connect_to (mesh->caller_port);
-        int server = send_on_kept_connection (mesh, caller, "GET");
-        g_test_message ("late answer %zu, connection stays open: %d", i,
-                        stays_open);
-        send_text (server, late_answers[i]);
-        if (!stays_open)
-          close (server);
+        int server = send_late_answer (mesh, caller, "GET", i, stays_open);
         int second_server = accept_request (mesh, "Cardamom-Attempt: a2");
         send_answer (second_server, "a2", "two");
         expect_answer (caller, "200", "two");
