--- a/tests/test-decide.c
+++ b/tests/test-decide.c
@@ -536,6 +536,24 @@
     }
 }
 
+/* A process that has just started knows nothing of its server when that says
+   that it leaves.  A report that was sent before, and comes later, does not
+   make it ready.  */
+static void
+test_leave_before_first_report (void)
+{
+  cs_backend_t backend = { 0 };
+  cs_backend_report_t late = make_report ("a", 1, 9, false);
+  cs_backend_leave (&backend, "a", 10 * MS);
+  cs_backend_report (&backend, &late, 20 * MS);
+  if (backend.state == CS_BACKEND_READY)
+    {
+      g_test_message ("the server is %s",
+                      cs_backend_state_name (backend.state));
+      g_test_fail ();
+    }
+}
+
 /* Which nodes read the table and which one owns a move: one node does, and the
    others take over one by one when it stops.  */
 static void
@@ -878,7 +896,12 @@
 int
 main (int argc, char **argv)
 {
-  g_test_init (&argc, &argv, NULL);
+  /* Run all cases even if one fails.  */
+  char *args[] = { argv[0], "--keep-going", NULL }, **list = args;
+  int count = 2;
+  if (argc > 1)
+    list = argv, count = argc;
+  g_test_init (&count, &list, NULL);
   g_test_add_func ("/decide/place", test_placement);
   g_test_add_func ("/decide/retry-sent-to-other-region",
                    test_retry_sent_to_other_region);
@@ -897,6 +920,8 @@
   g_test_add_func ("/decide/placement-heeds-limit",
                    test_placement_heeds_limit);
   g_test_add_func ("/decide/life", test_server_state);
+  g_test_add_func ("/decide/leave-before-first-report-forgotten",
+                   test_leave_before_first_report);
   g_test_add_func ("/decide/leaving-in-answers", test_leaving_in_answers);
   g_test_add_func ("/decide/roles", test_readers_and_move_owners);
   g_test_add_func ("/decide/reader-behind-slow-link",
