Remember a leave that comes before the first report

The leave is now held with the wall time of its arrival, or with the start that the message names: reports of a start that is no later are stale. A later start under the same id is still taken, also after a step of the clock. A process takes over from the node's row that its server drains or has left.

test-decide: leave-before-first-report-forgotten passes, which was red.

--- a/include/cardamom/adapter.h
+++ b/include/cardamom/adapter.h
@@ -65,6 +65,10 @@
   /* Decode the body of a status report of INSTANCE.  CS_BAD_INPUT as above. */
   cs_status_t (*decode_report) (cs_ctx_t *ctx, const char *instance,
                                 cs_str_t text, cs_backend_report_t *report);
+  /* Read from TEXT, the body of a message with which a backend server
+     deregisters, the wall time of its start in milliseconds into *STARTED_MS;
+     0 if it does not tell.  */
+  void (*decode_leave) (cs_ctx_t *ctx, cs_str_t text, int64_t *started_ms);
 } cs_adapter_vtable_t;
 
 #endif
--- a/include/cardamom/backend.h
+++ b/include/cardamom/backend.h
@@ -28,8 +28,18 @@
      The slow start of cs_upstream_t has a fixed duration instead.  */
   cs_usec_t warmup_left;
   bool draining;
+  /* Wall time at which the node received it; 0: not known.  */
+  int64_t received_ms;
 } cs_backend_report_t;
 
+/* A decoded message of a backend server that announces that it stops.  */
+typedef struct
+{
+  char instance[CS_NAME_SIZE];
+  int64_t started_ms;  /* As in cs_backend_report_t; 0: not told.  */
+  int64_t received_ms; /* Wall time at which the node received it.  */
+} cs_backend_leave_t;
+
 typedef enum
 {
   CS_BACKEND_NONE, /* No report has arrived yet.  */
@@ -46,6 +56,10 @@
   cs_usec_t updated_at; /* Monotonic time of the last accepted message.  */
   cs_usec_t warm_at;    /* Monotonic time at which the warm-up ends.  */
   uint64_t generation; /* Counts the changes that other nodes must learn of. */
+  /* The server announced its stop, or an earlier process of this node recorded
+     that, before any report of it was received.  REPORT.started_ms is then the
+     latest time at which it can have started.  */
+  bool start_is_latest;
 } cs_backend_t;
 
 typedef enum
@@ -62,9 +76,19 @@
                                       const cs_backend_report_t *report,
                                       cs_usec_t now);
 
-/* INSTANCE has announced that it stops.  */
+/* A server has announced that it stops, in LEAVE, which arrived at monotonic
+   time NOW.  It is remembered also before the first report: the node may have
+   restarted after it acknowledged earlier reports.  */
 cs_report_result_t cs_backend_leave (cs_backend_t *backend,
-                                     const char *instance, cs_usec_t now);
+                                     const cs_backend_leave_t *leave,
+                                     cs_usec_t now);
+
+/* An earlier process of this node recorded that INSTANCE, which started at
+   STARTED_MS or before, was in STATE.  Only CS_BACKEND_DRAINING and
+   CS_BACKEND_LEFT have an effect: a server does not become ready again until
+   it restarts.  */
+void cs_backend_restore (cs_backend_t *backend, const char *instance,
+                         int64_t started_ms, cs_backend_state_t state);
 
 /* The ready server says in an answer that it leaves: it drains until it
    restarts.  */
--- a/source/sidecar/control.c
+++ b/source/sidecar/control.c
@@ -91,10 +91,9 @@
   cs_mailbox_post (&control->mailbox, handle_member, control, info);
 }
 
-/* Log and publish a change of the backend server's state since the generation
-   BEFORE, which requests have shown.  */
-static void
-publish_backend_change (control_t *control, uint64_t before, const char *why)
+void
+control_publish_backend_change (control_t *control, uint64_t before,
+                                const char *why)
 {
   if (control->backend.generation == before)
     return;
@@ -111,7 +110,7 @@
   uint64_t before = control->backend.generation;
   (void)arg;
   cs_backend_mark_lost (&control->backend, control_now (control));
-  publish_backend_change (control, before, "connection refused");
+  control_publish_backend_change (control, before, "connection refused");
 }
 
 static void
@@ -121,7 +120,8 @@
   uint64_t before = control->backend.generation;
   (void)arg;
   cs_backend_mark_draining (&control->backend);
-  publish_backend_change (control, before, "its answers say that it leaves");
+  control_publish_backend_change (control, before,
+                                  "its answers say that it leaves");
 }
 
 static void
--- a/source/sidecar/control.h
+++ b/source/sidecar/control.h
@@ -107,6 +107,10 @@
 /* Run the node until a stop signal; the process then exits with status 0.
    Exits with 1 or 2 when it cannot start.  */
 void control_run (cs_ctx_t *ctx, const char *settings_path);
+/* Log and publish a change of the backend server's state since the generation
+   BEFORE that no report brought; WHY says what did.  */
+void control_publish_backend_change (control_t *control, uint64_t before,
+                                     const char *why);
 
 /* operator-rows.c */
 void rows_tick (control_t *control, cs_usec_t now);
--- a/source/sidecar/endpoints.c
+++ b/source/sidecar/endpoints.c
@@ -41,6 +41,7 @@
       answer_text (exchange, 400, "application/json", "{}");
       return;
     }
+  report.received_ms = cs_now_wall (control->ctx) / CS_MSEC;
   cs_report_result_t result
       = cs_backend_report (&control->backend, &report, control_now (control));
   if (result == CS_REPORT_STALE)
@@ -58,7 +59,16 @@
                    const char *instance)
 {
   uint64_t before = control->backend.generation;
-  cs_backend_leave (&control->backend, instance, control_now (control));
+  cs_backend_leave_t leave
+      = { .received_ms = cs_now_wall (control->ctx) / CS_MSEC };
+  cs_str_t body = cs_str_of_gstring (exchange->request.body);
+  if (g_strlcpy (leave.instance, instance, CS_NAME_SIZE) >= CS_NAME_SIZE)
+    {
+      answer_text (exchange, 400, "application/json", "{}");
+      return;
+    }
+  control->adapter->decode_leave (control->ctx, body, &leave.started_ms);
+  cs_backend_leave (&control->backend, &leave, control_now (control));
   if (control->backend.generation != before)
     publish_backend_state (control);
   answer_text (exchange, 200, "application/json", "{}");
--- a/source/sidecar/resume.c
+++ b/source/sidecar/resume.c
@@ -2,7 +2,7 @@
    for its next report, which may be seconds away.  The node's row names the
    server.  Its health check confirms that it is the same instance and still
    serving, because the row may be older than the last report that the previous
-   process acknowledged.  */
+   process acknowledged.  A server that the row shows as leaving stays so.  */
 #include <string.h>
 
 #include "cardamom/client.h"
@@ -59,6 +59,11 @@
 void
 resume_schedule (control_t *control, const cs_node_info_t *member)
 {
+  uint64_t before = control->backend.generation;
+  cs_backend_restore (&control->backend, member->instance,
+                      member->server_started_ms, member->server_state);
+  control_publish_backend_change (control, before,
+                                  "an earlier process recorded that");
   control->previous_self = *member;
   control->resume_pending = !control->settings.first_start
                             && member->server_state == CS_BACKEND_READY
--- a/tests/test-decide.c
+++ b/tests/test-decide.c
@@ -410,6 +410,18 @@
   return r;
 }
 
+/* INSTANCE deregisters at wall time WALL_MS and monotonic time NOW.
+   STARTED_MS: its start, as it tells; 0: it does not.  */
+static void
+leave_at (cs_backend_t *backend, const char *instance, int64_t started_ms,
+          int64_t wall_ms, cs_usec_t now)
+{
+  cs_backend_leave_t leave
+      = { .started_ms = started_ms, .received_ms = wall_ms };
+  g_strlcpy (leave.instance, instance, sizeof leave.instance);
+  cs_backend_leave (backend, &leave, now);
+}
+
 /* A server whose answers say that it leaves drains, whatever a report of the
    same start says then, until it restarts.  */
 static void
@@ -525,7 +537,8 @@
           if (cases[i].steps[j].event == LOSE)
             cs_backend_mark_lost (&backend, (cs_usec_t)j);
           else if (instance && cases[i].steps[j].event == LEAVE)
-            cs_backend_leave (&backend, instance, (cs_usec_t)j);
+            leave_at (&backend, instance, cases[i].steps[j].started_ms,
+                      (int64_t)j, (cs_usec_t)j);
           else if (instance)
             cs_backend_report (&backend, &r, (cs_usec_t)j);
         }
@@ -544,7 +557,7 @@
 {
   cs_backend_t backend = { 0 };
   cs_backend_report_t late = make_report ("a", 1, 9, false);
-  cs_backend_leave (&backend, "a", 10 * MS);
+  leave_at (&backend, "a", 0, 500, 10 * MS);
   cs_backend_report (&backend, &late, 20 * MS);
   if (backend.state == CS_BACKEND_READY)
     {
@@ -554,6 +567,78 @@
     }
 }
 
+/* What follows a leave that came before the first report.  Guards against a
+   server that is kept out for ever because of it: a later start under the same
+   id, also after a step of the clock, and another server at the address.  */
+static void
+test_reports_after_early_leave (void)
+{
+  static const struct
+  {
+    const char *what;
+    int64_t leave_started_ms; /* As the leave tells; 0: it does not.  */
+    const char *instance;
+    int64_t started_ms, received_ms, sequence;
+    cs_backend_state_t state;
+  } cases[] = {
+    { "the start that left", 0, "a", 1000, 5020, 9, CS_BACKEND_LEFT },
+    { "a later start", 0, "a", 5015, 5020, 1, CS_BACKEND_READY },
+    { "a later start, after its first reports", 0, "a", 5015, 9000, 40,
+      CS_BACKEND_READY },
+    { "a later start, the clock 2 s back", 0, "a", 3015, 3020, 1,
+      CS_BACKEND_READY },
+    { "the start that left, the clock 2 s back", 0, "a", 1000, 3020, 9,
+      CS_BACKEND_LEFT },
+    { "the start that left, the clock 2 s ahead", 0, "a", 1000, 7020, 9,
+      CS_BACKEND_LEFT },
+    { "another server, which started before", 0, "b", 900, 5020, 7,
+      CS_BACKEND_READY },
+    { "the start that the leave names", 1000, "a", 1000, 5020, 9,
+      CS_BACKEND_LEFT },
+    { "a later start than the leave names", 1000, "a", 1001, 5020, 1,
+      CS_BACKEND_READY },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      cs_backend_t backend = { 0 };
+      cs_backend_report_t report = make_report (
+          cases[i].instance, cases[i].started_ms, cases[i].sequence, false);
+      report.received_ms = cases[i].received_ms;
+      leave_at (&backend, "a", cases[i].leave_started_ms, 5010, 10 * MS);
+      cs_backend_report (&backend, &report, 20 * MS);
+      g_test_message ("%s", cases[i].what);
+      g_assert_cmpint (backend.state, ==, cases[i].state);
+    }
+}
+
+/* The process before this one acknowledged that the server leaves, and wrote
+   it to the node's row.  Guards against a report that was sent before and is
+   received by the new process, before or after it reads the row.  */
+static void
+test_leave_of_earlier_process (void)
+{
+  static const cs_backend_state_t states[]
+      = { CS_BACKEND_DRAINING, CS_BACKEND_LEFT };
+  cs_backend_report_t late = make_report ("a", 7, 9, false);
+  cs_backend_report_t restarted = make_report ("a", 8, 1, false);
+  for (size_t i = 0; i < G_N_ELEMENTS (states); i++)
+    for (int report_first = 0; report_first < 2; report_first++)
+      {
+        cs_backend_t backend = { 0 };
+        if (report_first)
+          cs_backend_report (&backend, &late, 10 * MS);
+        cs_backend_restore (&backend, "a", 7, states[i]);
+        if (!report_first)
+          cs_backend_report (&backend, &late, 20 * MS);
+        g_assert_cmpint (backend.state, ==, states[i]);
+        cs_backend_report (&backend, &restarted, 30 * MS);
+        g_assert_cmpint (backend.state, ==, CS_BACKEND_READY);
+      }
+  cs_backend_t ready = { 0 };
+  cs_backend_restore (&ready, "a", 7, CS_BACKEND_READY);
+  g_assert_cmpint (ready.state, ==, CS_BACKEND_NONE);
+}
+
 /* Which nodes read the table and which one owns a move: one node does, and the
    others take over one by one when it stops.  */
 static void
@@ -922,6 +1007,10 @@
   g_test_add_func ("/decide/life", test_server_state);
   g_test_add_func ("/decide/leave-before-first-report-forgotten",
                    test_leave_before_first_report);
+  g_test_add_func ("/decide/reports-after-early-leave",
+                   test_reports_after_early_leave);
+  g_test_add_func ("/decide/leave-of-earlier-process",
+                   test_leave_of_earlier_process);
   g_test_add_func ("/decide/leaving-in-answers", test_leaving_in_answers);
   g_test_add_func ("/decide/roles", test_readers_and_move_owners);
   g_test_add_func ("/decide/reader-behind-slow-link",
