--- a/include/cardamom/adapter.h
+++ b/include/cardamom/adapter.h
@@ -14,8 +14,9 @@
 typedef enum
 {
   CS_OPERATOR_ROW_OTHER,
-  CS_OPERATOR_ROW_CONFIG, /* The configuration.  */
-  CS_OPERATOR_ROW_MOVE    /* A request for a version move.  */
+  CS_OPERATOR_ROW_CONFIG,    /* The configuration.  */
+  CS_OPERATOR_ROW_MOVE,      /* A request for a version move.  */
+  CS_OPERATOR_ROW_EVACUATION /* A data centre is evacuated while it exists.  */
 } cs_operator_row_kind_t;
 
 /* An operator's request for a version move: a canary rollout that shifts a
@@ -46,6 +47,9 @@
   cs_status_t (*open_table) (cs_ctx_t *ctx, uv_loop_t *loop,
                              const char *address, cs_table_t **table);
   cs_operator_row_kind_t (*classify_row) (const char *key);
+  /* The data centre that the row KEY evacuates, a view into KEY; NULL if it is
+     another kind of row.  */
+  const char *(*evacuated_dc) (const char *key);
   /* Decode a configuration; the caller drops *SNAPSHOT.  CS_BAD_INPUT with a
      message that says what is wrong.  */
   cs_status_t (*decode_config) (cs_ctx_t *ctx, cs_str_t text,
--- a/include/cardamom/counters.h
+++ b/include/cardamom/counters.h
@@ -23,6 +23,8 @@
      "Malformed, ambiguous or oversize requests refused.")                    \
   X (SHED, "cardamom_shed_total", "Requests shed by admission.")              \
   X (SERVED, "cardamom_served_total", "Requests run on the local upstream.")  \
+  X (COLD_SERVED, "cardamom_cold_served_total",                               \
+     "Requests sent to the local upstream while it was cold.")                \
   X (SERVED_ERRORS, "cardamom_served_errors_total",                           \
      "Requests on which the local upstream failed.")                          \
   X (ANSWERS_MISMATCHED, "cardamom_answers_mismatched_total",                 \
@@ -79,6 +81,8 @@
      "Leases of the move writer taken by this node.")                         \
   X (G_CONFIG_VERSION, "cardamom_config_version",                             \
      "Configuration version in force (gauge).")                               \
+  X (G_EVACUATED, "cardamom_evacuated_data_centres",                          \
+     "Data centres that are evacuated as far as known (gauge).")              \
   X (G_MEMBERS, "cardamom_members", "Live members known (gauge).")            \
   X (G_INFLIGHT, "cardamom_inflight",                                         \
      "Requests running on the local upstream (gauge).")                       \
--- a/include/cardamom/dispatcher.h
+++ b/include/cardamom/dispatcher.h
@@ -57,6 +57,10 @@
   CS_REFUSED_QUARANTINED,       /* It has crashed servers.  */
   CS_REFUSED_RETRY_BUDGET,      /* A retry that the retry budget excludes.  */
   CS_REFUSED_LONGER_WAIT,       /* It would wait for longer than WAIT_MAX.  */
+  /* Every server that takes requests is in a region that the route does not
+     allow, or in an evacuated data centre.  */
+  CS_REFUSED_REGION,
+  CS_REFUSED_EVACUATED,
   CS_REFUSED_COUNT
 } cs_refusal_reason_t;
 
@@ -81,6 +85,7 @@
   /* Under the limit that the server names: the time between two requests, 0
      without a limit, and the wait of one that comes now.  */
   cs_usec_t limit_interval, limit_wait;
+  cs_usec_t cold_left;  /* For how long the server stays cold; 0: warm.  */
   cs_usec_t transit;    /* Mean delay of the messages to that node.  */
   bool refuses_retries; /* The retry budget has no room.  */
 } cs_load_t;
@@ -151,6 +156,26 @@
 void cs_dispatcher_restore_limit (cs_dispatcher_t *dispatcher,
                                   const char *instance, cs_usec_t interval);
 
+/* While it is cold, a server of this service takes PER_SECOND requests; 0: no
+   limit.  */
+void cs_dispatcher_set_warmup (cs_dispatcher_t *dispatcher, double per_second);
+
+/* The server has reported that it is cold until WARM_AT.  */
+void cs_dispatcher_set_warm_at (cs_dispatcher_t *dispatcher,
+                                cs_usec_t warm_at);
+
+/* Whether the data centre of the server is evacuated.  If it is, queued
+   requests are refused at once and new ones from then on.  When that ends, the
+   server counts as cold until its next report, and the requests that run at
+   once grow to its slots within seconds.  */
+void cs_dispatcher_set_evacuated (cs_dispatcher_t *dispatcher, bool evacuated);
+
+/* Refuse the queued requests whose ROUTE is not ALLOWED to run here.  */
+void cs_dispatcher_refuse_disallowed (cs_dispatcher_t *dispatcher,
+                                      bool (*allowed) (void *user,
+                                                       cs_str_t route),
+                                      void *user);
+
 /* A message from another node came with DELAY.  */
 void cs_dispatcher_note_transit (cs_dispatcher_t *dispatcher, cs_usec_t delay);
 
--- a/include/cardamom/document.h
+++ b/include/cardamom/document.h
@@ -83,6 +83,9 @@
   int64_t latency_objective_ms; /* Slower calls do not count as good.  */
   int64_t weight;               /* Weight of its team in fair queueing.  */
   char *health_path; /* Request path of the health check; or NULL.  */
+  /* Requests a second that a cold server takes from all nodes together; 0: not
+     limited.  */
+  double warmup_per_s;
 } cs_service_t;
 
 /* One target of a route that splits its requests between services.  */
@@ -109,6 +112,9 @@
   int64_t latency_target_ms;
   int64_t max_attempts;  /* Maximum attempts per call; 0: the service's.  */
   GArray *split_targets; /* cs_split_target_t, instead of SERVICE; or NULL.  */
+  /* NULL-terminated names of the regions in which its requests may run; NULL:
+     in every one.  */
+  char **allowed_regions;
 } cs_route_t;
 
 typedef enum
--- a/include/cardamom/event.h
+++ b/include/cardamom/event.h
@@ -32,6 +32,9 @@
      "A request is suspected of a server's crash, or no longer.")             \
   X (LIMIT, "limit", 20,                                                      \
      "The server names a limit of requests a second, or that it leaves.")     \
+  X (COLD, "cold", 20, "The server beside the node is cold, or warm again.")  \
+  X (EVACUATION, "evacuation", 20,                                            \
+     "A data centre is evacuated, or no longer.")                             \
   X (INPUT, "input", 5, "A caller's message was refused.")                    \
   X (MOVE, "move", 20, "A version move took a step.")                         \
   X (EVIDENCE, "move-evidence", 4,                                            \
--- a/include/cardamom/frames.h
+++ b/include/cardamom/frames.h
@@ -34,7 +34,9 @@
   CS_FRAME_CRASH_RECORDS,
   /* The limit that the server beside the receiver last named, for a receiver
      that has restarted since; the traffic thread handles it.  */
-  CS_FRAME_SERVER_LIMIT
+  CS_FRAME_SERVER_LIMIT,
+  /* The names of all rows that the sender holds, after it has sent them.  */
+  CS_FRAME_ROWS_COMPLETE
 } cs_control_frame_kind_t;
 
 /* A node's description of itself, which it sends to the others.  The nodes
@@ -54,6 +56,9 @@
   char service[CS_NAME_SIZE], version[CS_NAME_SIZE], instance[CS_NAME_SIZE];
   int64_t slots;             /* Requests that it runs at once.  */
   int64_t server_started_ms; /* Wall time of its start.  */
+  /* For how long the server stays cold, from the time of sending; not stored
+     in rows of the platform's table.  */
+  cs_usec_t server_cold_left;
 } cs_node_info_t;
 
 /* Read a string that fits NAME and holds no NUL; sets CURSOR->failed for any
--- a/include/cardamom/header-names.h
+++ b/include/cardamom/header-names.h
@@ -20,6 +20,8 @@
   const char *server_limit;
   const char *server_leaving; /* Set while the backend server leaves.  */
   const char *instance_id; /* The server's identifier, on a health check.  */
+  /* Milliseconds for which the server stays cold, on a health check.  */
+  const char *cold_ms;
 } cs_header_names_t;
 
 /* The names in use; set only before the first request.  */
--- a/include/cardamom/snapshot.h
+++ b/include/cardamom/snapshot.h
@@ -96,6 +96,8 @@
   GHashTable *moves;    /* path -> cs_move_t.  */
   /* Lower-case host -> GPtrArray of cs_route_t *, in the order of ROUTES.  */
   GHashTable *routes_by_host;
+  /* Route path -> cs_route_t; NULL if no route restricts its regions.  */
+  GHashTable *restricted_routes;
   cs_request_limits_t limits;
   gatomicrefcount refs;
 } cs_snapshot_t;
@@ -135,6 +137,11 @@
                                           cs_str_t host, cs_str_t path,
                                           unsigned method);
 
+/* The regions in which requests of the route with PATH may run, as in
+   cs_route_t; NULL also if there is no such route.  */
+char *const *cs_snapshot_allowed_regions (const cs_snapshot_t *snapshot,
+                                          const char *path);
+
 /* The running move of SERVICE, or NULL.  */
 const cs_move_t *cs_snapshot_find_running_move (const cs_snapshot_t *snapshot,
                                                 const cs_service_t *service);
--- a/include/cardamom/traffic.h
+++ b/include/cardamom/traffic.h
@@ -61,6 +61,13 @@
 void cs_traffic_set_server_state (cs_traffic_t *traffic,
                                   const cs_backend_t *backend);
 
+/* The backend server has reported that it is cold until WARM_AT.  */
+void cs_traffic_set_server_warm_at (cs_traffic_t *traffic, cs_usec_t warm_at);
+
+/* Nothing is sent to servers of the data centres DCS, a NULL-terminated list,
+   and to those of all others again.  Takes ownership of DCS.  */
+void cs_traffic_set_evacuated (cs_traffic_t *traffic, char **dcs);
+
 /* Add INFO as a node of the mesh, or update it if it is newer than what is
    known.  */
 void cs_traffic_update_member (cs_traffic_t *traffic,
--- a/source/call/call.h
+++ b/source/call/call.h
@@ -21,7 +21,8 @@
   cs_traffic_t *traffic;
   GList link; /* In the traffic's calls.  */
   cs_exchange_t *exchange;
-  cs_snapshot_t *snapshot;
+  cs_snapshot_t *snapshot; /* The configuration under which it arrived.  */
+  cs_snapshot_t *newest;   /* The one in force when it was last placed.  */
   const cs_route_t *route;
   const char *service;
   route_state_t *route_state;
@@ -71,9 +72,16 @@
    is none.  */
 peer_t *call_choose_peer (call_t *call);
 
-/* Whether PEER's server takes requests of CALL, tried before or not.  */
+/* Whether PEER's server takes requests of CALL, and may be reached by it,
+   tried before or not.  */
 bool call_peer_takes_requests (const call_t *call, const peer_t *peer);
 
+/* Look up the configuration in force, by which CALL may reach servers.  */
+void call_update_newest (call_t *call);
+
+/* A request of CALL is sent to PEER.  */
+void call_note_sent (call_t *call, peer_t *peer);
+
 /* The mean time that a backend server takes for requests of CALL's route.  */
 cs_usec_t call_expected_run_time (const call_t *call);
 
--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -32,6 +32,9 @@
 /* A server shed the request although it had free slots: another one may take
    it.  */
 #define SHED_RETRY_AFTER (50 * CS_MSEC)
+/* No server may be reached, because of their places: those of a lost data
+   centre, and operators, need seconds to bring one back.  */
+#define NO_PLACE_RETRY_AFTER (1 * CS_SEC)
 #define RETRY_AFTER_MIN (40 * CS_MSEC)
 #define RETRY_AFTER_MAX (2 * CS_SEC)
 #define RETRY_AFTER_PER_PRIORITY (30 * CS_MSEC) /* Per priority number.  */
@@ -53,6 +56,7 @@
   drop_failed_answer (call->failed_answer);
   g_string_free (call->head, TRUE);
   cs_snapshot_drop (call->traffic->ctx, call->snapshot);
+  cs_snapshot_drop (call->traffic->ctx, call->newest);
   g_free (call);
 }
 
@@ -90,6 +94,9 @@
 {
   if (call->refusal_reason == CS_REFUSED_QUARANTINED)
     return CS_CRASH_RECORD_TTL_MS * CS_MSEC;
+  if (call->refusal_reason == CS_REFUSED_REGION
+      || call->refusal_reason == CS_REFUSED_EVACUATED)
+    return NO_PLACE_RETRY_AFTER;
   cs_usec_t wait = call->min_queue_delay
                    + call->route->priority * RETRY_AFTER_PER_PRIORITY;
   if (call->min_queue_delay <= 0
@@ -188,6 +195,7 @@
           .retry = call_is_retry (call),
           .inherited_retry = call->inherited_retry,
           .fingerprint = call->fingerprint };
+  call_note_sent (call, peer);
   call->peer = peer;
   call->peer_boot = peer->hello_boot;
   call->server_started_ms = peer->info.server_started_ms;
@@ -245,6 +253,7 @@
       return;
     }
   call->peer = NULL;
+  call_update_newest (call);
   peer_t *peer = now < call->deadline && call->tried_count < MAX_TRIED_NODES
                          && call->overload_refusals < MAX_OVERLOAD_REFUSALS
                      ? call_choose_peer (call)
@@ -309,9 +318,12 @@
                           : outcome->expected_wait;
   call->was_refused = true;
   call->refusal_reason = outcome->reason;
-  call->redirects += outcome->reason == CS_REFUSED_LONGER_WAIT;
+  /* A cold server refuses what is over its rate, however much room the others
+     have.  */
+  bool cold = outcome->load.cold_left > 0;
+  call->redirects += !cold && outcome->reason == CS_REFUSED_LONGER_WAIT;
   if (outcome->reason == CS_REFUSED_OVERLOADED)
-    call->overload_refusals++;
+    call->overload_refusals += !cold;
   else if (outcome->reason == CS_REFUSED_RETRY_BUDGET)
     call->overload_refusals += BUDGET_REFUSAL_WEIGHT;
   if (outcome->reached_server)
@@ -385,6 +397,7 @@
       handle_refusal (call, outcome);
       break;
     case CS_OUTCOME_UNKNOWN:
+      call_update_newest (call);
       if (outcome->stale_connection && !call->sent_again
           && call_peer_takes_requests (call, call->peer)
           && has_time_for_retry (call))
@@ -518,17 +531,6 @@
       = cs_weighted_rr_next (weights, split->split_credit, 2) == 1;
 }
 
-static cs_snapshot_t *
-acquire_snapshot (cs_traffic_t *traffic)
-{
-  rcu_read_lock ();
-  cs_snapshot_t *snapshot = rcu_dereference (*traffic->snapshot);
-  if (snapshot)
-    cs_snapshot_keep (snapshot);
-  rcu_read_unlock ();
-  return snapshot;
-}
-
 static void
 set_deadlines (call_t *call, const cs_http1_message_t *request)
 {
@@ -582,7 +584,7 @@
   cs_traffic_t *traffic = user;
   const cs_http1_message_t *request = &exchange->request;
   cs_counter_add (CS_C_CALLS, 1);
-  cs_snapshot_t *snapshot = acquire_snapshot (traffic);
+  cs_snapshot_t *snapshot = traffic_acquire_snapshot (traffic);
   if (!snapshot)
     {
       refuse_exchange (exchange, 503, NO_CONFIG_RETRY_AFTER);
--- a/source/call/choose.c
+++ b/source/call/choose.c
@@ -47,13 +47,52 @@
 expected_limit_delay (const peer_t *peer, const cs_load_t *load, cs_usec_t age,
                       int64_t own_calls)
 {
-  if (!load->limit_interval)
+  if (!load->limit_interval || (load->cold_left && age > load->cold_left))
     return 0;
   int64_t sent_since
       = peer->self ? 0 : MAX (own_calls - peer->own_calls_at_load, 0);
   return MAX (load->limit_wait - age, 0) + sent_since * load->limit_interval;
 }
 
+void
+call_update_newest (call_t *call)
+{
+  cs_snapshot_drop (call->traffic->ctx, call->newest);
+  call->newest = traffic_acquire_snapshot (call->traffic);
+}
+
+/* Whether CALL may reach the server beside PEER.  */
+static cs_reach_result_t
+check_reach (const call_t *call, const peer_t *peer)
+{
+  cs_reach_t reach
+      = { .regions = call->route->allowed_regions,
+          .newest_regions = call->newest ? cs_snapshot_allowed_regions (
+                                call->newest, call->route->path)
+                                         : NULL,
+          .evacuated_dcs = call->traffic->evacuated_dcs };
+  return cs_reach_check (&reach, peer->info.dc, peer->info.region);
+}
+
+/* What the servers of the call's service take while they are cold.  */
+static cs_cold_rate_t
+cold_rate (const call_t *call)
+{
+  const cs_service_t *service
+      = g_hash_table_lookup (call->snapshot->services, call->service);
+  return (cs_cold_rate_t){ .per_second = service ? service->warmup_per_s : 0,
+                           .senders
+                           = g_hash_table_size (call->traffic->peers) };
+}
+
+void
+call_note_sent (call_t *call, peer_t *peer)
+{
+  cs_cold_rate_t rate = cold_rate (call);
+  if (!peer->self)
+    cs_cold_share_take (&peer->cold_share, &rate, traffic_now (call->traffic));
+}
+
 static bool
 peer_takes_version (const peer_t *peer, const char *version)
 {
@@ -67,7 +106,22 @@
 call_peer_takes_requests (const call_t *call, const peer_t *peer)
 {
   const pool_t *pool = service_pool (call->traffic, call->service);
-  return peer_takes_version (peer, version_for (call, pool));
+  return peer_takes_version (peer, version_for (call, pool))
+         && check_reach (call, peer) == CS_REACH_ALLOWED;
+}
+
+/* The expected wait of CALL for its turn at PEER's server.  */
+static cs_usec_t
+expected_turn_delay (const call_t *call, peer_t *peer, const cs_load_t *load,
+                     cs_usec_t age, int64_t own_calls, cs_usec_t now)
+{
+  cs_usec_t delay = expected_limit_delay (peer, load, age, own_calls);
+  if (peer->self || now >= peer->cold_share.warm_at)
+    return delay;
+  cs_cold_rate_t rate = cold_rate (call);
+  cs_usec_t share = cs_cold_share_wait (&peer->cold_share, &rate,
+                                        call->traffic->ctx->random, now);
+  return MAX (delay, share);
 }
 
 /* PEER's state for the placement of CALL.  */
@@ -94,8 +148,9 @@
       &peer->run_times, call->route->path, call_expected_run_time (call));
   return (cs_placement_node_t){
     .distance = peer->distance,
-    .eligible
-    = peer_takes_version (peer, version) && !was_peer_tried (call, peer),
+    .eligible = peer_takes_version (peer, version)
+                && !was_peer_tried (call, peer)
+                && check_reach (call, peer) == CS_REACH_ALLOWED,
     .refuses_retries
     = call_is_retry (call) && load.refuses_retries && age <= LOAD_FRESH_FOR,
     .slots = slots,
@@ -105,12 +160,37 @@
     .run_time = run_time,
     .round_trip = peer->round_trip,
     .transit = peer->self ? 0 : cs_transit_fade (load.transit, age),
-    .limit_delay = expected_limit_delay (peer, &load, age, own_calls),
+    .limit_delay
+    = expected_turn_delay (call, peer, &load, age, own_calls, now),
     .failure_permille
     = age > FAILURES_FORGOTTEN_AFTER ? 0 : load.failure_permille,
   };
 }
 
+/* Why no server of VERSION in POOL was found for CALL, which none has refused
+   yet.  */
+static cs_refusal_reason_t
+reason_without_server (const call_t *call, const pool_t *pool,
+                       const char *version)
+{
+  for (guint i = 0; i < pool->peers->len; i++)
+    {
+      const peer_t *peer = pool->peers->pdata[i];
+      if (!peer_takes_version (peer, version))
+        continue;
+      switch (check_reach (call, peer))
+        {
+        case CS_REACH_OTHER_REGION:
+          return CS_REFUSED_REGION;
+        case CS_REACH_EVACUATED:
+          return CS_REFUSED_EVACUATED;
+        case CS_REACH_ALLOWED:
+          break;
+        }
+    }
+  return CS_REFUSED_NO_SERVER;
+}
+
 static peer_t *
 choose_peer_of_version (call_t *call, pool_t *pool, const char *version)
 {
@@ -127,6 +207,8 @@
   cs_placement_t chosen
       = cs_placement_choose (nodes, count, &request, traffic->ctx->random);
   g_free (nodes);
+  if (chosen.index < 0 && !call->was_refused)
+    call->refusal_reason = reason_without_server (call, pool, version);
   call->wait_max
       = call->redirects < REDIRECTS_MAX ? chosen.wait_max : INT64_MAX;
   return chosen.index >= 0 ? pool->peers->pdata[chosen.index] : NULL;
--- a/source/call/inbound.c
+++ b/source/call/inbound.c
@@ -57,19 +57,27 @@
   cs_pack_clear (&pack);
 }
 
-/* Send an outcome of KIND without an answer for the job NUMBER; the reason of
-   a refusal is CS_REFUSED_EXPIRED.  */
+/* Send an outcome of KIND without an answer for the job NUMBER; REASON is that
+   of a refusal.  */
 static void
-send_bodiless_outcome (inbound_t *inbound, uint64_t number,
-                       cs_outcome_kind_t kind)
+send_bodiless_outcome_for (inbound_t *inbound, uint64_t number,
+                           cs_outcome_kind_t kind, cs_refusal_reason_t reason)
 {
   cs_outcome_t outcome
       = { .kind = kind,
-          .reason = CS_REFUSED_EXPIRED,
+          .reason = reason,
           .load = cs_dispatcher_load (inbound->traffic->dispatcher) };
   send_outcome (inbound, number, &outcome);
 }
 
+/* The same, a refusal being for CS_REFUSED_EXPIRED.  */
+static void
+send_bodiless_outcome (inbound_t *inbound, uint64_t number,
+                       cs_outcome_kind_t kind)
+{
+  send_bodiless_outcome_for (inbound, number, kind, CS_REFUSED_EXPIRED);
+}
+
 /* Keep the outcome of JOB, which is not idempotent, for a later query.  */
 static void
 retain_outcome (job_t *job, const cs_outcome_t *outcome)
@@ -161,6 +169,12 @@
       send_bodiless_outcome (inbound, number, CS_OUTCOME_REFUSED);
       return;
     }
+  if (!traffic_allows_route_here (traffic, request.route))
+    {
+      send_bodiless_outcome_for (inbound, number, CS_OUTCOME_REFUSED,
+                                 CS_REFUSED_MISMATCH);
+      return;
+    }
   job_t *job = g_new0 (job_t, 1);
   job->traffic = traffic;
   job->inbound = inbound;
--- a/source/call/peers.c
+++ b/source/call/peers.c
@@ -61,19 +61,6 @@
     cs_stream_send (peer->stream, cs_pack_payload (pack));
 }
 
-void
-stream_send_hello (cs_traffic_t *traffic, cs_stream_t *stream)
-{
-  cs_pack_t pack;
-  cs_pack_init (&pack);
-  cs_pack_array (&pack, 3);
-  cs_pack_int64 (&pack, CS_FRAME_HELLO);
-  cs_pack_int64 (&pack, CS_FRAMES_VERSION);
-  cs_node_info_pack (&pack, &traffic->self->info);
-  cs_stream_send (stream, cs_pack_payload (&pack));
-  cs_pack_clear (&pack);
-}
-
 void
 stream_send_kind (cs_stream_t *stream, cs_frame_kind_t kind)
 {
@@ -138,6 +125,16 @@
                          : ROUND_TRIP_SAME_REGION;
 }
 
+/* Note for how long the server beside PEER stays cold, as its description has
+   just told.  */
+static void
+note_cold (peer_t *peer)
+{
+  if (peer->info.server_cold_left)
+    cs_cold_share_begin (&peer->cold_share, traffic_now (peer->traffic)
+                                                + peer->info.server_cold_left);
+}
+
 peer_t *
 peer_add (cs_traffic_t *traffic, const cs_node_info_t *info)
 {
@@ -152,6 +149,7 @@
   cs_service_times_init (&peer->run_times);
   peer->reconnect_delay = RECONNECT_DELAY_MIN;
   set_distance (traffic, peer);
+  note_cold (peer);
   g_hash_table_insert (traffic->peers, peer->info.name, peer);
   peer_move_to_pool (peer, "");
   return peer;
@@ -163,6 +161,8 @@
   peer->load = *load;
   peer->load_received_at = traffic_now (peer->traffic);
   peer->own_calls_at_load = g_hash_table_size (peer->calls);
+  if (load->cold_left)
+    return; /* The limit in force may be the rate of a cold server.  */
   peer->limit_interval = load->limit_interval;
   if (load->limit_interval)
     g_strlcpy (peer->limit_instance, peer->info.instance,
@@ -254,12 +254,36 @@
   g_ptr_array_unref (calls);
 }
 
+/* This node's description as it is now.  */
+static cs_node_info_t
+own_info (const cs_traffic_t *traffic)
+{
+  cs_node_info_t info = traffic->self->info;
+  info.server_cold_left = cs_dispatcher_load (traffic->dispatcher).cold_left;
+  return info;
+}
+
+void
+stream_send_hello (cs_traffic_t *traffic, cs_stream_t *stream)
+{
+  cs_pack_t pack;
+  cs_node_info_t info = own_info (traffic);
+  cs_pack_init (&pack);
+  cs_pack_array (&pack, 3);
+  cs_pack_int64 (&pack, CS_FRAME_HELLO);
+  cs_pack_int64 (&pack, CS_FRAMES_VERSION);
+  cs_node_info_pack (&pack, &info);
+  cs_stream_send (stream, cs_pack_payload (&pack));
+  cs_pack_clear (&pack);
+}
+
 static void
 pack_own_member (const cs_traffic_t *traffic, cs_pack_t *pack)
 {
+  cs_node_info_t info = own_info (traffic);
   cs_pack_array (pack, 2);
   cs_pack_int64 (pack, CS_FRAME_MEMBER);
-  cs_node_info_pack (pack, &traffic->self->info);
+  cs_node_info_pack (pack, &info);
 }
 
 static void
@@ -429,6 +453,7 @@
       peer->load_received_at = 0;
     }
   set_distance (traffic, peer);
+  note_cold (peer);
   peer_move_to_pool (peer, before.service);
   cs_event_log (CS_E_MEMBER,
                 "member=%s service=%s version=%s state=%s stopping=%d",
--- a/source/call/traffic.c
+++ b/source/call/traffic.c
@@ -8,6 +8,61 @@
 /* Interval at which expired crash records are looked for.  */
 #define CRASH_EXPIRY_INTERVAL (10 * CS_SEC)
 #define TRAFFIC_STACK_BYTES (256u << 10)
+
+cs_snapshot_t *
+traffic_acquire_snapshot (cs_traffic_t *traffic)
+{
+  rcu_read_lock ();
+  cs_snapshot_t *snapshot = rcu_dereference (*traffic->snapshot);
+  if (snapshot)
+    cs_snapshot_keep (snapshot);
+  rcu_read_unlock ();
+  return snapshot;
+}
+
+static bool
+snapshot_allows_route_here (const cs_traffic_t *traffic,
+                            const cs_snapshot_t *snapshot, cs_str_t route)
+{
+  if (!snapshot || !snapshot->restricted_routes)
+    return true;
+  char *path = cs_str_dup (route);
+  char *const *regions = cs_snapshot_allowed_regions (snapshot, path);
+  g_free (path);
+  return !regions
+         || g_strv_contains ((const char *const *)regions,
+                             traffic->self->info.region);
+}
+
+bool
+traffic_allows_route_here (cs_traffic_t *traffic, cs_str_t route)
+{
+  cs_snapshot_t *snapshot = traffic_acquire_snapshot (traffic);
+  bool allowed = snapshot_allows_route_here (traffic, snapshot, route);
+  cs_snapshot_drop (traffic->ctx, snapshot);
+  return allowed;
+}
+
+static bool
+queued_route_is_allowed (void *user, cs_str_t route)
+{
+  return traffic_allows_route_here (user, route);
+}
+
+/* Apply what the configuration in force says of the service beside this
+   node.  */
+static void
+apply_service (cs_traffic_t *traffic)
+{
+  cs_snapshot_t *snapshot = traffic_acquire_snapshot (traffic);
+  if (!snapshot)
+    return;
+  const cs_service_t *service
+      = g_hash_table_lookup (snapshot->services, traffic->self->info.service);
+  cs_dispatcher_set_warmup (traffic->dispatcher,
+                            service ? service->warmup_per_s : 0);
+  cs_snapshot_drop (traffic->ctx, snapshot);
+}
 /* Take the step of the stop that is due.  */
 static void
 continue_stop (cs_traffic_t *traffic, cs_usec_t now)
@@ -108,6 +163,8 @@
   traffic->pools = g_hash_table_new (g_str_hash, g_str_equal);
   traffic->routes
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  traffic->evacuated_dcs
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   traffic->non_idempotent_jobs = g_hash_table_new (g_str_hash, g_str_equal);
   g_queue_init (&traffic->ended_non_idempotent_jobs);
   peer_add (traffic, &settings->self);
@@ -165,11 +222,47 @@
   g_strlcpy (info->version, backend->report.version, sizeof info->version);
   g_strlcpy (info->instance, backend->report.instance, sizeof info->instance);
   peer_move_to_pool (traffic->self, before);
+  apply_service (traffic);
   cs_dispatcher_set_backend (traffic->dispatcher, backend);
   publish_own_member (traffic);
   g_free (arg);
 }
 
+static void
+apply_server_warm_at (void *user, void *arg)
+{
+  cs_traffic_t *traffic = user;
+  cs_dispatcher_set_warm_at (traffic->dispatcher, *(cs_usec_t *)arg);
+  g_free (arg);
+}
+
+void
+cs_traffic_set_server_warm_at (cs_traffic_t *traffic, cs_usec_t warm_at)
+{
+  cs_mailbox_post (&traffic->mailbox, apply_server_warm_at, traffic,
+                   g_memdup2 (&warm_at, sizeof warm_at));
+}
+
+static void
+apply_evacuated (void *user, void *arg)
+{
+  cs_traffic_t *traffic = user;
+  char **dcs = arg;
+  g_hash_table_remove_all (traffic->evacuated_dcs);
+  for (size_t i = 0; dcs[i]; i++)
+    g_hash_table_add (traffic->evacuated_dcs, g_strdup (dcs[i]));
+  cs_dispatcher_set_evacuated (
+      traffic->dispatcher,
+      g_hash_table_contains (traffic->evacuated_dcs, traffic->self->info.dc));
+  g_strfreev (dcs);
+}
+
+void
+cs_traffic_set_evacuated (cs_traffic_t *traffic, char **dcs)
+{
+  cs_mailbox_post (&traffic->mailbox, apply_evacuated, traffic, dcs);
+}
+
 void
 cs_traffic_set_server_state (cs_traffic_t *traffic,
                              const cs_backend_t *backend)
@@ -226,6 +319,10 @@
 {
   cs_traffic_t *traffic = user;
   cs_http1_server_set_limits (traffic->caller_server, arg);
+  /* A new configuration is in force.  */
+  apply_service (traffic);
+  cs_dispatcher_refuse_disallowed (traffic->dispatcher,
+                                   queued_route_is_allowed, traffic);
   g_free (arg);
 }
 
--- a/source/call/traffic.h
+++ b/source/call/traffic.h
@@ -4,10 +4,12 @@
 #ifndef CALL_TRAFFIC_H
 #define CALL_TRAFFIC_H
 
+#include "cardamom/cold-share.h"
 #include "cardamom/counters.h"
 #include "cardamom/event.h"
 #include "cardamom/frames.h"
 #include "cardamom/placement.h"
+#include "cardamom/reach.h"
 #include "cardamom/retry-window.h"
 #include "cardamom/route-callers.h"
 #include "cardamom/server.h"
@@ -67,6 +69,7 @@
   char limit_instance[CS_NAME_SIZE];
   /* Of the server beside it, measured from here.  */
   cs_service_times_t run_times;
+  cs_cold_share_t cold_share; /* Of that server's rate while it is cold.  */
 };
 
 /* How a service's requests are split between a baseline and a candidate
@@ -119,8 +122,9 @@
   /* service -> number of its servers, as GUINT_TO_POINTER; made anew by
      traffic_count_servers.  */
   GHashTable *server_counts;
-  GHashTable *routes;       /* route path -> route_state_t *.  */
-  cs_snapshot_t **snapshot; /* RCU pointer of the control thread.  */
+  GHashTable *routes;        /* route path -> route_state_t *.  */
+  GHashTable *evacuated_dcs; /* A set of names.  */
+  cs_snapshot_t **snapshot;  /* RCU pointer of the control thread.  */
   /* attempt id -> inbound job that is not idempotent.  */
   GHashTable *non_idempotent_jobs;
   /* Those of them that have ended, oldest first.  */
@@ -141,6 +145,14 @@
   return traffic->ctx->clock->monotonic (traffic->ctx->clock);
 }
 
+/* traffic.c */
+/* The configuration in force, with a reference for the caller; NULL before the
+   first.  */
+cs_snapshot_t *traffic_acquire_snapshot (cs_traffic_t *traffic);
+/* Whether the configuration in force allows requests of ROUTE to run in this
+   node's region.  */
+bool traffic_allows_route_here (cs_traffic_t *traffic, cs_str_t route);
+
 /* peers.c */
 /* Add a peer, which the traffic thread owns until the process exits, for the
    node INFO; the first one added is this node.  */
--- a/source/config/document.c
+++ b/source/config/document.c
@@ -394,6 +394,7 @@
                 .service_path);
   if (route->split_targets)
     g_array_free (route->split_targets, TRUE);
+  g_strfreev (route->allowed_regions);
   g_free (route);
 }
 
--- a/source/config/snapshot.c
+++ b/source/config/snapshot.c
@@ -123,6 +123,24 @@
   g_free (host);
 }
 
+static void
+index_restricted_route (cs_snapshot_t *snapshot, cs_route_t *route)
+{
+  if (!snapshot->restricted_routes)
+    snapshot->restricted_routes = g_hash_table_new (g_str_hash, g_str_equal);
+  g_hash_table_insert (snapshot->restricted_routes, route->path, route);
+}
+
+char *const *
+cs_snapshot_allowed_regions (const cs_snapshot_t *snapshot, const char *path)
+{
+  const cs_route_t *route
+      = snapshot->restricted_routes
+            ? g_hash_table_lookup (snapshot->restricted_routes, path)
+            : NULL;
+  return route ? route->allowed_regions : NULL;
+}
+
 static void
 link_routes (snapshot_builder_t *builder)
 {
@@ -137,6 +155,8 @@
         route->service
             = resolve_service (builder, route->path, route->service_path);
       index_route_by_host (builder->snapshot, route);
+      if (route->allowed_regions)
+        index_restricted_route (builder->snapshot, route);
       for (guint j = i; j-- > 0;)
         {
           const cs_route_t *other = routes->pdata[j];
@@ -296,6 +316,8 @@
   if (!snapshot || !g_atomic_ref_count_dec (&snapshot->refs))
     return;
   g_hash_table_unref (snapshot->routes_by_host);
+  if (snapshot->restricted_routes)
+    g_hash_table_unref (snapshot->restricted_routes);
   g_ptr_array_unref (snapshot->routes);
   g_hash_table_unref (snapshot->moves);
   g_hash_table_unref (snapshot->services);
--- a/source/http1/header-names.c
+++ b/source/http1/header-names.c
@@ -10,6 +10,7 @@
         .server_load = "Cardamom-Load",
         .server_limit = "Cardamom-Limit",
         .server_leaving = "Cardamom-Leaving",
-        .instance_id = "Cardamom-Server" };
+        .instance_id = "Cardamom-Server",
+        .cold_ms = "Cardamom-Cold-Ms" };
 
 const cs_header_names_t *cs_header_names = &default_names;
--- a/source/run/dispatcher-internal.h
+++ b/source/run/dispatcher-internal.h
@@ -45,6 +45,7 @@
   int64_t sent_wall_ms;   /* SENT_AT as wall time.  */
   uint64_t fingerprint;   /* 0: not known.  */
   bool suspect;           /* It was suspected when it was sent.  */
+  bool cold;              /* The server was cold when it was sent.  */
   bool idempotent, method_is_head;
   bool cancelled; /* Nobody waits for the outcome, or for a further one.  */
   bool retry;     /* An earlier attempt has reached a server.  */
@@ -97,6 +98,10 @@
   /* From cs_dispatcher_restore_limit.  */
   char restored_instance[CS_NAME_SIZE];
   cs_usec_t restored_interval;
+  double warmup_per_s;    /* From cs_dispatcher_set_warmup.  */
+  cs_usec_t warm_at;      /* The server is cold until then.  */
+  bool evacuated;         /* From cs_dispatcher_set_evacuated.  */
+  cs_usec_t returned_at;  /* End of an evacuation; 0: its ramp is over.  */
   bool answered;          /* The present start of the server has answered.  */
   uv_timer_t limit_timer; /* Runs while a queued request awaits its turn.  */
   bool named_leaving;     /* An answer of the server says that it leaves.  */
@@ -131,6 +136,11 @@
    will, and free it.  WAIT: after how long it might be taken; 0: not known. */
 void dispatcher_refuse (cs_dispatch_t *dispatch, cs_refusal_reason_t reason,
                         cs_usec_t wait);
+/* Apply WARM_AT and WARMUP_PER_S.  SILENT is as in cs_server_limit_set_cold.
+ */
+void dispatcher_apply_cold (cs_dispatcher_t *dispatcher, bool silent);
+/* The requests that the server may run at once.  */
+int64_t dispatcher_usable_slots (const cs_dispatcher_t *dispatcher);
 /* Refuse all queued requests with REASON.  */
 void dispatcher_refuse_queued (cs_dispatcher_t *dispatcher,
                                cs_refusal_reason_t reason);
--- a/source/run/dispatcher.c
+++ b/source/run/dispatcher.c
@@ -35,8 +35,9 @@
 {
   /* In the order of cs_refusal_reason_t.  */
   static const char *const names[]
-      = { "full",  "expired",  "gone",        "other",        "shed",
-          "trial", "stopping", "quarantined", "retry-budget", "longer-wait" };
+      = { "full",         "expired",     "gone",     "other",
+          "shed",         "trial",       "stopping", "quarantined",
+          "retry-budget", "longer-wait", "region",   "evacuated" };
   return reason < CS_REFUSED_COUNT ? names[reason] : "unknown";
 }
 
@@ -108,10 +109,13 @@
     .slots = dispatcher->server.report.slots,
     .mean_service_time = cs_service_times_mean (&dispatcher->service_times, 0),
     .failure_permille = (int64_t)(decayed_failure_rate (dispatcher) * 1000.0),
-    .limit_interval = dispatcher->limit.interval,
+    .limit_interval = cs_server_limit_interval (&dispatcher->limit,
+                                                dispatcher_now (dispatcher)),
     .limit_wait = cs_server_limit_wait (
         &dispatcher->limit, cs_request_queue_length (&dispatcher->queue),
         dispatcher_now (dispatcher)),
+    .cold_left = cs_server_limit_cold_left (&dispatcher->limit,
+                                            dispatcher_now (dispatcher)),
     .transit
     = cs_transit_mean (&dispatcher->transit, dispatcher_now (dispatcher)),
     .refuses_retries = !takes_retries (dispatcher)
@@ -151,6 +155,8 @@
   for (GList *link = dispatcher->in_flight.head; link; link = link->next)
     {
       const cs_dispatch_t *dispatch = link->data;
+      if (dispatch->cold)
+        continue;
       cs_call_stats_record (stats_of_route (ages, dispatch->route->str), false,
                             dispatcher_now (dispatcher) - dispatch->sent_at);
     }
@@ -227,9 +233,13 @@
                        const cs_dispatch_t *dispatch, bool failed,
                        cs_usec_t service_time)
 {
-  cs_call_stats_record (
-      stats_of_route (dispatcher->stats, dispatch->route->str), failed,
-      service_time);
+  cs_call_stats_t *stats
+      = stats_of_route (dispatcher->stats, dispatch->route->str);
+  /* How long a cold server takes says nothing about its version.  */
+  if (dispatch->cold && !failed)
+    stats->calls++;
+  else
+    cs_call_stats_record (stats, failed, service_time);
   dispatcher->candidate_runs++;
   dispatcher->candidate_failures += failed;
 }
@@ -364,6 +374,8 @@
   dispatch->suspect = dispatcher_is_suspect (dispatch);
   dispatch->conn = conn;
   dispatch->sent_at = now;
+  dispatch->cold = cs_server_limit_cold_left (&dispatcher->limit, now) > 0;
+  cs_counter_add (CS_C_COLD_SERVED, dispatch->cold);
   cs_server_limit_take (&dispatcher->limit, now);
   if (dispatch->retry)
     cs_retry_window_note_retry (&dispatcher->retry_window,
@@ -395,8 +407,8 @@
 static bool
 server_takes_request (const cs_dispatcher_t *dispatcher)
 {
-  return dispatcher->server.state == CS_BACKEND_READY
-         && dispatcher->in_flight.length < dispatcher->server.report.slots
+  return dispatcher->server.state == CS_BACKEND_READY && !dispatcher->evacuated
+         && dispatcher->in_flight.length < dispatcher_usable_slots (dispatcher)
          && cs_server_limit_wait (&dispatcher->limit, 0,
                                   dispatcher_now (dispatcher))
                 == 0;
@@ -553,6 +565,7 @@
 cs_dispatcher_set_backend (cs_dispatcher_t *dispatcher,
                            const cs_backend_t *server)
 {
+  bool first = dispatcher->server.state == CS_BACKEND_NONE;
   bool restarted
       = strcmp (dispatcher->server.report.instance, server->report.instance)
             != 0
@@ -577,6 +590,8 @@
       dispatcher->named_leaving = dispatcher->answered = false;
       server_fields_restore_limit (dispatcher);
     }
+  dispatcher->warm_at = server->warm_at;
+  dispatcher_apply_cold (dispatcher, first);
   /* The report may have been sent before the answer that it contradicts.  */
   if (dispatcher->named_leaving && server->state == CS_BACKEND_READY)
     dispatcher->server.state = CS_BACKEND_DRAINING;
@@ -668,7 +683,7 @@
   cs_refusal_reason_t reason = CS_REFUSED_COUNT;
   cs_dispatch_t *dispatch = new_dispatch (dispatcher, request, done, user);
   cs_server_capacity_t capacity
-      = { .slots = dispatcher->server.report.slots,
+      = { .slots = dispatcher_usable_slots (dispatcher),
           .running = dispatcher->in_flight.length,
           .mean_service_time
           = cs_service_times_mean (&dispatcher->service_times,
@@ -676,7 +691,8 @@
           .limit = &dispatcher->limit };
   if (dispatcher->stopping)
     reason = CS_REFUSED_STOPPING;
-  else if (dispatcher->server.state != CS_BACKEND_READY)
+  else if (dispatcher->server.state != CS_BACKEND_READY
+           || dispatcher->evacuated)
     reason = CS_REFUSED_NO_SERVER;
   else if (!cs_str_equal (request->service,
                           cs_str_of (dispatcher->server.report.service))
--- a/source/run/server-limit.c
+++ b/source/run/server-limit.c
@@ -35,19 +35,67 @@
   return true;
 }
 
+void
+cs_server_limit_set_cold (cs_server_limit_t *limit, double per_second,
+                          cs_usec_t until, bool silent, cs_usec_t now)
+{
+  bool was_cold = cs_server_limit_cold_left (limit, now) > 0;
+  limit->cold_until = until;
+  limit->cold_interval
+      = per_second > 0 && until > now
+            ? MAX ((cs_usec_t)((double)CS_SEC / per_second), 1)
+            : 0;
+  if (!limit->cold_interval)
+    return;
+  if (!was_cold)
+    limit->next_at = MAX (limit->next_at, now);
+  if (silent)
+    limit->next_at = MAX (limit->next_at, now + limit->cold_interval);
+}
+
+cs_usec_t
+cs_server_limit_cold_left (const cs_server_limit_t *limit, cs_usec_t now)
+{
+  return limit->cold_interval ? MAX (limit->cold_until - now, 0) : 0;
+}
+
+cs_usec_t
+cs_server_limit_interval (const cs_server_limit_t *limit, cs_usec_t now)
+{
+  return cs_server_limit_cold_left (limit, now) > 0
+             ? MAX (limit->interval, limit->cold_interval)
+             : limit->interval;
+}
+
+/* When the next request is due.  A cold server gets no bursts: a request that
+   comes after a pause starts a new interval.  */
+static cs_usec_t
+next_due (const cs_server_limit_t *limit, cs_usec_t now)
+{
+  return MAX (limit->next_at, cs_server_limit_cold_left (limit, now) > 0
+                                  ? now
+                                  : now - BURST_TIME);
+}
+
 cs_usec_t
 cs_server_limit_wait (const cs_server_limit_t *limit, int64_t ahead,
                       cs_usec_t now)
 {
-  if (!limit->interval)
-    return 0;
-  cs_usec_t due = MAX (limit->next_at, now - BURST_TIME);
-  return MAX (due + ahead * limit->interval - now, 0);
+  cs_usec_t due = next_due (limit, now);
+  cs_usec_t cold_left = cs_server_limit_cold_left (limit, now);
+  cs_usec_t wait
+      = limit->interval ? MAX (due + ahead * limit->interval - now, 0) : 0;
+  if (!cold_left)
+    return wait;
+  /* When it is warm, the limit that it names is left.  */
+  cs_usec_t cold_wait = due + ahead * limit->cold_interval - now;
+  return MAX (wait, MIN (cold_wait, cold_left));
 }
 
 void
 cs_server_limit_take (cs_server_limit_t *limit, cs_usec_t now)
 {
-  if (limit->interval)
-    limit->next_at = MAX (limit->next_at, now - BURST_TIME) + limit->interval;
+  cs_usec_t interval = cs_server_limit_interval (limit, now);
+  if (interval)
+    limit->next_at = next_due (limit, now) + interval;
 }
--- a/source/sidecar/control.c
+++ b/source/sidecar/control.c
@@ -31,6 +31,9 @@
     case CS_FRAME_ROW:
       rows_handle_row (control, node, &in);
       break;
+    case CS_FRAME_ROWS_COMPLETE:
+      rows_handle_complete (control, &in);
+      break;
     case CS_FRAME_ROWS_FRESHNESS:
       rows_handle_freshness (control, node, &in);
       break;
--- a/source/sidecar/control.h
+++ b/source/sidecar/control.h
@@ -119,6 +119,8 @@
    frame sets IN->failed.  */
 void rows_handle_row (control_t *control, const char *from,
                       cs_unpack_cursor_t *in);
+/* Handle CS_FRAME_ROWS_COMPLETE: remove the rows that are no more.  */
+void rows_handle_complete (control_t *control, cs_unpack_cursor_t *in);
 void rows_handle_freshness (control_t *control, const char *from,
                             cs_unpack_cursor_t *in);
 /* Send all operator rows to NODE, which has requested them.  */
--- a/source/sidecar/endpoints.c
+++ b/source/sidecar/endpoints.c
@@ -51,6 +51,8 @@
                   instance, report.sequence);
   if (control->backend.generation != before)
     publish_backend_state (control);
+  else if (result == CS_REPORT_ACCEPTED)
+    cs_traffic_set_server_warm_at (control->traffic, control->backend.warm_at);
   answer_text (exchange, 200, "application/json", "{}");
 }
 
--- a/source/sidecar/operator-rows.c
+++ b/source/sidecar/operator-rows.c
@@ -114,6 +114,32 @@
   publish (control, snapshot);
 }
 
+/* Tell the traffic thread which data centres are evacuated.  ROW, which is
+   stored, has brought a change.  */
+static void
+apply_evacuation (control_t *control, const cs_table_row_t *row)
+{
+  GHashTableIter iter;
+  gpointer value;
+  GPtrArray *dcs = g_ptr_array_new ();
+  g_hash_table_iter_init (&iter, control->operator_rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const cs_table_row_t *held = value;
+      const char *dc = control->adapter->evacuated_dc (held->key);
+      if (dc && held->value)
+        g_ptr_array_add (dcs, g_strdup (dc));
+    }
+  cs_gauge_set (CS_C_G_EVACUATED, dcs->len);
+  cs_event_log (CS_E_EVACUATION,
+                "dc=%s state=%s revision=%" G_GINT64_FORMAT " evacuated=%u",
+                control->adapter->evacuated_dc (row->key),
+                row->value ? "begun" : "ended", row->revision, dcs->len);
+  g_ptr_array_add (dcs, NULL);
+  cs_traffic_set_evacuated (control->traffic,
+                            (char **)g_ptr_array_free (dcs, FALSE));
+}
+
 /* Store ROW and apply it, unless it is no newer than the stored one.  Takes
    ownership of ROW.  */
 static void
@@ -126,10 +152,14 @@
       cs_table_row_free (row);
       return;
     }
+  bool existed = stored && stored->value;
   g_hash_table_replace (control->operator_rows, row->key, row);
+  cs_operator_row_kind_t kind = control->adapter->classify_row (row->key);
+  if (kind == CS_OPERATOR_ROW_EVACUATION && existed != (row->value != NULL))
+    apply_evacuation (control, row);
   if (!row->value)
     return;
-  switch (control->adapter->classify_row (row->key))
+  switch (kind)
     {
     case CS_OPERATOR_ROW_CONFIG:
       apply_config (control, row);
@@ -137,11 +167,42 @@
     case CS_OPERATOR_ROW_MOVE:
       moves_handle_request (control, row);
       break;
+    case CS_OPERATOR_ROW_EVACUATION:
     case CS_OPERATOR_ROW_OTHER:
       break;
     }
 }
 
+/* Remove the rows that are no newer than REVISION and are not IN_TABLE, a set
+   of the keys of all rows at that revision: the change that removed them was
+   missed.  */
+static void
+remove_missing_rows (control_t *control, GHashTable *in_table,
+                     int64_t revision)
+{
+  GHashTableIter iter;
+  gpointer value;
+  GPtrArray *missing = g_ptr_array_new ();
+  g_hash_table_iter_init (&iter, control->operator_rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const cs_table_row_t *row = value;
+      if (row->value && row->revision <= revision
+          && !g_hash_table_contains (in_table, row->key))
+        g_ptr_array_add (missing, value);
+    }
+  for (guint i = 0; i < missing->len; i++)
+    {
+      const cs_table_row_t *row = missing->pdata[i];
+      cs_table_row_t *removed = g_new0 (cs_table_row_t, 1);
+      *removed = (cs_table_row_t){ .keyspace = CS_KEYSPACE_OPERATOR,
+                                   .key = g_strdup (row->key),
+                                   .revision = row->revision + 1 };
+      apply_row (control, removed);
+    }
+  g_ptr_array_unref (missing);
+}
+
 /* Send ROW to NODE, or with NODE NULL to the whole region, as a delta from
    BASE, the row's previous value; with BASE NULL the delta is from an empty
    value.  */
@@ -178,8 +239,8 @@
     g_string_free (delta, TRUE);
 }
 
-/* The sum of the revisions of all operator rows, by which two nodes compare
-   the rows that they hold.  */
+/* The sum of the revisions of all operator rows that exist, by which two nodes
+   compare the rows that they hold.  */
 static int64_t
 rows_digest (const control_t *control)
 {
@@ -188,7 +249,8 @@
   int64_t digest = 0;
   g_hash_table_iter_init (&iter, control->operator_rows);
   while (g_hash_table_iter_next (&iter, NULL, &row))
-    digest += ((const cs_table_row_t *)row)->revision;
+    if (((const cs_table_row_t *)row)->value)
+      digest += ((const cs_table_row_t *)row)->revision;
   return digest;
 }
 
@@ -210,6 +272,43 @@
   cs_pack_clear (&pack);
 }
 
+/* Tell NODE the names of all rows of this node, which it has been sent.  */
+static void
+send_row_names (control_t *control, const char *node)
+{
+  GHashTableIter iter;
+  gpointer value;
+  cs_pack_t pack;
+  unsigned count = 0;
+  g_hash_table_iter_init (&iter, control->operator_rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += ((const cs_table_row_t *)value)->value != NULL;
+  cs_pack_init (&pack);
+  cs_pack_array (&pack, 2 + count);
+  cs_pack_int64 (&pack, CS_FRAME_ROWS_COMPLETE);
+  cs_pack_int64 (&pack, control->rows_revision);
+  g_hash_table_iter_init (&iter, control->operator_rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const cs_table_row_t *)value)->value)
+      cs_pack_text (&pack, ((const cs_table_row_t *)value)->key);
+  cs_traffic_send_control (control->traffic, node, NULL,
+                           cs_pack_payload (&pack));
+  cs_pack_clear (&pack);
+}
+
+void
+rows_handle_complete (control_t *control, cs_unpack_cursor_t *in)
+{
+  int64_t revision = cs_unpack_int64 (in);
+  GHashTable *names
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  while (in->remaining && !in->failed)
+    g_hash_table_add (names, cs_unpack_text (in));
+  if (!in->failed)
+    remove_missing_rows (control, names, revision);
+  g_hash_table_unref (names);
+}
+
 void
 rows_send_all (control_t *control, const char *node)
 {
@@ -220,6 +319,7 @@
   g_hash_table_iter_init (&iter, control->operator_rows);
   while (g_hash_table_iter_next (&iter, NULL, &row))
     send_row (control, row, NULL, node);
+  send_row_names (control, node);
   send_heartbeat (control, node, control_now (control));
 }
 
@@ -399,13 +499,36 @@
   rows_tick (control, now);
 }
 
+/* A read of all rows has succeeded if STATUS is CS_OK: remove those that are
+   no more.  */
+static void
+remove_unread_rows (control_t *control, cs_status_t status, GPtrArray *rows,
+                    int64_t revision)
+{
+  if (status != CS_OK)
+    return;
+  GHashTable *names = g_hash_table_new (g_str_hash, g_str_equal);
+  for (guint i = 0; i < rows->len; i++)
+    g_hash_table_add (names, ((cs_table_row_t *)rows->pdata[i])->key);
+  remove_missing_rows (control, names, revision);
+  g_hash_table_unref (names);
+}
+
 void
 rows_on_read (void *user, cs_status_t status, GPtrArray *rows,
               int64_t revision)
 {
+  remove_unread_rows (user, status, rows, revision);
   handle_rows (user, status, rows, revision, false);
 }
 
+static void
+on_reread (void *user, cs_status_t status, GPtrArray *rows, int64_t revision)
+{
+  remove_unread_rows (user, status, rows, revision);
+  handle_rows (user, status, rows, revision, true);
+}
+
 static void
 on_changes (void *user, cs_status_t status, GPtrArray *rows, int64_t revision)
 {
@@ -449,7 +572,7 @@
          fallen behind may not get over its link in time.  */
       if (control->table_failures >= WATCH_FAILURES_MAX)
         control->table->vtable->read (control->table, CS_KEYSPACE_OPERATOR,
-                                      on_changes, control);
+                                      on_reread, control);
       else
         control->table->vtable->watch (
             control->table, CS_KEYSPACE_OPERATOR, control->rows_revision,
--- a/source/sidecar/resume.c
+++ b/source/sidecar/resume.c
@@ -12,11 +12,15 @@
 #define CHECK_ACK_TIMEOUT (1 * CS_SEC)
 #define CHECK_BODY_MAX 65536 /* Bytes of the answer.  */
 
+#define COLD_MAX_MS 3600000 /* A longer warm-up is not believed.  */
+
+/* Go on with the server, which stays cold for COLD_LEFT.  */
 static void
-resume_backend (control_t *control)
+resume_backend (control_t *control, cs_usec_t cold_left)
 {
   const cs_node_info_t *previous = &control->previous_self;
   cs_backend_report_t report = { .slots = previous->slots,
+                                 .warmup_left = cold_left,
                                  .started_ms = previous->server_started_ms };
   g_strlcpy (report.instance, previous->instance, sizeof report.instance);
   g_strlcpy (report.service, previous->service, sizeof report.service);
@@ -45,7 +49,10 @@
   if (answer->parser.status_code == 200
       && control->backend.state == CS_BACKEND_NONE
       && cs_str_equal (instance, cs_str_of (control->previous_self.instance)))
-    resume_backend (control);
+    resume_backend (control,
+                    cs_http1_message_field_number (
+                        answer, cs_header_names->cold_ms, COLD_MAX_MS, 0)
+                        * CS_MSEC);
   finish_health_check (control);
 }
 
--- a/source/stream/frames.c
+++ b/source/stream/frames.c
@@ -4,9 +4,9 @@
 
 /* Elements of the msgpack arrays of a cs_node_info_t, a job message and an
    outcome message.  */
-#define NODE_INFO_FIELDS 14
+#define NODE_INFO_FIELDS 15
 #define JOB_FIELDS 17
-#define OUTCOME_FIELDS 21
+#define OUTCOME_FIELDS 22
 /* A job message is invalid when its deadline or target time is further away
    than this.  The node that sends it allows a call DEFAULT_CALL_TIMEOUT
    (call/calls.c) at most, whatever the route allows.  */
@@ -52,6 +52,7 @@
   cs_pack_int64 (pack, info->slots);
   cs_pack_int64 (pack, info->server_started_ms);
   cs_pack_int64 (pack, info->link_mbps);
+  cs_pack_int64 (pack, info->server_cold_left);
 }
 
 void
@@ -90,8 +91,11 @@
   /* Earlier releases do not send it.  */
   if (in.remaining)
     info->link_mbps = cs_unpack_int64 (&in);
+  if (in.remaining)
+    info->server_cold_left = cs_unpack_int64 (&in);
   if (in.failed || state < CS_BACKEND_NONE || state > CS_BACKEND_LOST
-      || !info->name[0] || info->slots < 0 || info->link_mbps < 0)
+      || !info->name[0] || info->slots < 0 || info->link_mbps < 0
+      || info->server_cold_left < 0 || info->server_cold_left > JOB_TIME_MAX)
     cursor->failed = true;
   else
     info->server_state = (cs_backend_state_t)state;
@@ -191,6 +195,7 @@
                 | (outcome->load.refuses_retries ? LOAD_NO_RETRIES : 0)
                 | (outcome->retries_strained ? OUTCOME_RETRIES_STRAINED : 0));
   cs_pack_int64 (pack, outcome->load.transit);
+  cs_pack_int64 (pack, outcome->load.cold_left);
 }
 
 void
@@ -227,12 +232,15 @@
       outcome->retries_strained = flags & OUTCOME_RETRIES_STRAINED;
       outcome->load.transit = cs_unpack_int64 (cursor);
     }
+  if (cursor->remaining)
+    outcome->load.cold_left = cs_unpack_int64 (cursor);
   if (kind < CS_OUTCOME_ANSWERED || kind > CS_OUTCOME_UNKNOWN || reason < 0
       || reason >= CS_REFUSED_COUNT || outcome->status > 999
       || outcome->load.limit_interval < 0
       || outcome->load.limit_interval > JOB_TIME_MAX
       || outcome->load.limit_wait < 0 || outcome->load.transit < 0
-      || outcome->load.transit > JOB_TIME_MAX
+      || outcome->load.transit > JOB_TIME_MAX || outcome->load.cold_left < 0
+      || outcome->load.cold_left > JOB_TIME_MAX
       || outcome->load.limit_wait > JOB_TIME_MAX)
     cursor->failed = true;
   else
--- a/tests/test-decide.c
+++ b/tests/test-decide.c
@@ -962,6 +962,57 @@
 
 /* A near server that names a limit, with its turns taken for the time that a
    request has: one without is chosen.  */
+/* A cold server beside more requests than it takes, and a process that starts
+   in the middle and does not know what was sent.  In each second the server
+   gets no more than its rate, counted from one request to the next, and no
+   less over all but for the silence after the start.  A named limit that is
+   lower holds too.  */
+static void
+test_cold_rate (void)
+{
+  static const double rates[] = { 5.3, 1, 40 };
+  for (size_t i = 0; i < G_N_ELEMENTS (rates); i++)
+    for (int named = 0; named < 2; named++)
+      {
+        double rate = named ? rates[i] / 2 : rates[i];
+        cs_usec_t sent_at[4] = { 0 };
+        int sent = 0;
+        cs_server_limit_t limit;
+        cs_server_limit_init (&limit);
+        cs_server_limit_set_cold (&limit, rates[i], 13 * CS_SEC, false,
+                                  CS_SEC);
+        if (named)
+          cs_server_limit_set (&limit, rate, CS_SEC);
+        for (cs_usec_t now = CS_SEC; now < 13 * CS_SEC; now += MS)
+          {
+            if (now == 7 * CS_SEC)
+              {
+                cs_server_limit_init (&limit);
+                cs_server_limit_set_cold (&limit, rates[i], 13 * CS_SEC, true,
+                                          now);
+                if (named)
+                  cs_server_limit_set (&limit, rate, now);
+              }
+            /* Nothing comes for a second: no burst follows.  */
+            if ((now >= 3 * CS_SEC && now < 4 * CS_SEC)
+                || cs_server_limit_wait (&limit, 0, now) > 0)
+              continue;
+            cs_server_limit_take (&limit, now);
+            cs_usec_t last = sent_at[(sent + 3) % 4];
+            g_assert_true (sent == 0
+                           || (double)(now - last)
+                                  >= (double)CS_SEC / rate - 1.1 * (double)MS);
+            sent_at[sent++ % 4] = now;
+          }
+        g_assert_cmpint (sent, >=, (int)(rate * 11) - 3);
+        g_assert_cmpint (sent, <=, (int)(rate * 12) + 1);
+        g_assert_cmpint (cs_server_limit_cold_left (&limit, 13 * CS_SEC), ==,
+                         0);
+        g_assert_cmpint (cs_server_limit_interval (&limit, 13 * CS_SEC), ==,
+                         named ? (cs_usec_t)((double)CS_SEC / rate) : 0);
+      }
+}
+
 static void
 test_placement_heeds_limit (void)
 {
@@ -1002,6 +1053,7 @@
   g_test_add_func ("/decide/limit-under-bursts", test_limit_under_bursts);
   g_test_add_func ("/decide/limit-changes", test_limit_changes);
   g_test_add_func ("/decide/queue-under-limit", test_queue_under_limit);
+  g_test_add_func ("/decide/cold-rate", test_cold_rate);
   g_test_add_func ("/decide/placement-heeds-limit",
                    test_placement_heeds_limit);
   g_test_add_func ("/decide/life", test_server_state);
