--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -10,6 +10,10 @@
 /* How long a fault lasts, or a stopped process stays down.  */
 #define FAULT_DURATION_MIN_MS 150
 #define FAULT_DURATION_MAX_MS 2500
+/* From one evacuation to the next, and how long one lasts.  */
+#define EVACUATION_INTERVAL_MIN_MS 1500
+#define EVACUATION_INTERVAL_MAX_MS 6000
+#define EVACUATION_DURATION_MAX_MS 5000
 
 typedef enum
 {
@@ -25,6 +29,7 @@
   FAULT_SERVER_CRASH,      /* See host_crash_server.  */
   FAULT_SERVER_DRAIN,      /* See host_drain_server.  */
   FAULT_CONFIG,            /* A new version of the configuration.  */
+  FAULT_EVACUATE,          /* The host's data centre is evacuated.  */
   FAULT_KIND_COUNT
 } fault_kind_t;
 
@@ -46,6 +51,8 @@
   [FAULT_SERVER_CRASH] = { "server-crash", 3 },
   [FAULT_SERVER_DRAIN] = { "server-drain", 3 },
   [FAULT_CONFIG] = { "config", 4 },
+  /* Planned apart, so that the other faults of a seed stay what they were.  */
+  [FAULT_EVACUATE] = { "evacuate", 0 },
 };
 
 typedef struct
@@ -69,6 +76,40 @@
   return (fault_kind_t)kind;
 }
 
+static gint
+compare_begins (gconstpointer a, gconstpointer b)
+{
+  cs_usec_t x = ((const fault_t *)a)->begin, y = ((const fault_t *)b)->begin;
+  return (x > y) - (x < y);
+}
+
+static void
+plan_evacuations (soak_t *soak, cs_usec_t duration)
+{
+  GRand *random = g_rand_new_with_seed (soak->seed + 0x65766163u);
+  cs_usec_t begin = 0;
+  for (;;)
+    {
+      begin += g_rand_int_range (random, EVACUATION_INTERVAL_MIN_MS,
+                                 EVACUATION_INTERVAL_MAX_MS)
+               * CS_MSEC;
+      fault_t fault
+          = { .begin = begin,
+              .end = begin
+                     + g_rand_int_range (random, FAULT_DURATION_MIN_MS,
+                                         EVACUATION_DURATION_MAX_MS)
+                           * CS_MSEC,
+              .kind = FAULT_EVACUATE,
+              .host_index = (unsigned)g_rand_int_range (
+                  random, 0, (int)soak->host_count) };
+      if (begin > duration)
+        break;
+      g_array_append_val (soak->fault_plan, fault);
+    }
+  g_rand_free (random);
+  g_array_sort (soak->fault_plan, compare_begins);
+}
+
 void
 faults_plan (soak_t *soak, cs_usec_t duration)
 {
@@ -99,6 +140,7 @@
         break;
       g_array_append_val (soak->fault_plan, fault);
     }
+  plan_evacuations (soak, duration);
 }
 
 void
@@ -178,6 +220,9 @@
     case FAULT_CONFIG:
       faults_write_config (soak);
       break;
+    case FAULT_EVACUATE:
+      faults_evacuate (soak, host_dc (host), false);
+      break;
     case FAULT_KIND_COUNT:
       break;
     }
@@ -195,6 +240,8 @@
     proxy_set_mode (host->table_proxy, PROXY_PASS);
   else if (fault->kind == FAULT_ALL_TABLE_PROXIES)
     set_table_proxies (soak, PROXY_PASS);
+  else if (fault->kind == FAULT_EVACUATE)
+    faults_evacuate (soak, host_dc (host), true);
 }
 
 void
@@ -230,6 +277,12 @@
       if (host->frozen)
         host_signal (host, SIGCONT);
     }
+  for (guint i = 0; i < soak->faults_begun; i++)
+    {
+      const fault_t *fault = &g_array_index (soak->fault_plan, fault_t, i);
+      if (fault->kind == FAULT_EVACUATE && !fault->ended)
+        end_fault (soak, fault);
+    }
   soak->faults_begun = soak->fault_plan->len;
   soak->faults_over = true;
 }
@@ -264,14 +317,47 @@
       out->str[out->len - 1] == '{' ? "" : ",", name, name, kind, service);
 }
 
-void
-faults_write_config (soak_t *soak)
+/* Write BODY, a transaction, to the table.  */
+static void
+write_rows (soak_t *soak, const char *body)
 {
   static const cs_http1_client_handler_t handler
       = { .answer_received = on_config_written,
           .failed = on_config_write_failed };
-  char probe_route[24];
   struct sockaddr_in address;
+  GString *request = g_string_new (NULL);
+  g_string_append_printf (request,
+                          "POST /api/rows-tx HTTP/1.1\r\nHost: h\r\n"
+                          "Content-Length: %zu\r\n\r\n%s",
+                          strlen (body), body);
+  uv_ip4_addr ("127.0.0.1", (int)soak->base_port, &address);
+  /* Never dropped: few rows are written.  */
+  cs_http1_client_t *client = cs_http1_client_new (
+      &soak->loop, soak->ctx->clock, &address, 2 * CS_SEC);
+  cs_http1_client_send (client, request, false, &handler, soak);
+}
+
+void
+faults_evacuate (soak_t *soak, const char *dc, bool end)
+{
+  /* The table's stand-in ends long polls for rows that are put only.  */
+  char *body = end ? g_strdup_printf (
+                   "{\"puts\":[{\"table\":\"op\",\"part\":\"\",\"key\":"
+                   "\"other\",\"value\":\"e30=\"}],\"remove\":[{\"table\":"
+                   "\"op\",\"part\":\"\",\"key\":\"evacuate/%s\"}]}",
+                   dc)
+                   : g_strdup_printf (
+                       "{\"puts\":[{\"table\":\"op\",\"part\":\"\",\"key\":"
+                       "\"evacuate/%s\",\"value\":\"e30=\"}]}",
+                       dc);
+  write_rows (soak, body);
+  g_free (body);
+}
+
+void
+faults_write_config (soak_t *soak)
+{
+  char probe_route[24];
   GString *document = g_string_new (NULL);
   soak->config_version++;
   g_snprintf (probe_route, sizeof probe_route, "c%lld",
@@ -279,9 +365,9 @@
   g_string_append_printf (
       document,
       "{\"version\":\"%08llx\",\"services\":{\"s0\":{\"healthPath\":"
-      "\"/health\"},\"s1\":{\"healthPath\":\"/health\"}},\"limits\":{},"
-      "\"routes\":{",
-      (unsigned long long)soak->config_version);
+      "\"/health\",\"warmupPerS\":%.1f},\"s1\":{\"healthPath\":\"/health\","
+      "\"warmupPerS\":%.1f}},\"limits\":{},\"routes\":{",
+      (unsigned long long)soak->config_version, WARMUP_PER_S, WARMUP_PER_S);
   add_route (document, "s0", "safe", "s0");
   add_route (document, "u0", "unsafe", "s0");
   add_route (document, "s1", "safe", "s1");
@@ -293,16 +379,7 @@
   char *body = g_strdup_printf ("{\"puts\":[{\"table\":\"op\",\"part\":\"\","
                                 "\"key\":\"config\",\"value\":\"%s\"}]}",
                                 encoded);
-  GString *request = g_string_new (NULL);
-  g_string_append_printf (request,
-                          "POST /api/rows-tx HTTP/1.1\r\nHost: h\r\n"
-                          "Content-Length: %zu\r\n\r\n%s",
-                          strlen (body), body);
-  uv_ip4_addr ("127.0.0.1", (int)soak->base_port, &address);
-  /* Never dropped: few versions are written.  */
-  cs_http1_client_t *client = cs_http1_client_new (
-      &soak->loop, soak->ctx->clock, &address, 2 * CS_SEC);
-  cs_http1_client_send (client, request, false, &handler, soak);
+  write_rows (soak, body);
   g_free (body);
   g_free (encoded);
   g_string_free (document, TRUE);
--- a/tests/soak/hosts.c
+++ b/tests/soak/hosts.c
@@ -93,6 +93,37 @@
   uv_close ((uv_handle_t *)timer, free_running_request);
 }
 
+const char *
+host_dc (const host_t *host)
+{
+  return host->index % 2 ? "east-1" : "west-1";
+}
+
+/* Check the place of a request ID that begins to run: HOST is neither beyond
+   its rate while it is cold, nor in a data centre that was evacuated.  */
+static void
+check_place (host_t *host, const char *id)
+{
+  /* As in the platform's rules.  */
+  static const double cold_over = 1.5, cold_slack = 8;
+  soak_t *soak = host->soak;
+  cs_usec_t now = soak_now (soak), *first;
+  g_queue_push_tail (&host->cold_runs, g_memdup2 (&now, sizeof now));
+  while ((first = g_queue_peek_head (&host->cold_runs))
+         && now - *first > CS_SEC)
+    g_free (g_queue_pop_head (&host->cold_runs));
+  if (now < host->cold_until
+      && (double)host->cold_runs.length
+             > WARMUP_PER_S * cold_over + cold_slack)
+    soak_record_violation (soak, "COLD", "id=%s at %s: %u in one second", id,
+                           host->name, host->cold_runs.length);
+  if (soak->evacuated_at && now - soak->evacuated_at > EVACUATION_BOUND
+      && strcmp (soak->evacuated_dc, host_dc (host)) == 0)
+    soak_record_violation (
+        soak, "EVAC", "id=%s at %s, %lld ms after the evacuation", id,
+        host->name, (long long)((now - soak->evacuated_at) / CS_MSEC));
+}
+
 /* Check a request ID that begins to run, and record a violation unless: a
    caller has sent it, with this path; an unsafe one has neither run before nor
    been answered as not run; it names the caller's service, which the sidecar
@@ -115,6 +146,7 @@
   if (!*caller)
     soak_record_violation (soak, "UNASKED",
                            "id=%s without the caller's service", id);
+  check_place (host, id);
   cs_usec_t now = soak_now (soak);
   if (host->draining && host->drain_acknowledged_at
       && now - host->drain_acknowledged_at > DRAIN_GRACE
@@ -127,6 +159,13 @@
   g_free (caller);
 }
 
+/* For how long the server stays cold.  */
+static cs_usec_t
+cold_left (const host_t *host)
+{
+  return MAX (host->cold_until - soak_now (host->soak), 0);
+}
+
 static void
 on_request (void *user, cs_exchange_t *exchange)
 {
@@ -134,8 +173,9 @@
   soak_t *soak = host->soak;
   if (cs_str_equal (exchange->request.request_target, CS_STR ("/health")))
     {
-      char *fields
-          = g_strdup_printf ("Instance-Id: %s\r\n", host->instance_id);
+      char *fields = g_strdup_printf ("Instance-Id: %s\r\nCold-Ms: %lld\r\n",
+                                      host->instance_id,
+                                      (long long)(cold_left (host) / CS_MSEC));
       cs_exchange_answer (exchange, host->draining ? 503 : 200, fields,
                           CS_STR (""), false);
       g_free (fields);
@@ -202,6 +242,8 @@
               host->index, (long long)(soak_now (soak) / CS_MSEC));
   host->report_sequence = 0;
   host->server_start_ms = cs_now_wall (soak->ctx) / CS_MSEC;
+  host->cold_until = soak_now (soak) + WARMUP_TIME;
+  g_queue_clear_full (&host->cold_runs, g_free);
   host->server_up = true;
   host->draining = false;
   host->drain_acknowledged_at = 0;
@@ -271,9 +313,10 @@
   char *body = g_strdup_printf (
       "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\","
       "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\",\"warmupLeft\":"
-      "\"0ms\",\"sequence\":%lld,\"born\":%lld}",
+      "\"%lldms\",\"sequence\":%lld,\"born\":%lld}",
       host->service, host->first_port + PORT_SERVER, SERVER_SLOTS,
       host->draining ? "draining" : "ready",
+      (long long)(cold_left (host) / CS_MSEC),
       (long long)++host->report_sequence, (long long)host->server_start_ms);
   GString *request = g_string_new (NULL);
   g_string_append_printf (request,
@@ -325,11 +368,10 @@
       "\"127.0.0.1:%u\",\"reports\":\"127.0.0.1:%u\",\"peers\":"
       "\"127.0.0.1:%u\",\"advertised\":\"127.0.0.1:%u\",\"service\":\"%s\","
       "\"server\":\"127.0.0.1:%u\",\"table\":\"127.0.0.1:%u\"}",
-      host->name, host->index % 2 ? "east-1" : "west-1",
-      host->index % 2 ? "east" : "west", first_start, port + PORT_CALLERS,
-      port + PORT_READINESS, port + PORT_REPORTS, port + PORT_PEERS,
-      port + PORT_PEER_PROXY, host->service, port + PORT_SERVER,
-      port + PORT_TABLE_PROXY);
+      host->name, host_dc (host), host->index % 2 ? "east" : "west",
+      first_start, port + PORT_CALLERS, port + PORT_READINESS,
+      port + PORT_REPORTS, port + PORT_PEERS, port + PORT_PEER_PROXY,
+      host->service, port + PORT_SERVER, port + PORT_TABLE_PROXY);
   if (!g_file_set_contents (host->settings_path, text, -1, NULL))
     soak_fail (host->soak, "cannot write %s", host->settings_path);
   g_free (text);
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -118,6 +118,9 @@
 static cs_usec_t window_begin_at; /* Of the recovery window.  */
 static cs_usec_t stopping_since;  /* 0: the nodes are not being stopped.  */
 static cs_usec_t faults_duration; /* Faults begin during this time.  */
+static cs_usec_t calm_evacuation_begin_at; /* 0: not begun, or over.  */
+/* From the last fault to the calm evacuation: nodes start again meanwhile. */
+#define CALM_EVACUATION_DELAY (4 * CS_SEC)
 
 static bool
 newest_config_active_everywhere (void)
@@ -193,6 +196,25 @@
     }
 }
 
+/* After the faults, in calm, evacuate a data centre for a while, and end that
+   before the recovery is checked.  */
+static void
+run_calm_evacuation (cs_usec_t now)
+{
+  cs_usec_t elapsed = now - calm_evacuation_begin_at;
+  if (!soak.evacuated_at && elapsed >= CALM_EVACUATION_DELAY)
+    {
+      faults_evacuate (&soak, soak.evacuated_dc, false);
+      soak.evacuated_at = now;
+    }
+  else if (soak.evacuated_at && now - soak.evacuated_at >= CALM_EVACUATION)
+    {
+      faults_evacuate (&soak, soak.evacuated_dc, true);
+      soak.evacuated_at = calm_evacuation_begin_at = 0;
+      window_begin_at = now;
+    }
+}
+
 static void
 on_tick (uv_timer_t *timer)
 {
@@ -214,8 +236,11 @@
   if (!soak.faults_over && now - soak.faults_begin_at >= faults_duration)
     {
       faults_end (&soak);
-      window_begin_at = now;
+      calm_evacuation_begin_at = now;
+      soak.evacuated_dc = host_dc (&soak.hosts[soak.seed % 2]);
     }
+  if (calm_evacuation_begin_at)
+    run_calm_evacuation (now);
   if (!soak.faults_over && now >= soak.faults_begin_at)
     faults_tick (&soak, now);
   for (unsigned i = 0; i < soak.host_count; i++)
@@ -228,7 +253,7 @@
     }
   for (int i = 0; i < REQUESTS_PER_TICK; i++)
     caller_send_request (&soak);
-  if (soak.faults_over)
+  if (soak.faults_over && !calm_evacuation_begin_at)
     check_recovery (now);
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -7,11 +7,15 @@
 
    Guarantees, by the names that violations are printed with:
      ALIVE: a node process does not end by itself.
+     COLD: a server that reports that it is cold gets no more than its rate,
+       with the tolerance of the platform's rules.
      CONFIG: a running node does not return to an older configuration, and all
        nodes have the newest one in time after the faults.
      DENIED: no request gets 404 for a route that all configurations have.
      DRAIN: a server gets no more requests once DRAIN_GRACE has passed since
        the sidecar acknowledged its drain.
+     EVAC: in calm, the servers of a data centre get no requests once
+       EVACUATION_BOUND has passed since its evacuation was acknowledged.
      MIXED: an answer belongs to the request that it is sent for.
      RECOVER: in time after the faults, most requests are served again and no
        server is draining.
@@ -34,6 +38,13 @@
 
 #define HOSTS_MAX 16
 
+/* What a cold server takes, and how long it is cold after its start.  */
+#define WARMUP_PER_S 4.0
+#define WARMUP_TIME (1500 * CS_MSEC)
+/* A longer calm evacuation follows the faults.  */
+#define EVACUATION_BOUND (5 * CS_SEC)
+#define CALM_EVACUATION (6500 * CS_MSEC)
+
 /* The first port of host 0, relative to BASE_PORT, and the number of ports
    that each host has.  */
 #define FIRST_HOST_PORT 20
@@ -108,6 +119,8 @@
   char instance_id[32];        /* Of the backend server; new at each start.  */
   int64_t report_sequence;     /* Of its last report.  */
   int64_t server_start_ms;     /* Wall-clock time.  */
+  cs_usec_t cold_until;        /* When its warm-up ends.  */
+  GQueue cold_runs;            /* cs_usec_t *: begins of the last second.  */
   GPtrArray *running_requests; /* running_request_t *.  */
   /* Connection -> id of its request that is still to be answered again.  */
   GHashTable *second_answers;
@@ -141,6 +154,10 @@
   /* Requests of the current recovery window, without probes.  */
   unsigned window_sent, window_served;
   unsigned violations; /* Of guarantees.  */
+  /* When the calm evacuation after the faults was acknowledged, and the data
+     centre; 0: none is in force.  */
+  cs_usec_t evacuated_at;
+  const char *evacuated_dc;
 };
 
 static inline cs_usec_t
@@ -174,6 +191,9 @@
    Calls soak_fail if a port is in use.  */
 void host_init (soak_t *soak, unsigned index);
 
+/* The data centre of HOST.  */
+const char *host_dc (const host_t *host);
+
 /* Start the sidecar.  FIRST_START tells it that the whole mesh starts for the
    first time.  */
 void host_start (host_t *host, bool first_start);
@@ -218,4 +238,7 @@
 /* Write the next version of the configuration to the table.  */
 void faults_write_config (soak_t *soak);
 
+/* Evacuate the data centre DC, or with END end that.  */
+void faults_evacuate (soak_t *soak, const char *dc, bool end);
+
 #endif
--- a/tests/test-adapter.c
+++ b/tests/test-adapter.c
@@ -24,6 +24,46 @@
   "{\"version\":\"0000000c\",\"services\":{\"s\":{},\"t\":{}},\"routes\":"    \
   "{\"r\":{\"host\":\"h\",\"prefix\":\"/p/\",\"kind\":\"safe\"," extra "}}}"
 
+#define WARMUP(rate)                                                          \
+  "{\"version\":\"0000000c\",\"services\":{\"s\":{\"warmupPerS\":" rate       \
+  "}},\"routes\":{\"r\":{\"host\":\"h\",\"prefix\":\"/p/\",\"kind\":"         \
+  "\"safe\",\"timeout\":\"1s\",\"service\":\"s\"}}}"
+
+/* What a row evacuates, and when the server started that deregisters.  */
+static void
+test_places (void)
+{
+  static const struct
+  {
+    const char *key, *dc;
+  } keys[] = { { "evacuate/a", "a" },    { "evacuate/", NULL },
+               { "evacuate", NULL },     { "config", NULL },
+               { "rollout/desk", NULL }, { "evacuate/a/b", "a/b" } };
+  static const struct
+  {
+    const char *body;
+    int64_t started_ms;
+  } leaves[] = { { "{\"born\":77}", 77 },
+                 { "", 0 },
+                 { "{}", 0 },
+                 { "{\"born\":-1}", 0 },
+                 { "{\"born\":\"7\"}", 0 },
+                 { "[[[", 0 } };
+  for (size_t i = 0; i < G_N_ELEMENTS (keys); i++)
+    {
+      g_assert_cmpstr (adapter ()->evacuated_dc (keys[i].key), ==, keys[i].dc);
+      g_assert_cmpint (adapter ()->classify_row (keys[i].key)
+                           == CS_OPERATOR_ROW_EVACUATION,
+                       ==, keys[i].dc != NULL);
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (leaves); i++)
+    {
+      int64_t started_ms = 5;
+      adapter ()->decode_leave (ctx, cs_str_of (leaves[i].body), &started_ms);
+      g_assert_cmpint (started_ms, ==, leaves[i].started_ms);
+    }
+}
+
 static void
 test_config (void)
 {
@@ -46,6 +86,25 @@
     { "unknown service", ROUTE ("\"service\":\"u\",\"timeout\":\"1s\""),
       false },
     { "no timeout", ROUTE ("\"service\":\"s\""), false },
+    { "regions",
+      ROUTE ("\"service\":\"s\",\"timeout\":\"1s\","
+             "\"allowedRegions\":[\"west\"]"),
+      true },
+    { "no region in the list",
+      ROUTE ("\"service\":\"s\",\"timeout\":\"1s\",\"allowedRegions\":[]"),
+      true },
+    { "regions that are no list",
+      ROUTE ("\"service\":\"s\",\"timeout\":\"1s\","
+             "\"allowedRegions\":\"west\""),
+      false },
+    { "a region that is no name",
+      ROUTE ("\"service\":\"s\",\"timeout\":\"1s\","
+             "\"allowedRegions\":[7]"),
+      false },
+    { "warm-up rate", WARMUP ("5.3"), true },
+    { "warm-up rate of 0", WARMUP ("0"), false },
+    { "negative warm-up rate", WARMUP ("-1"), false },
+    { "warm-up rate of another type", WARMUP ("\"5\""), false },
     { "timeout without a unit", ROUTE ("\"service\":\"s\",\"timeout\":\"1\""),
       false },
     { "timeout below zero", ROUTE ("\"service\":\"s\",\"timeout\":\"-1s\""),
@@ -437,6 +496,7 @@
   ctx = cs_ctx_new (NULL, cs_clock_boottime (), 3);
   never_freed = g_ptr_array_new ();
   g_test_add_func ("/adapter/config", test_config);
+  g_test_add_func ("/adapter/places", test_places);
   g_test_add_func ("/adapter/report", test_report);
   g_test_add_func ("/adapter/odd-report", test_odd_report);
   g_test_add_func ("/adapter/odd-report-hides-server",
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -1167,6 +1167,124 @@
   close (caller);
 }
 
+/* Put a configuration in force whose routes allow REGION only.  */
+static void
+restrict_regions (mesh_t *mesh, const char *region)
+{
+  cs_snapshot_t *snapshot = make_snapshot (mesh->ctx);
+  for (guint i = 0; i < snapshot->routes->len; i++)
+    {
+      cs_route_t *route = snapshot->routes->pdata[i];
+      route->allowed_regions = g_new0 (char *, 2);
+      route->allowed_regions[0] = g_strdup (region);
+    }
+  g_hash_table_remove_all (snapshot->routes_by_host);
+  GString *errors = g_string_new (NULL);
+  g_assert_cmpint (cs_snapshot_link (mesh->ctx, snapshot, errors), ==, CS_OK);
+  g_string_free (errors, TRUE);
+  rcu_set_pointer (&mesh->snapshot, snapshot);
+}
+
+/* While a request runs, a configuration takes force that allows another region
+   only.  Its connection breaks; guards against a second send to the region
+   that is not allowed any more, and against a first one.  */
+static void
+test_second_send_stays_in_region (void)
+{
+  mesh_t *mesh = start_mesh (1);
+  int caller = connect_to (mesh->caller_port);
+  send_request (caller, "GET", "/read/1", "a1", "");
+  int server = accept_request (mesh, "/read/1");
+  send_answer (server, "a1", "one");
+  expect_answer (caller, "200", "one");
+  send_request (caller, "GET", "/read/2", "a2", "");
+  char *request = receive_message (server);
+  g_free (request);
+  restrict_regions (mesh, "elsewhere");
+  close (server);
+  /* The node looks whether the server has ended.  */
+  server = accept_one (mesh->server_listener);
+  expect_answer (caller, "502", "");
+  g_assert_false (readable (server, SOCKET_ABSENCE_MS));
+  send_request (caller, "PUT", "/write/3", "a3", "x");
+  expect_answer (caller, "503", "");
+  g_assert_false (readable (server, SOCKET_ABSENCE_MS));
+  restrict_regions (mesh, "r");
+  send_request (caller, "GET", "/read/4", "a4", "");
+  request = receive_message (server);
+  g_assert_nonnull (strstr (request, "/read/4"));
+  g_free (request);
+  send_answer (server, "a4", "four");
+  expect_answer (caller, "200", "four");
+  close (server);
+  close (caller);
+}
+
+static char **
+one_name (const char *name)
+{
+  char **names = g_new0 (char *, 2);
+  names[0] = g_strdup (name);
+  return names;
+}
+
+/* The data centre of the server is evacuated, as the caller's node knows: it
+   sends nothing there until that ends.  */
+static void
+test_evacuated (void)
+{
+  mesh_t *mesh = start_mesh (1);
+  int caller = connect_to (mesh->caller_port);
+  cs_traffic_set_evacuated (mesh->caller_node, one_name ("a"));
+  for (int i = 0; i < 2; i++)
+    {
+      send_request (caller, "GET", "/read/1", "a1", "");
+      expect_answer (caller, "503", "");
+    }
+  g_assert_false (readable (mesh->server_listener, SOCKET_ABSENCE_MS));
+  cs_traffic_set_evacuated (mesh->caller_node, one_name ("b"));
+  send_request (caller, "GET", "/read/2", "a2", "");
+  int server = accept_request (mesh, "/read/2");
+  send_answer (server, "a2", "two");
+  expect_answer (caller, "200", "two");
+  close (server);
+  close (caller);
+}
+
+/* Only the node beside the server knows of the evacuation: what runs ends
+   there, what is queued or comes is refused, and after it all is served.  */
+static void
+test_evacuated_at_the_server (void)
+{
+  mesh_t *mesh = start_mesh (1);
+  int runs = connect_to (mesh->caller_port),
+      waits = connect_to (mesh->caller_port),
+      comes = connect_to (mesh->caller_port);
+  send_request (runs, "PUT", "/write/1", "a1", "x");
+  int server = accept_request (mesh, "/write/1");
+  send_request (waits, "PUT", "/write/2", "a2", "x");
+  g_usleep (SOCKET_ABSENCE_MS * 1000);
+  cs_traffic_set_evacuated (mesh->server_node, one_name ("a"));
+  expect_answer (waits, "503", "");
+  send_request (comes, "PUT", "/write/3", "a3", "x");
+  g_usleep (SOCKET_ABSENCE_MS * 1000);
+  send_answer (server, "a1", "one");
+  expect_answer (runs, "200", "one");
+  g_assert_false (readable (server, SOCKET_ABSENCE_MS));
+  g_assert_false (readable (mesh->server_listener, 0));
+  expect_answer (comes, "503", "");
+  cs_traffic_set_evacuated (mesh->server_node, one_name ("b"));
+  close (server);
+  send_request (comes, "GET", "/read/4", "a4", "");
+  server = accept_request (mesh, "/read/4");
+  send_answer (server, "a4", "four");
+  expect_answer (comes, "200", "four");
+  close (server);
+  close (runs);
+  close (waits);
+  close (comes);
+}
+
 /* A request fails at the server and no other one is left: the caller gets the
    server's answer, not one of the node.  */
 static void
@@ -1855,6 +1973,11 @@
   g_test_add_func ("/path/resend-without-budget", test_resend_without_budget);
   g_test_add_func ("/path/resend-after-stale-connection",
                    test_resend_after_stale_connection);
+  g_test_add_func ("/path/second-send-stays-in-region",
+                   test_second_send_stays_in_region);
+  g_test_add_func ("/path/evacuated", test_evacuated);
+  g_test_add_func ("/path/evacuated-at-the-server",
+                   test_evacuated_at_the_server);
   g_test_add_func ("/path/failed-answer-lost", test_failed_answer_lost);
   g_test_add_func ("/path/late-request-cut-by-stop",
                    test_late_request_cut_by_stop);
