--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,8 @@
   source/run/*.c source/mesh/*.c)
 LIB_SRC = $(wildcard source/kernel/*.c source/platform/*.c \
   source/config/*.c source/dist/*.c source/member/*.c source/route/*.c \
-  source/admit/*.c source/idempotency/*.c source/move/*.c) $(EVENT_SRC)
+  source/admit/*.c source/idempotency/*.c source/move/*.c \
+  source/workspace/*.c) $(EVENT_SRC)
 NODE_SRC = $(wildcard source/node/*.c)
 CTL_SRC = $(wildcard source/tools/*.c)
 STANDIN_SRC = $(wildcard tests/standins/*.c)
@@ -137,13 +138,13 @@
   source/kernel/counters.c source/kernel/pack.c source/kernel/registry.c \
   source/kernel/status.c source/kernel/event.c source/kernel/delta.c \
   source/member/records.c source/idempotency/quarantine.c \
-  source/config/snapshot.c \
+  source/config/snapshot.c $(wildcard source/workspace/*.c) \
   source/config/document.c source/config/docs.c source/move/owner.c \
   source/move/judges.c source/move/evaluation.c \
   source/move/stats.c source/move/move.c source/move/exposure.c \
   source/move/server-latency.c source/move/slowness.c
 SIDECAR_PC = msgpack glib-2.0 jansson libxxhash libuv argtable2 liburcu-mb \
-  libzstd
+  libzstd libsodium
 $(OUT)/cardamom-sidecar: $(call obj,$(SIDECAR_SRC))
 	$(CC) $(CFLAGS) -o $@ $^ $(shell pkg-config --libs $(SIDECAR_PC)) \
 	  -lhttp_parser -lm
--- a/include/cardamom/adapter.h
+++ b/include/cardamom/adapter.h
@@ -54,6 +54,9 @@
      message that says what is wrong.  */
   cs_status_t (*decode_config) (cs_ctx_t *ctx, cs_str_t text,
                                 cs_snapshot_t **snapshot);
+  /* TEXT, a configuration, with each key of a workspace replaced by its
+     digest; NULL if it holds none.  The caller frees it.  */
+  GString *(*redact_config) (cs_str_t text);
   /* Decode a request for a version move.  CS_BAD_INPUT as above.  */
   cs_status_t (*decode_move_request) (cs_ctx_t *ctx, cs_str_t text,
                                       cs_move_request_t *request);
--- a/include/cardamom/counters.h
+++ b/include/cardamom/counters.h
@@ -41,6 +41,14 @@
      "Answers replayed for a known idempotency key.")                         \
   X (ONCE_REFUSED, "cardamom_once_refused_total",                             \
      "Keyed requests refused because no record could be consulted.")          \
+  X (UNAUTHORIZED, "cardamom_unauthorized_total",                             \
+     "Requests refused because their key is not known.")                      \
+  X (KEYS_CLOSED, "cardamom_keys_closed_total",                               \
+     "Keyed requests refused because the node's view was too old.")           \
+  X (OVER_CAP, "cardamom_over_cap_total",                                     \
+     "Requests refused because they lie beyond their workspace's cap.")       \
+  X (CAP_WAITS, "cardamom_cap_waits_total",                                   \
+     "Requests that waited for the keeper of their workspace's cap.")         \
   X (QUARANTINED, "cardamom_quarantined_total",                               \
      "Requests refused by quarantine.")                                       \
   X (STRIKES, "cardamom_strikes_total",                                       \
@@ -83,6 +91,8 @@
      "Configuration version in force (gauge).")                               \
   X (G_EVACUATED, "cardamom_evacuated_data_centres",                          \
      "Data centres that are evacuated as far as known (gauge).")              \
+  X (G_KEYS_CLOSED, "cardamom_keys_closed",                                   \
+     "1 while this node refuses keyed requests (gauge).")                     \
   X (G_MEMBERS, "cardamom_members", "Live members known (gauge).")            \
   X (G_INFLIGHT, "cardamom_inflight",                                         \
      "Requests running on the local upstream (gauge).")                       \
--- a/include/cardamom/dispatcher.h
+++ b/include/cardamom/dispatcher.h
@@ -61,6 +61,10 @@
      allow, or in an evacuated data centre.  */
   CS_REFUSED_REGION,
   CS_REFUSED_EVACUATED,
+  CS_REFUSED_KEY_UNKNOWN, /* No workspace holds its key.  */
+  CS_REFUSED_KEYS_CLOSED, /* The node's view is too old for keyed requests.  */
+  CS_REFUSED_OVER_CAP,    /* Beyond the usage cap of its workspace.  */
+  CS_REFUSED_NO_KEEPER,   /* The keeper of that cap does not answer.  */
   CS_REFUSED_COUNT
 } cs_refusal_reason_t;
 
--- a/include/cardamom/document.h
+++ b/include/cardamom/document.h
@@ -115,6 +115,7 @@
   /* NULL-terminated names of the regions in which its requests may run; NULL:
      in every one.  */
   char **allowed_regions;
+  bool anonymous; /* Its requests belong to no workspace and bear no key.  */
 } cs_route_t;
 
 typedef enum
--- a/include/cardamom/frames.h
+++ b/include/cardamom/frames.h
@@ -36,7 +36,11 @@
      that has restarted since; the traffic thread handles it.  */
   CS_FRAME_SERVER_LIMIT,
   /* The names of all rows that the sender holds, after it has sent them.  */
-  CS_FRAME_ROWS_COMPLETE
+  CS_FRAME_ROWS_COMPLETE,
+  /* To the keeper of usage caps: a pledge, reports of use and asks for tokens;
+     and its answer.  The traffic thread handles both.  */
+  CS_FRAME_CAP_ASK,
+  CS_FRAME_CAP_GRANT
 } cs_control_frame_kind_t;
 
 /* A node's description of itself, which it sends to the others.  The nodes
--- a/include/cardamom/header-names.h
+++ b/include/cardamom/header-names.h
@@ -22,6 +22,8 @@
   const char *instance_id; /* The server's identifier, on a health check.  */
   /* Milliseconds for which the server stays cold, on a health check.  */
   const char *cold_ms;
+  /* The workspace of a request, which the node tells the server.  */
+  const char *workspace;
 } cs_header_names_t;
 
 /* The names in use; set only before the first request.  */
--- a/include/cardamom/reach.h
+++ b/include/cardamom/reach.h
@@ -1,6 +1,6 @@
 /* Which backend servers a request may reach, whatever their load: the regions
-   that its route allows, and data centres that operators have evacuated.  All
-   that sends a request asks here.  */
+   that its route and its workspace allow, and data centres that operators have
+   evacuated.  All that sends a request asks here.  */
 #ifndef CARDAMOM_REACH_H
 #define CARDAMOM_REACH_H
 
@@ -10,9 +10,11 @@
    every region.  All are borrowed.  */
 typedef struct
 {
-  /* By the configuration under which it arrived, and by the one in force.  */
+  /* By the route in the configuration under which it arrived, and in the one
+     in force.  */
   char *const *regions, *const *newest_regions;
-  GHashTable *evacuated_dcs; /* A set of names.  */
+  char *const *workspace_regions; /* By its workspace.  */
+  GHashTable *evacuated_dcs;      /* A set of names.  */
 } cs_reach_t;
 
 typedef enum
--- a/include/cardamom/snapshot.h
+++ b/include/cardamom/snapshot.h
@@ -8,6 +8,7 @@
 #include <stdint.h>
 
 #include "cardamom/document.h"
+#include "cardamom/workspace.h"
 
 /* Documents in canonical form, ordered by path, with their digest: the sum of
    the hashes of all (path, document) pairs, modulo 2^64, which does not depend
@@ -98,6 +99,7 @@
   GHashTable *routes_by_host;
   /* Route path -> cs_route_t; NULL if no route restricts its regions.  */
   GHashTable *restricted_routes;
+  cs_workspaces_t *workspaces; /* NULL: it holds none.  */
   cs_request_limits_t limits;
   gatomicrefcount refs;
 } cs_snapshot_t;
--- a/include/cardamom/traffic.h
+++ b/include/cardamom/traffic.h
@@ -3,7 +3,9 @@
 #ifndef CARDAMOM_TRAFFIC_H
 #define CARDAMOM_TRAFFIC_H
 
+#include "cardamom/cap.h"
 #include "cardamom/frames.h"
+#include "cardamom/freshness.h"
 #include "cardamom/retry-window.h"
 #include "cardamom/server.h"
 #include "cardamom/snapshot.h"
@@ -43,6 +45,11 @@
   cs_usec_t grace_period;
   cs_snapshot_t **snapshot; /* RCU pointer to the configuration in force, set
                                by the control thread.  */
+  cs_cap_tolerance_t cap_tolerance; /* Beyond the caps of workspaces.  */
+  cs_freshness_settings_t freshness;
+  /* The monotonic time up to which the control thread knows all that operators
+     have written; 0: nothing.  */
+  const _Atomic int64_t *keys_fresh_at;
 } cs_traffic_settings_t;
 
 /* Create the traffic thread's state and its listeners; strings are copied.
--- a/source/call/call.h
+++ b/source/call/call.h
@@ -30,6 +30,14 @@
   cs_str_t attempt_id;  /* The caller's; a view into the request.  */
   uint64_t fingerprint; /* From cs_request_fingerprint.  */
   uint64_t job_number;  /* Of the job in flight.  */
+  /* By its key, which is kept as a digest; NULL: it belongs to none.  */
+  const cs_workspace_t *workspace;
+  cs_key_digest_t key;
+  bool charged;      /* It has taken a token of its workspace's cap.  */
+  bool awaits_token; /* It waits for one, since WAITING_SINCE.  */
+  GList waiting_link;
+  cs_usec_t waiting_since;
+  int64_t priority; /* Of its workspace or its route; 0 goes first.  */
   /* Start of the node that the job was sent to: wall time in milliseconds.  */
   int64_t peer_boot;
   int64_t server_started_ms; /* Start of the server beside that node.  */
@@ -85,10 +93,15 @@
 /* The mean time that a backend server takes for requests of CALL's route.  */
 cs_usec_t call_expected_run_time (const call_t *call);
 
-/* forward.c: the request line and fields that the server gets of REQUEST; the
-   caller frees them.  */
-GString *call_head_for_server (const cs_traffic_t *traffic,
-                               const cs_http1_message_t *request);
+/* Send CALL for the first time, which has got a token of its workspace's cap;
+   or refuse it, for REASON, and tell it to come back after RETRY_AFTER.  */
+void call_start_charged (call_t *call);
+void call_refuse_uncharged (call_t *call, cs_refusal_reason_t reason,
+                            cs_usec_t retry_after);
+
+/* forward.c: the request line and fields that the server gets of the request
+   of CALL, which is in its workspace; the caller frees them.  */
+GString *call_head_for_server (const call_t *call);
 /* The fingerprint of REQUEST, as cs_request_fingerprint gives it.  */
 uint64_t call_fingerprint (const cs_http1_message_t *request);
 /* The route that matches REQUEST, or NULL.  */
--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -2,7 +2,7 @@
    retries and the answer.  */
 #include <string.h>
 
-#include "call.h"
+#include "workspaces.h"
 #include "cardamom/header-names.h"
 #include "cardamom/quarantine.h"
 #include "cardamom/weighted-rr.h"
@@ -63,6 +63,7 @@
 static void
 free_call (call_t *call)
 {
+  workspaces_end (call, call->may_have_run);
   g_queue_unlink (&call->traffic->calls, &call->link);
   uv_close ((uv_handle_t *)&call->timer, on_timer_closed);
 }
@@ -94,11 +95,12 @@
 {
   if (call->refusal_reason == CS_REFUSED_QUARANTINED)
     return CS_CRASH_RECORD_TTL_MS * CS_MSEC;
-  if (call->refusal_reason == CS_REFUSED_REGION
+  if (call->refusal_reason == CS_REFUSED_KEYS_CLOSED
+      || call->refusal_reason == CS_REFUSED_REGION
       || call->refusal_reason == CS_REFUSED_EVACUATED)
     return NO_PLACE_RETRY_AFTER;
-  cs_usec_t wait = call->min_queue_delay
-                   + call->route->priority * RETRY_AFTER_PER_PRIORITY;
+  cs_usec_t wait
+      = call->min_queue_delay + call->priority * RETRY_AFTER_PER_PRIORITY;
   if (call->min_queue_delay <= 0
       && call->refusal_reason == CS_REFUSED_BY_SERVER)
     wait += SHED_RETRY_AFTER;
@@ -110,23 +112,47 @@
                 RETRY_AFTER_MAX);
 }
 
+/* The status that tells of a refusal of CALL.  */
+static unsigned
+refusal_status (const call_t *call)
+{
+  switch (call->refusal_reason)
+    {
+    case CS_REFUSED_KEY_UNKNOWN:
+      return 401;
+    case CS_REFUSED_OVER_CAP:
+      return 429;
+    default:
+      return 503;
+    }
+}
+
+/* Refuse CALL, which has not run and will not; the caller may come back AFTER
+   that time.  */
 static void
-finish_refused (call_t *call)
+finish_refused_after (call_t *call, cs_usec_t after)
 {
   cs_usec_t held = traffic_now (call->traffic) - call->arrived_at;
-  cs_usec_t after = compute_retry_after (call);
+  unsigned status = refusal_status (call);
   cs_counter_add (CS_C_CALLS_NOT_RUN, 1);
   cs_event_log (CS_E_REFUSED,
-                "id=%.*s route=%s service=%s reason=%s tried=%u held_ms=%.1f "
-                "retry_after_ms=%.0f",
+                "id=%.*s route=%s service=%s workspace=%s reason=%s tried=%u "
+                "held_ms=%.1f retry_after_ms=%.0f",
                 (int)call->attempt_id.len, call->attempt_id.data,
                 call->route->path, call->service,
+                call->workspace ? call->workspace->name : "-",
                 cs_refusal_reason_name (call->refusal_reason),
                 call->tried_count, (double)held / 1e3, (double)after / 1e3);
-  refuse_exchange (call->exchange, 503, after);
+  refuse_exchange (call->exchange, status, status == 401 ? 0 : after);
   free_call (call);
 }
 
+static void
+finish_refused (call_t *call)
+{
+  finish_refused_after (call, compute_retry_after (call));
+}
+
 static void
 finish_answered (call_t *call, unsigned status, const char *fields,
                  cs_str_t body, bool close_delimited)
@@ -150,6 +176,7 @@
                        answer->close_delimited);
       return;
     }
+  call->may_have_run = true;
   cs_counter_add (CS_C_CALLS_UNKNOWN, 1);
   cs_event_log (
       CS_E_FAILED,
@@ -184,7 +211,7 @@
           .version = cs_str_of (peer->info.version),
           .head = cs_str_of_gstring (call->head),
           .body = cs_str_of_gstring (call->exchange->request.body),
-          .priority = call->route->priority,
+          .priority = call->priority,
           .target_remaining = call->target_time - now,
           .latency_target = call->latency_target,
           .deadline_remaining = call->deadline - now,
@@ -254,6 +281,12 @@
     }
   call->peer = NULL;
   call_update_newest (call);
+  if (workspaces_key_is_gone (call))
+    {
+      call->refusal_reason = CS_REFUSED_KEY_UNKNOWN;
+      finish_unserved (call, "its key was taken away");
+      return;
+    }
   peer_t *peer = now < call->deadline && call->tried_count < MAX_TRIED_NODES
                          && call->overload_refusals < MAX_OVERLOAD_REFUSALS
                      ? call_choose_peer (call)
@@ -514,6 +547,7 @@
   (void)user;
   if (!call)
     return;
+  call->may_have_run |= call->peer != NULL;
   cancel_attempt (call);
   free_call (call);
 }
@@ -562,20 +596,37 @@
                              : call->deadline - call->arrived_at;
 }
 
+void
+call_start_charged (call_t *call)
+{
+  dispatch_call (call);
+}
+
+void
+call_refuse_uncharged (call_t *call, cs_refusal_reason_t reason,
+                       cs_usec_t retry_after)
+{
+  double spread = g_rand_double_range (call->traffic->ctx->random, 1.0, 1.3);
+  call->refusal_reason = reason;
+  cs_counter_add (CS_C_OVER_CAP, reason == CS_REFUSED_OVER_CAP);
+  finish_refused_after (call, CLAMP ((cs_usec_t)((double)retry_after * spread),
+                                     RETRY_AFTER_MIN, RETRY_AFTER_MAX));
+}
+
 /* Send CALL for the first time, unless this node stops before it is certain to
-   have ended.  */
+   have ended; or once it has a token, if its workspace has a cap.  */
 static void
 start_call (call_t *call)
 {
   const cs_traffic_t *traffic = call->traffic;
-  if (cs_stop_plan_admits (&traffic->stop, traffic_now (traffic),
-                           call->deadline + DEADLINE_GRACE))
+  if (!cs_stop_plan_admits (&traffic->stop, traffic_now (traffic),
+                            call->deadline + DEADLINE_GRACE))
     {
-      dispatch_call (call);
-      return;
+      call->refusal_reason = CS_REFUSED_STOPPING;
+      finish_refused (call);
     }
-  call->refusal_reason = CS_REFUSED_STOPPING;
-  finish_refused (call);
+  else if (workspaces_charge (call))
+    dispatch_call (call);
 }
 
 void
@@ -605,7 +656,11 @@
   call->route = route;
   call->route_state = call_route_state (traffic, route);
   call->service = call_pick_service (call->route_state, route);
-  call->head = call_head_for_server (traffic, request);
+  cs_refusal_reason_t refusal = workspaces_admit (call);
+  call->priority = call->workspace && call->workspace->has_priority
+                       ? call->workspace->priority
+                       : route->priority;
+  call->head = call_head_for_server (call);
   call->attempt_id
       = cs_http1_message_field (request, cs_header_names->attempt_id);
   call->fingerprint = call_fingerprint (request);
@@ -623,7 +678,15 @@
       (uint64_t)((call->deadline - call->arrived_at + DEADLINE_GRACE)
                  / CS_MSEC),
       0);
-  if (!route->idempotent && cs_exchange_has_earlier_pending (exchange))
+  if (refusal != CS_REFUSED_COUNT)
+    {
+      cs_counter_add (refusal == CS_REFUSED_KEY_UNKNOWN ? CS_C_UNAUTHORIZED
+                                                        : CS_C_KEYS_CLOSED,
+                      1);
+      call->refusal_reason = refusal;
+      finish_refused (call);
+    }
+  else if (!route->idempotent && cs_exchange_has_earlier_pending (exchange))
     exchange->notify_at_front = true;
   else
     start_call (call);
--- a/source/call/choose.c
+++ b/source/call/choose.c
@@ -67,6 +67,8 @@
 {
   cs_reach_t reach
       = { .regions = call->route->allowed_regions,
+          .workspace_regions
+          = call->workspace ? call->workspace->allowed_regions : NULL,
           .newest_regions = call->newest ? cs_snapshot_allowed_regions (
                                 call->newest, call->route->path)
                                          : NULL,
--- a/source/call/forward.c
+++ b/source/call/forward.c
@@ -7,10 +7,16 @@
 #include "cardamom/quarantine.h"
 #include "cardamom/weighted-rr.h"
 
-/* Whether field NAME is hop-by-hop or set by the node itself.  */
+/* Whether field NAME is hop-by-hop or set by the node itself.  KEYED: the
+   configuration holds workspaces, so that keys and names of workspaces are not
+   the caller's to pass on.  */
 static bool
-is_rewritten_field (cs_str_t name)
+is_rewritten_field (cs_str_t name, bool keyed)
 {
+  if (keyed
+      && (cs_str_equal_nocase (name, "authorization")
+          || cs_str_equal_nocase (name, cs_header_names->workspace)))
+    return true;
   return cs_http1_field_is_hop_by_hop (name)
          || cs_str_equal_nocase (name, "content-length")
          || cs_str_equal_nocase (name, cs_header_names->time_remaining)
@@ -36,9 +42,11 @@
 }
 
 GString *
-call_head_for_server (const cs_traffic_t *traffic,
-                      const cs_http1_message_t *request)
+call_head_for_server (const call_t *call)
 {
+  const cs_traffic_t *traffic = call->traffic;
+  const cs_http1_message_t *request = &call->exchange->request;
+  bool keyed = call->snapshot->workspaces != NULL;
   GString *head = g_string_sized_new (request->head->len + 64);
   bool has_body = request->parser.flags & F_CHUNKED || request->body->len;
   g_string_append (head, http_method_str (request->parser.method));
@@ -50,7 +58,7 @@
     {
       const cs_http1_field_t *f
           = &g_array_index (request->fields, cs_http1_field_t, i);
-      if (is_rewritten_field (f->name)
+      if (is_rewritten_field (f->name, keyed)
           || is_named_by_connection (request, f->name))
         continue;
       g_string_append_len (head, f->name.data, (gssize)f->name.len);
@@ -58,6 +66,9 @@
       g_string_append_len (head, f->value.data, (gssize)f->value.len);
       g_string_append (head, "\r\n");
     }
+  if (call->workspace)
+    g_string_append_printf (head, "%s: %s\r\n", cs_header_names->workspace,
+                            call->workspace->name);
   if (traffic->caller_service[0])
     g_string_append_printf (head, "%s: %s\r\n",
                             cs_header_names->caller_service,
--- a/source/call/inbound.c
+++ b/source/call/inbound.c
@@ -1,7 +1,7 @@
 /* Jobs that other nodes send for the backend server beside this node.  */
 #include <string.h>
 
-#include "traffic.h"
+#include "workspaces.h"
 
 /* How long the outcome of a job that is not idempotent is kept, for a node
    whose stream broke before the outcome was sent, and how long its attempt id
@@ -370,6 +370,10 @@
     case CS_FRAME_CRASH_RECORDS:
       crash_records_received (traffic, &in);
       break;
+    case CS_FRAME_CAP_ASK:
+      if (inbound->name[0])
+        workspaces_handle_ask (traffic, inbound->name, inbound->stream, &in);
+      break;
     default:
       if (kind >= CS_FRAME_CONTROL_FIRST && inbound->name[0])
         traffic->handler.control_received (
--- a/source/call/peers.c
+++ b/source/call/peers.c
@@ -1,7 +1,7 @@
 /* Peers: the other nodes as known here, and the streams to them.  */
 #include <string.h>
 
-#include "traffic.h"
+#include "workspaces.h"
 
 #define RECONNECT_DELAY_MIN (100 * CS_MSEC)
 #define RECONNECT_DELAY_MAX (2 * CS_SEC) /* The delay doubles up to this.  */
@@ -208,6 +208,7 @@
   cs_traffic_t *traffic = peer->traffic;
   bool was_reachable = peer->hello_received;
   peer->stream = NULL;
+  peer->process_gone = strcmp (why, uv_strerror (UV_ECONNREFUSED)) == 0;
   peer->hello_received = false;
   peer->ping_sent_at = 0;
   peer->reconnect_at = traffic_now (traffic)
@@ -328,6 +329,7 @@
       return;
     }
   peer->hello_received = true;
+  peer->process_gone = false;
   peer->hello_boot = info.boot_ms;
   peer->reconnect_delay = RECONNECT_DELAY_MIN;
   peers_update_member (traffic, &info);
@@ -394,6 +396,8 @@
     handle_outcome (peer, &in);
   else if (kind == CS_FRAME_CRASH_RECORDS)
     crash_records_received (peer->traffic, &in);
+  else if (kind == CS_FRAME_CAP_GRANT)
+    workspaces_handle_grant (peer, &in);
   else if (kind >= CS_FRAME_CONTROL_FIRST)
     pass_to_control (peer, payload);
   if (in.failed)
--- a/source/call/traffic.c
+++ b/source/call/traffic.c
@@ -1,8 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "cardamom/traffic.h"
-#include "traffic.h"
+#include "workspaces.h"
 
 #define TICK_MS 25 /* A queued request expires at most this late.  */
 /* Interval at which expired crash records are looked for.  */
@@ -59,6 +58,8 @@
     return;
   const cs_service_t *service
       = g_hash_table_lookup (snapshot->services, traffic->self->info.service);
+  traffic->has_caps
+      = snapshot->workspaces && cs_workspaces_have_caps (snapshot->workspaces);
   cs_dispatcher_set_warmup (traffic->dispatcher,
                             service ? service->warmup_per_s : 0);
   cs_snapshot_drop (traffic->ctx, snapshot);
@@ -97,6 +98,7 @@
   cs_traffic_t *traffic = timer->data;
   cs_usec_t now = traffic_now (traffic);
   cs_dispatcher_tick (traffic->dispatcher);
+  workspaces_tick (traffic, now >= traffic->next_slow_tick_at, now);
   if (now < traffic->next_slow_tick_at)
     return;
   traffic->next_slow_tick_at = now + 4 * TICK_MS * CS_MSEC;
@@ -167,6 +169,9 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   traffic->non_idempotent_jobs = g_hash_table_new (g_str_hash, g_str_equal);
   g_queue_init (&traffic->ended_non_idempotent_jobs);
+  traffic->freshness = settings->freshness;
+  traffic->keys_fresh_at = settings->keys_fresh_at;
+  traffic->workspaces = workspaces_new (traffic, &settings->cap_tolerance);
   peer_add (traffic, &settings->self);
   traffic->crash_history
       = cs_crash_history_new (traffic->ctx, &crash_history_handler, traffic);
--- a/source/call/traffic.h
+++ b/source/call/traffic.h
@@ -8,6 +8,7 @@
 #include "cardamom/counters.h"
 #include "cardamom/event.h"
 #include "cardamom/frames.h"
+#include "cardamom/freshness.h"
 #include "cardamom/placement.h"
 #include "cardamom/reach.h"
 #include "cardamom/retry-window.h"
@@ -22,6 +23,7 @@
 
 /* Without the membarrier system call, which not every host offers.  */
 #define RCU_MB
+#include <stdatomic.h>
 #include <urcu.h>
 
 /* Bytes that a node leaves unacknowledged for this long end its stream.  */
@@ -29,6 +31,7 @@
 
 typedef struct peer peer_t;
 typedef struct call call_t;
+typedef struct workspaces workspaces_t;
 
 /* A member of the mesh, another node or this one, with its stream, its load
    and the calls in flight there.  */
@@ -70,6 +73,8 @@
   /* Of the server beside it, measured from here.  */
   cs_service_times_t run_times;
   cs_cold_share_t cold_share; /* Of that server's rate while it is cold.  */
+  /* Its address refuses connections: its process has ended.  */
+  bool process_gone;
 };
 
 /* How a service's requests are split between a baseline and a candidate
@@ -124,7 +129,11 @@
   GHashTable *server_counts;
   GHashTable *routes;        /* route path -> route_state_t *.  */
   GHashTable *evacuated_dcs; /* A set of names.  */
-  cs_snapshot_t **snapshot;  /* RCU pointer of the control thread.  */
+  workspaces_t *workspaces;
+  bool has_caps; /* The configuration in force caps workspaces.  */
+  cs_freshness_settings_t freshness;
+  const _Atomic int64_t *keys_fresh_at; /* As in cs_traffic_settings_t.  */
+  cs_snapshot_t **snapshot; /* RCU pointer of the control thread.  */
   /* attempt id -> inbound job that is not idempotent.  */
   GHashTable *non_idempotent_jobs;
   /* Those of them that have ended, oldest first.  */
--- a/source/config/snapshot.c
+++ b/source/config/snapshot.c
@@ -321,6 +321,7 @@
   g_ptr_array_unref (snapshot->routes);
   g_hash_table_unref (snapshot->moves);
   g_hash_table_unref (snapshot->services);
+  cs_workspaces_free (snapshot->workspaces);
   if (snapshot->docs)
     cs_docs_drop (ctx, snapshot->docs);
   cs_free (ctx, snapshot);
--- a/source/http1/header-names.c
+++ b/source/http1/header-names.c
@@ -11,6 +11,7 @@
         .server_limit = "Cardamom-Limit",
         .server_leaving = "Cardamom-Leaving",
         .instance_id = "Cardamom-Server",
-        .cold_ms = "Cardamom-Cold-Ms" };
+        .cold_ms = "Cardamom-Cold-Ms",
+        .workspace = "Cardamom-Workspace" };
 
 const cs_header_names_t *cs_header_names = &default_names;
--- a/source/run/dispatcher.c
+++ b/source/run/dispatcher.c
@@ -37,7 +37,8 @@
   static const char *const names[]
       = { "full",         "expired",     "gone",     "other",
           "shed",         "trial",       "stopping", "quarantined",
-          "retry-budget", "longer-wait", "region",   "evacuated" };
+          "retry-budget", "longer-wait", "region",   "evacuated",
+          "key-unknown",  "keys-closed", "over-cap", "no-cap-keeper" };
   return reason < CS_REFUSED_COUNT ? names[reason] : "unknown";
 }
 
--- a/source/sidecar/control.c
+++ b/source/sidecar/control.c
@@ -204,6 +204,7 @@
   cs_usec_t now = control_now (control);
   check_for_stall (control, now);
   rows_tick (control, now);
+  rows_check_keys (control, now);
   resume_tick (control);
   moves_tick (control, now);
   crash_rows_tick (control, now);
@@ -273,6 +274,10 @@
           .retry_window = settings->retry_window,
           .answer_memory = settings->answer_memory,
           .grace_period = settings->grace,
+          .cap_tolerance = settings->cap_tolerance,
+          .freshness = { .fail_closed = settings->fail_closed,
+                         .revoke = settings->revoke },
+          .keys_fresh_at = &control->keys_fresh_at,
           .snapshot = &control->snapshot };
   traffic_settings.self.boot_ms = control->boot_ms;
   traffic_settings.self.link_mbps = (int64_t)settings->link_mbps;
@@ -301,6 +306,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   control->operator_rows = g_hash_table_new_full (g_str_hash, g_str_equal,
                                                   NULL, cs_table_row_free);
+  control->heartbeat_paths
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   control->moves = g_hash_table_new (g_str_hash, g_str_equal);
   uv_loop_init (&control->loop);
   cs_mailbox_init (&control->mailbox, &control->loop);
@@ -312,6 +319,7 @@
       exit (2);
     }
   cs_event_set_node (control->settings.node);
+  cs_key_digest_set_secret (cs_str_of (control->settings.deployment));
   control->adapter = adapter;
   cs_header_names = control->adapter->headers;
   if (!open_components (control))
--- a/source/sidecar/control.h
+++ b/source/sidecar/control.h
@@ -4,6 +4,7 @@
 #define SIDECAR_CONTROL_H
 
 #define RCU_MB /* The membarrier system call is not available everywhere.  */
+#include <stdatomic.h>
 #include <urcu.h>
 
 #include "cardamom/adapter.h"
@@ -13,6 +14,7 @@
 #include "cardamom/server.h"
 #include "cardamom/table-reader.h"
 #include "cardamom/traffic.h"
+#include "cardamom/transit.h"
 
 #include "settings.h"
 
@@ -32,6 +34,13 @@
   bool reachable;
 } member_info_t;
 
+/* The heartbeats of one process of a node, for their delay.  */
+typedef struct
+{
+  int64_t boot_ms;
+  cs_transit_path_t path;
+} heartbeat_path_t;
+
 typedef struct control control_t;
 
 struct control
@@ -57,6 +66,13 @@
   cs_usec_t rows_fresh_at; /* When OPERATOR_ROWS was last up to date.  */
   cs_usec_t heartbeat_sent_at, rows_requested_at, table_retry_at;
   cs_usec_t own_read_at; /* Last successful read by this node.  */
+  /* Monotonic time; OPERATOR_ROWS hold all that was acknowledged before.
+     Unlike ROWS_FRESH_AT, it counts from when a call of the table was made,
+     not from its answer.  The traffic thread reads it.  */
+  _Atomic int64_t keys_fresh_at;
+  cs_usec_t rows_call_sent_at; /* The last read or watch of the rows.  */
+  GHashTable *heartbeat_paths; /* node -> heartbeat_path_t *.  */
+  bool keys_closed;            /* Requests with a key are refused.  */
   /* This node reads the table although its rank is not 0.  */
   bool acting_reader;
   /* When the last heartbeat was received that reported rows no older than
@@ -123,6 +139,8 @@
 void rows_handle_complete (control_t *control, cs_unpack_cursor_t *in);
 void rows_handle_freshness (control_t *control, const char *from,
                             cs_unpack_cursor_t *in);
+/* Find out whether requests with a key may be served, and log a change.  */
+void rows_check_keys (control_t *control, cs_usec_t now);
 /* Send all operator rows to NODE, which has requested them.  */
 void rows_send_all (control_t *control, const char *node);
 /* The rank of this node, by name, among the reachable nodes of its region that
--- a/source/sidecar/endpoints.c
+++ b/source/sidecar/endpoints.c
@@ -85,7 +85,10 @@
     {
     case CS_NODE_ENDPOINT_READINESS:
       cs_exchange_answer (exchange,
-                          control->snapshot && !control->stopping ? 200 : 503,
+                          control->snapshot && !control->stopping
+                                  && !control->keys_closed
+                              ? 200
+                              : 503,
                           NULL, CS_STR (""), false);
       break;
     case CS_NODE_ENDPOINT_REPORT:
--- a/source/sidecar/operator-rows.c
+++ b/source/sidecar/operator-rows.c
@@ -1,6 +1,7 @@
 /* The operator rows (configuration and move requests).  One node of the region
    reads them from the platform's table and sends them to the others; every
    node applies them.  */
+#include <sodium.h>
 #include <string.h>
 
 #include "cardamom/delta.h"
@@ -261,12 +262,14 @@
 {
   cs_pack_t pack;
   cs_pack_init (&pack);
-  cs_pack_array (&pack, 5);
+  cs_pack_array (&pack, 7);
   cs_pack_int64 (&pack, CS_FRAME_ROWS_FRESHNESS);
   cs_pack_int64 (&pack, control->rows_revision);
   cs_pack_int64 (&pack, rows_digest (control));
   cs_pack_int64 (&pack, now - control->rows_fresh_at);
   cs_pack_int64 (&pack, now - control->own_read_at < OWN_READ_AGE_MAX);
+  cs_pack_int64 (&pack, now - atomic_load (&control->keys_fresh_at));
+  cs_pack_int64 (&pack, now);
   cs_traffic_send_control (control->traffic, node, control->settings.region,
                            cs_pack_payload (&pack));
   cs_pack_clear (&pack);
@@ -380,6 +383,51 @@
   cs_table_row_free (row);
 }
 
+/* OPERATOR_ROWS hold all that was acknowledged before FRESH_AT.  */
+static void
+note_keys_fresh (control_t *control, cs_usec_t fresh_at)
+{
+  if (fresh_at > atomic_load (&control->keys_fresh_at))
+    atomic_store (&control->keys_fresh_at, fresh_at);
+}
+
+void
+rows_check_keys (control_t *control, cs_usec_t now)
+{
+  cs_freshness_settings_t freshness
+      = { .fail_closed = control->settings.fail_closed,
+          .revoke = control->settings.revoke };
+  cs_usec_t fresh_at = atomic_load (&control->keys_fresh_at);
+  bool closed = control->snapshot && control->snapshot->workspaces
+                && !cs_freshness_allows_keys (&freshness, fresh_at, now);
+  if (closed == control->keys_closed)
+    return;
+  control->keys_closed = closed;
+  cs_gauge_set (CS_C_G_KEYS_CLOSED, closed);
+  cs_event_log (CS_E_KEYS, "state=%s view_age_ms=%" G_GINT64_FORMAT,
+                closed ? "closed" : "open",
+                fresh_at ? (now - fresh_at) / CS_MSEC : -1);
+}
+
+/* How much longer than the fastest one a heartbeat took that the process of
+   SENDER sent at SENT_AT, by its clock.  */
+static cs_usec_t
+heartbeat_delay (control_t *control, const cs_node_info_t *sender,
+                 cs_usec_t sent_at)
+{
+  heartbeat_path_t *known
+      = g_hash_table_lookup (control->heartbeat_paths, sender->name);
+  if (!known)
+    {
+      known = g_new0 (heartbeat_path_t, 1);
+      g_hash_table_insert (control->heartbeat_paths, g_strdup (sender->name),
+                           known);
+    }
+  if (known->boot_ms != sender->boot_ms)
+    *known = (heartbeat_path_t){ .boot_ms = sender->boot_ms };
+  return cs_transit_path_delay (&known->path, sent_at, control_now (control));
+}
+
 void
 rows_handle_freshness (control_t *control, const char *from,
                        cs_unpack_cursor_t *in)
@@ -388,6 +436,10 @@
   int64_t digest = cs_unpack_int64 (in);
   cs_usec_t age = cs_unpack_int64 (in);
   bool reads_table = cs_unpack_int64 (in) != 0;
+  /* Earlier releases do not send them.  */
+  bool names_keys = in->remaining >= 2;
+  cs_usec_t keys_age = names_keys ? cs_unpack_int64 (in) : 0;
+  cs_usec_t sent_at = names_keys ? cs_unpack_int64 (in) : 0;
   if (in->failed || age < 0 || age > REPORTED_ROWS_AGE_MAX)
     return;
   control->heartbeat_received_at = control_now (control);
@@ -408,6 +460,10 @@
   control->rows_revision = MAX (control->rows_revision, revision);
   control->rows_fresh_at
       = MAX (control->rows_fresh_at, control_now (control) - age);
+  if (names_keys && reader)
+    note_keys_fresh (
+        control, control_now (control) - MAX (keys_age, 0)
+                     - heartbeat_delay (control, &reader->member, sent_at));
 }
 
 void
@@ -447,6 +503,24 @@
       = control_now (control) + (cs_usec_t)((double)delay * jitter);
 }
 
+/* Replace the keys of workspaces in ROW, if it is a configuration, by their
+   digests, before it is stored or sent.  */
+static void
+redact_row (const control_t *control, cs_table_row_t *row)
+{
+  const cs_adapter_vtable_t *adapter = control->adapter;
+  GString *redacted
+      = row->value
+                && adapter->classify_row (row->key) == CS_OPERATOR_ROW_CONFIG
+            ? adapter->redact_config (cs_str_of_gstring (row->value))
+            : NULL;
+  if (!redacted)
+    return;
+  sodium_memzero (row->value->str, row->value->len);
+  g_string_free (row->value, TRUE);
+  row->value = redacted;
+}
+
 /* Handle the result of a read of all rows or, with FORWARD, of a watch, whose
    rows are sent to the region.  */
 static void
@@ -479,6 +553,7 @@
                                 .value = row->value,
                                 .revision = row->revision };
       row->value = NULL;
+      redact_row (control, copy);
       const cs_table_row_t *stored
           = g_hash_table_lookup (control->operator_rows, copy->key);
       if (forward && (!stored || stored->revision < copy->revision))
@@ -490,6 +565,7 @@
     }
   control->rows_revision = MAX (control->rows_revision, revision);
   control->rows_fresh_at = control->own_read_at = now;
+  note_keys_fresh (control, control->rows_call_sent_at);
   control->table_failures = 0;
   if (changed || first_read)
     {
@@ -568,6 +644,7 @@
     {
       control->acting_reader = rank > 0;
       control->table_call_pending = true;
+      control->rows_call_sent_at = now;
       /* A watch brings each change since the last one, which a node that has
          fallen behind may not get over its link in time.  */
       if (control->table_failures >= WATCH_FAILURES_MAX)
--- a/source/sidecar/settings.c
+++ b/source/sidecar/settings.c
@@ -40,6 +40,9 @@
   { "server", TEXT, AT (server), "",
     "IP:PORT of the backend server, to go on with it after a restart" },
   { "table", TEXT, AT (table), NULL, "IP:PORT of the platform's table" },
+  { "deployment", TEXT, AT (deployment), "",
+    "name of the whole mesh, the same on every node; digests of keys are "
+    "keyed with it" },
   { "link_mbps", NUMBER, AT (link_mbps), "0",
     "speed of the host's link; the fastest of a region read the table" },
   { "first_start", COUNT, AT (first_start), "0",
@@ -60,6 +63,17 @@
     "part of a service's requests that may go to a bad version" },
   { "exposure_slack", NUMBER, AT (exposure.slack), "50",
     "requests besides, in each move" },
+  { "fail_closed", COUNT, AT (fail_closed), "0",
+    "1: refuse requests with a key while the node cannot know whether it was "
+    "taken away" },
+  { "revoke", DURATION, AT (revoke), "5s",
+    "time in which a key that is taken away ends everywhere" },
+  { "quota_window", DURATION, AT (cap_tolerance.window), "5s",
+    "span over which usage caps are counted" },
+  { "quota_over", NUMBER, AT (cap_tolerance.over), "0.1",
+    "part of a usage cap that may be exceeded in a span" },
+  { "quota_slack", NUMBER, AT (cap_tolerance.slack), "20",
+    "requests besides" },
 };
 
 cs_usec_t
--- a/source/sidecar/settings.h
+++ b/source/sidecar/settings.h
@@ -3,9 +3,11 @@
 #define SIDECAR_SETTINGS_H
 
 #include "cardamom/backend.h"
+#include "cardamom/cap.h"
 #include "cardamom/client.h"
 #include "cardamom/context.h"
 #include "cardamom/exposure.h"
+#include "cardamom/freshness.h"
 #include "cardamom/retry-window.h"
 
 /* An address is IP:PORT.  */
@@ -21,12 +23,16 @@
   char service[CS_NAME_SIZE];    /* Of the backend server; may be empty.  */
   char server[CS_NAME_SIZE];     /* The backend server; may be empty.  */
   char table[CS_NAME_SIZE];      /* The platform's table.  */
+  char deployment[CS_NAME_SIZE]; /* Name of the whole mesh; may be empty.  */
   double link_mbps;              /* Speed of the host's link; 0: unknown.  */
   int64_t first_start;           /* 1: the mesh starts for the first time.  */
   cs_usec_t grace;               /* From a stop signal to the end.  */
   cs_retry_window_settings_t retry_window; /* Limits retries.  */
   cs_answer_memory_t answer_memory;        /* Limits the server's answers.  */
   cs_exposure_limits_t exposure; /* Limits requests to candidates.  */
+  int64_t fail_closed;           /* As in cs_freshness_settings_t.  */
+  cs_usec_t revoke;
+  cs_cap_tolerance_t cap_tolerance; /* Beyond the caps of workspaces.  */
 } node_settings_t;
 
 /* Read the file at PATH into OUT.  On CS_BAD_INPUT the message names the first
--- a/source/sidecar/startup.c
+++ b/source/sidecar/startup.c
@@ -179,6 +179,7 @@
       return;
     }
   control->table_call_pending = true;
+  control->rows_call_sent_at = now;
   if (control->startup_step == STARTUP_REGISTER)
     {
       control->node_row_pending_generation = control->backend.generation;
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -117,9 +117,28 @@
   end_request (request);
 }
 
+/* Choose the key of ATTEMPT, a request of a keyed route: that of the version
+   before the newest one, which both hold, at times that of the workspace with
+   the low cap, or one that was taken away.  The caller frees it.  */
+static char *
+choose_key (soak_t *soak, attempt_t *attempt)
+{
+  double random = g_rand_double (soak->load_random);
+  if (random < 0.25)
+    {
+      attempt->workspace = "tight";
+      return g_strdup ("tight-key");
+    }
+  attempt->workspace = "shop";
+  attempt->key_version
+      = MAX (soak->config_version - (random < 0.35 ? 3 : 1), 0);
+  return g_strdup_printf ("key-%lld", (long long)attempt->key_version);
+}
+
+/* KEYED: the route asks for a key.  */
 static void
 send_request (soak_t *soak, host_t *host, const char *path, bool at_most_once,
-              int64_t probed_version)
+              int64_t probed_version, bool keyed)
 {
   static const cs_http1_client_handler_t handler
       = { .answer_received = on_answer, .failed = on_no_answer };
@@ -135,6 +154,11 @@
               soak->seed, (unsigned long long)++soak->last_attempt_number);
   g_strlcpy (attempt->path, path, sizeof attempt->path);
   attempt->at_most_once = at_most_once;
+  attempt->sent_at = soak_now (soak);
+  char *key = keyed ? choose_key (soak, attempt) : NULL;
+  /* Of the keyed ones, only those with a valid key and no cap are owed.  */
+  request->in_window
+      &= !key || attempt->key_version == soak->config_version - 1;
   g_hash_table_insert (soak->attempts, g_strdup (request->attempt_id),
                        attempt);
   soak->sent++;
@@ -150,8 +174,11 @@
   g_string_append_printf (request_text,
                           "GET %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: %s\r\n"
                           "Timeout-Remaining-Ms: %d\r\nConnection: close\r\n"
-                          "\r\n",
-                          path, request->attempt_id, REQUEST_TIMEOUT_MS);
+                          "%s%s%s\r\n",
+                          path, request->attempt_id, REQUEST_TIMEOUT_MS,
+                          key ? "Authorization: Bearer " : "", key ? key : "",
+                          key ? "\r\n" : "");
+  g_free (key);
   cs_http1_client_send (request->client, request_text, false, &handler,
                         request);
 }
@@ -166,7 +193,7 @@
   int host_index
       = g_rand_int_range (soak->load_random, 0, (int)soak->host_count);
   send_request (soak, &soak->hosts[host_index], paths[path_index],
-                path_index % 2, 0);
+                path_index % 2, 0, path_index >= 2);
 }
 
 void
@@ -174,5 +201,5 @@
 {
   char path[32];
   g_snprintf (path, sizeof path, "/c%lld/x", (long long)soak->config_version);
-  send_request (soak, host, path, false, soak->config_version);
+  send_request (soak, host, path, false, soak->config_version, false);
 }
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -289,10 +289,18 @@
 
 /* The configuration.  */
 
+/* Rows were written.  The key of the version before the last one has been
+   taken away by now, if it had not been before.  */
 static void
 on_config_written (void *user, cs_http1_message_t *answer)
 {
-  (void)user, (void)answer;
+  soak_t *soak = user;
+  (void)answer;
+  for (int64_t version = 1;
+       version <= soak->config_version - 2 && version < VERSIONS_MAX;
+       version++)
+    if (!soak->key_removed_at[version])
+      soak->key_removed_at[version] = soak_now (soak);
 }
 
 static void
@@ -307,14 +315,15 @@
 /* Append a route with the prefix /NAME/ to the JSON object OUT.  */
 static void
 add_route (GString *out, const char *name, const char *kind,
-           const char *service)
+           const char *service, bool anonymous)
 {
   g_string_append_printf (
       out,
       "%s\"%s\":{\"host\":\"h\",\"prefix\":\"/%s/\",\"kind\":\"%s\","
       "\"timeout\":\"1500ms\",\"targetLatency\":\"500ms\",\"service\":"
-      "\"%s\",\"maxAttempts\":3}",
-      out->str[out->len - 1] == '{' ? "" : ",", name, name, kind, service);
+      "\"%s\",\"maxAttempts\":3,\"anonymous\":%s}",
+      out->str[out->len - 1] == '{' ? "" : ",", name, name, kind, service,
+      anonymous ? "true" : "false");
 }
 
 /* Write BODY, a transaction, to the table.  */
@@ -366,13 +375,17 @@
       document,
       "{\"version\":\"%08llx\",\"services\":{\"s0\":{\"healthPath\":"
       "\"/health\",\"warmupPerS\":%.1f},\"s1\":{\"healthPath\":\"/health\","
-      "\"warmupPerS\":%.1f}},\"limits\":{},\"routes\":{",
-      (unsigned long long)soak->config_version, WARMUP_PER_S, WARMUP_PER_S);
-  add_route (document, "s0", "safe", "s0");
-  add_route (document, "u0", "unsafe", "s0");
-  add_route (document, "s1", "safe", "s1");
-  add_route (document, "u1", "unsafe", "s1");
-  add_route (document, probe_route, "safe", "s0");
+      "\"warmupPerS\":%.1f}},\"limits\":{},\"tenants\":{\"shop\":{\"apiKeys\":"
+      "[\"key-%lld\",\"key-%lld\"]},\"tight\":{\"apiKeys\":[\"tight-key\"],"
+      "\"ratePerS\":%.1f,\"burst\":%.1f}},\"routes\":{",
+      (unsigned long long)soak->config_version, WARMUP_PER_S, WARMUP_PER_S,
+      (long long)soak->config_version, (long long)soak->config_version - 1,
+      TIGHT_PER_S, TIGHT_BURST);
+  add_route (document, "s0", "safe", "s0", true);
+  add_route (document, "u0", "unsafe", "s0", true);
+  add_route (document, "s1", "safe", "s1", false);
+  add_route (document, "u1", "unsafe", "s1", false);
+  add_route (document, probe_route, "safe", "s0", true);
   g_string_append (document, "}}");
   char *encoded
       = g_base64_encode ((const guchar *)document->str, document->len);
--- a/tests/soak/hosts.c
+++ b/tests/soak/hosts.c
@@ -124,6 +124,42 @@
         host->name, (long long)((now - soak->evacuated_at) / CS_MSEC));
 }
 
+/* Check the workspace of the request of ATTEMPT, which begins to run.  */
+static void
+check_workspace (host_t *host, const cs_exchange_t *exchange,
+                 const attempt_t *attempt, const char *id)
+{
+  soak_t *soak = host->soak;
+  cs_usec_t now = soak_now (soak), *first;
+  char *workspace = copy_field (exchange, "tenant");
+  if (strcmp (workspace, attempt->workspace ? attempt->workspace : "") != 0
+      || cs_http1_message_field (&exchange->request, "authorization").data)
+    soak_record_violation (soak, "UNASKED", "id=%s of '%s' as of '%s'", id,
+                           attempt->workspace ? attempt->workspace : "",
+                           workspace);
+  g_free (workspace);
+  int64_t version = attempt->key_version;
+  cs_usec_t removed_at = version > 0 && version < VERSIONS_MAX
+                             ? soak->key_removed_at[version]
+                             : 0;
+  if (removed_at && attempt->sent_at > removed_at + REVOKE_BOUND)
+    soak_record_violation (
+        soak, "REVOKE", "id=%s at %s, sent %lld ms after its key was removed",
+        id, host->name,
+        (long long)((attempt->sent_at - removed_at) / CS_MSEC));
+  if (!attempt->workspace || strcmp (attempt->workspace, "tight") != 0)
+    return;
+  g_queue_push_tail (&soak->tight_runs, g_memdup2 (&now, sizeof now));
+  while ((first = g_queue_peek_head (&soak->tight_runs))
+         && now - *first > QUOTA_WINDOW)
+    g_free (g_queue_pop_head (&soak->tight_runs));
+  double allowed
+      = TIGHT_PER_S * (double)QUOTA_WINDOW / (double)CS_SEC + TIGHT_BURST;
+  if (soak->tight_runs.length > allowed * (1 + QUOTA_OVER) + QUOTA_SLACK)
+    soak_record_violation (soak, "QUOTA", "id=%s at %s: %u in a window", id,
+                           host->name, soak->tight_runs.length);
+}
+
 /* Check a request ID that begins to run, and record a violation unless: a
    caller has sent it, with this path; an unsafe one has neither run before nor
    been answered as not run; it names the caller's service, which the sidecar
@@ -147,6 +183,8 @@
     soak_record_violation (soak, "UNASKED",
                            "id=%s without the caller's service", id);
   check_place (host, id);
+  if (attempt)
+    check_workspace (host, exchange, attempt, id);
   cs_usec_t now = soak_now (soak);
   if (host->draining && host->drain_acknowledged_at
       && now - host->drain_acknowledged_at > DRAIN_GRACE
@@ -367,11 +405,15 @@
       "\"first_start\":%d,\"callers\":\"127.0.0.1:%u\",\"ready\":"
       "\"127.0.0.1:%u\",\"reports\":\"127.0.0.1:%u\",\"peers\":"
       "\"127.0.0.1:%u\",\"advertised\":\"127.0.0.1:%u\",\"service\":\"%s\","
-      "\"server\":\"127.0.0.1:%u\",\"table\":\"127.0.0.1:%u\"}",
+      "\"server\":\"127.0.0.1:%u\",\"table\":\"127.0.0.1:%u\","
+      "\"fail_closed\":1,\"revoke\":\"%lldms\",\"quota_window\":\"%lldms\","
+      "\"quota_over\":%.2f,\"quota_slack\":%.1f}",
       host->name, host_dc (host), host->index % 2 ? "east" : "west",
       first_start, port + PORT_CALLERS, port + PORT_READINESS,
       port + PORT_REPORTS, port + PORT_PEERS, port + PORT_PEER_PROXY,
-      host->service, port + PORT_SERVER, port + PORT_TABLE_PROXY);
+      host->service, port + PORT_SERVER, port + PORT_TABLE_PROXY,
+      (long long)(REVOKE_BOUND / CS_MSEC), (long long)(QUOTA_WINDOW / CS_MSEC),
+      QUOTA_OVER, QUOTA_SLACK);
   if (!g_file_set_contents (host->settings_path, text, -1, NULL))
     soak_fail (host->soak, "cannot write %s", host->settings_path);
   g_free (text);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -17,15 +17,18 @@
      EVAC: in calm, the servers of a data centre get no requests once
        EVACUATION_BOUND has passed since its evacuation was acknowledged.
      MIXED: an answer belongs to the request that it is sent for.
+     QUOTA: the workspace with a low usage cap gets no more runs in a window
+       than the platform's rules allow, of all nodes together.
      RECOVER: in time after the faults, most requests are served again and no
        server is draining.
      REFUSED: an unsafe request that is answered as not run has not run before
        the answer and does not run after it.
-     STOP: a node exits in time and with status 0 after SIGTERM.
-     TWICE: an unsafe request runs at most once.
-     UNASKED: a server gets only requests that a caller has sent, with the
-       same path, and each names the caller's service.
-   SOAK is printed when the stand-in for the table fails.
+     REVOKE: no request runs that was sent later than REVOKE_BOUND after its
+   key was taken away. STOP: a node exits in time and with status 0 after
+   SIGTERM. TWICE: an unsafe request runs at most once. UNASKED: a server gets
+   only requests that a caller has sent, with the same path, and each names the
+   caller's service, and the workspace of its key, but not the key. SOAK is
+   printed when the stand-in for the table fails.
 
    All random decisions derive from one seed, so the faults, their times and
    their order are the same in each run with that seed.  */
@@ -38,6 +41,16 @@
 
 #define HOSTS_MAX 16
 
+/* The keys "key-V" and "key-(V-1)" belong to the workspace "shop" in version V
+   of the configuration; "tight" has a key of its own and a low cap.  */
+#define REVOKE_BOUND (5 * CS_SEC)
+#define VERSIONS_MAX 512
+#define TIGHT_PER_S 2.0
+#define TIGHT_BURST 2.0
+#define QUOTA_WINDOW (5 * CS_SEC)
+#define QUOTA_OVER 0.1
+#define QUOTA_SLACK 2.0
+
 /* What a cold server takes, and how long it is cold after its start.  */
 #define WARMUP_PER_S 4.0
 #define WARMUP_TIME (1500 * CS_MSEC)
@@ -146,7 +159,10 @@
   GHashTable *attempts;         /* Attempt ID -> attempt_t *, owned.  */
   uint64_t last_attempt_number; /* Part of the attempt ID.  */
   int64_t config_version;       /* Newest version written to the table.  */
-  GArray *fault_plan;           /* fault_t, sorted by begin.  */
+  /* When the key of each version was taken away; 0: it was not.  */
+  cs_usec_t key_removed_at[VERSIONS_MAX];
+  GQueue tight_runs;  /* cs_usec_t *: begins of the last window.  */
+  GArray *fault_plan; /* fault_t, sorted by begin.  */
   /* How many entries of FAULT_PLAN, from the first on, have begun.  */
   guint faults_begun;
   bool faults_over;                       /* All faults have ended.  */
@@ -174,6 +190,9 @@
   bool refused;      /* Its answer asserts that it has not run.  */
   bool answered;
   unsigned run_count; /* Counted only if AT_MOST_ONCE.  */
+  cs_usec_t sent_at;
+  int64_t key_version;   /* Its key is that of this version; 0: another.  */
+  const char *workspace; /* Expected; NULL: none.  */
   char path[32];
 } attempt_t;
 
--- a/tests/test-adapter.c
+++ b/tests/test-adapter.c
@@ -64,6 +64,71 @@
     }
 }
 
+#define TENANTS(tenants)                                                      \
+  "{\"version\":\"0000000c\",\"services\":{},\"routes\":{},\"tenants\":"      \
+  "{" tenants "}}"
+
+/* Keys are replaced by their digests before a configuration is stored or sent.
+   Guards against a key that stays in the text, readers that make different
+   texts, and tenants that should keep the configuration out.  */
+static void
+test_tenants (void)
+{
+  static const struct
+  {
+    const char *tenants;
+    bool valid;
+  } cases[] = {
+    { "\"a\":{\"apiKeys\":[\"k1\",\"k2\"],\"ratePerS\":5,\"burst\":5},"
+      "\"b\":{\"apiKeys\":[\"k3\"],\"priority\":0}",
+      true },
+    { "\"a\":{\"apiKeys\":[]}", true },
+    { "\"a\":{}", true },
+    { "\"a\":{\"apiKeys\":[\"k1\"]},\"b\":{\"apiKeys\":[\"k1\"]}", false },
+    { "\"a\":{\"ratePerS\":-1}", false },
+    { "\"a\":{\"ratePerS\":\"5\"}", false },
+    { "\"a\":{\"ratePerS\":1e300}", true },
+    { "\"a\":{\"burst\":-0.5}", false },
+    { "\"a\":{\"keyDigests\":[\"zz\"]}", false },
+    { "\"a\\nb\":{}", false },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *text = g_strconcat (TENANTS (""), NULL);
+      char **parts = g_strsplit (text, "\"tenants\":{", 2);
+      char *config = g_strconcat (parts[0], "\"tenants\":{", cases[i].tenants,
+                                  parts[1], NULL);
+      GString *redacted = adapter ()->redact_config (cs_str_of (config));
+      GString *again = adapter ()->redact_config (cs_str_of (config));
+      cs_snapshot_t *snapshot = NULL;
+      g_test_message ("%s", cases[i].tenants);
+      g_assert_nonnull (redacted);
+      g_assert_cmpstr (redacted->str, ==, again->str);
+      g_assert_null (strstr (redacted->str, "k1"));
+      g_assert_null (strstr (redacted->str, "apiKeys"));
+      cs_status_t status = adapter ()->decode_config (
+          ctx, cs_str_of_gstring (redacted), &snapshot);
+      g_assert_cmpint (status, ==, cases[i].valid ? CS_OK : CS_BAD_INPUT);
+      if (i == 0)
+        {
+          cs_key_digest_t digest = cs_key_digest (CS_STR ("k2"));
+          const cs_workspace_t *a
+              = cs_workspaces_find_key (snapshot->workspaces, &digest);
+          g_assert_cmpstr (a->name, ==, "a");
+          g_assert_cmpfloat (a->per_s, ==, 5);
+          g_assert_false (a->has_priority);
+        }
+      cs_snapshot_drop (ctx, snapshot);
+      g_string_free (redacted, TRUE);
+      g_string_free (again, TRUE);
+      g_strfreev (parts);
+      g_free (config);
+      g_free (text);
+    }
+  g_assert_null (adapter ()->redact_config (CS_STR (TENANTS (""))));
+  g_assert_null (adapter ()->redact_config (CS_STR ("{")));
+}
+
 static void
 test_config (void)
 {
@@ -497,6 +562,7 @@
   never_freed = g_ptr_array_new ();
   g_test_add_func ("/adapter/config", test_config);
   g_test_add_func ("/adapter/places", test_places);
+  g_test_add_func ("/adapter/tenants", test_tenants);
   g_test_add_func ("/adapter/report", test_report);
   g_test_add_func ("/adapter/odd-report", test_odd_report);
   g_test_add_func ("/adapter/odd-report-hides-server",
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -194,6 +194,9 @@
 /* Of the nodes that are started next.  */
 static cs_retry_window_settings_t retry_settings;
 
+/* Keys do not fail closed here.  */
+static const _Atomic int64_t keys_fresh_at;
+
 static cs_traffic_t *
 start_node (mesh_t *mesh, cs_node_info_t *info, const char *name,
             unsigned peer_port, unsigned caller_port)
@@ -216,6 +219,8 @@
                              .max_total = ANSWERS_BYTES_MAX },
           .retry_window = retry_settings,
           .grace_period = 6 * CS_SEC,
+          .keys_fresh_at = &keys_fresh_at,
+          .cap_tolerance = { .window = 5 * CS_SEC, .over = 0.1, .slack = 4 },
           .snapshot = &mesh->snapshot };
   cs_traffic_t *traffic
       = cs_traffic_new (mesh->ctx, &settings, &handler, mesh);
@@ -1228,6 +1233,157 @@
   return names;
 }
 
+/* Put a configuration in force whose workspace "shop" holds the key HELD_KEY
+   and may send PER_S requests a second and BURST besides; 0: any.  The route
+   "read" is anonymous.  */
+static void
+put_workspace (mesh_t *mesh, int64_t version, const char *held_key,
+               double per_s, double burst)
+{
+  cs_snapshot_t *snapshot = make_snapshot (mesh->ctx);
+  cs_workspace_t *workspace = g_new0 (cs_workspace_t, 1);
+  cs_key_digest_t digest = cs_key_digest (cs_str_of (held_key));
+  cs_http1_server_limits_t limits = { .head_max = 16384,
+                                      .body_max = 1 << 20,
+                                      .head_timeout = 3 * CS_SEC,
+                                      .idle_timeout = 30 * CS_SEC };
+  snapshot->version = version;
+  for (guint i = 0; i < snapshot->routes->len; i++)
+    {
+      cs_route_t *route = snapshot->routes->pdata[i];
+      route->anonymous = strcmp (route->path, "read") == 0;
+    }
+  workspace->name = g_strdup ("shop");
+  workspace->per_s = per_s;
+  workspace->burst = burst;
+  snapshot->workspaces = cs_workspaces_new ();
+  cs_workspaces_add (snapshot->workspaces, workspace);
+  g_assert_true (
+      cs_workspaces_add_key (snapshot->workspaces, workspace, &digest));
+  rcu_set_pointer (&mesh->snapshot, snapshot);
+  /* As the control thread does when a configuration takes force.  */
+  cs_traffic_set_limits (mesh->caller_node, &limits);
+  cs_traffic_set_limits (mesh->server_node, &limits);
+}
+
+static void
+send_keyed (int fd, const char *path, const char *id, const char *fields)
+{
+  char *text = g_strdup_printf (
+      "PUT %s HTTP/1.1\r\nHost: h\r\nCardamom-Attempt: %s\r\n"
+      "Cardamom-Deadline-Ms: 15000\r\n%sContent-Length: 1\r\n\r\nx",
+      path, id, fields);
+  send_text (fd, text);
+  g_free (text);
+}
+
+/* A request belongs to the workspace that holds its key.  Guards against a key
+   that is passed on, a workspace that the caller names itself, and requests
+   that run with an unknown key, two, another scheme, or one that was taken
+   away while they waited.  */
+static void
+test_keys (void)
+{
+  static const char *const refused[]
+      = { "",
+          "Authorization: Bearer k2\r\n",
+          "Authorization: Bearer \r\n",
+          "Authorization: Basic k1\r\n",
+          "Authorization: k1\r\n",
+          "Authorization: Bearer k1\r\nAuthorization: Bearer k1\r\n",
+          "Authorization: Bearer k1\xff\r\n" };
+  mesh_t *mesh = start_mesh (1);
+  put_workspace (mesh, 2, "k1", 0, 0);
+  for (size_t i = 0; i < G_N_ELEMENTS (refused); i++)
+    {
+      int caller = connect_to (mesh->caller_port);
+      send_keyed (caller, "/write/0", "a0", refused[i]);
+      expect_answer (caller, "401", "");
+      close (caller);
+    }
+  g_assert_false (readable (mesh->server_listener, SOCKET_ABSENCE_MS));
+  int caller = connect_to (mesh->caller_port);
+  send_keyed (caller, "/write/1", "a1",
+              "Authorization: bearer k1\r\nCardamom-Workspace: other\r\n");
+  int server = accept_one (mesh->server_listener);
+  char *request = receive_message (server);
+  g_assert_nonnull (strstr (request, "Cardamom-Workspace: shop\r\n"));
+  g_assert_null (strstr (request, "other"));
+  g_assert_null (strstr (request, "k1"));
+  g_free (request);
+  /* Another one waits for the slot while its key is taken away, and has to go
+     elsewhere.  */
+  int waits = connect_to (mesh->caller_port);
+  send_keyed (waits, "/write/2", "a2", "Authorization: Bearer k1\r\n");
+  g_usleep (SOCKET_ABSENCE_MS * 1000);
+  put_workspace (mesh, 3, "k3", 0, 0);
+  cs_traffic_set_evacuated (mesh->server_node, one_name ("a"));
+  expect_answer (waits, "401", "");
+  cs_traffic_set_evacuated (mesh->server_node, one_name ("b"));
+  send_answer (server, "a1", "one");
+  expect_answer (caller, "200", "one");
+  close (server);
+  /* An anonymous route has no workspace.  */
+  send_keyed (caller, "/read/3", "a3",
+              "Authorization: Bearer k9\r\nCardamom-Workspace: other\r\n");
+  server = accept_one (mesh->server_listener);
+  request = receive_message (server);
+  g_assert_null (strstr (request, "k9"));
+  g_assert_null (strstr (request, "Workspace"));
+  g_free (request);
+  send_answer (server, "a3", "three");
+  expect_answer (caller, "200", "three");
+  close (server);
+  close (caller);
+  close (waits);
+}
+
+/* A workspace may send 2 requests a second and 2 besides.  Guards against a
+   cap that is not kept, or kept without a time to come back, and against
+   requests refused inside it.  */
+static void
+test_usage_cap (void)
+{
+  mesh_t *mesh = start_mesh (4);
+  put_workspace (mesh, 2, "k1", 2, 2);
+  g_usleep (3000000); /* Nodes choose keepers, and the bucket fills.  */
+  unsigned served = 0, refused = 0;
+  int caller = connect_to (mesh->caller_port);
+  for (int i = 0; i < 20; i++)
+    {
+      char *id = g_strdup_printf ("b%d", i);
+      send_keyed (caller, "/write/1", id, "Authorization: Bearer k1\r\n");
+      struct pollfd fds[]
+          = { { .fd = caller, .events = POLLIN },
+              { .fd = mesh->server_listener, .events = POLLIN } };
+      g_assert_cmpint (poll (fds, 2, SOCKET_TIMEOUT_MS), >, 0);
+      if (fds[1].revents)
+        {
+          int server = accept_request (mesh, "/write/1");
+          send_answer (server, id, "ok");
+          close (server);
+          expect_answer (caller, "200", "ok");
+          served++;
+        }
+      else
+        {
+          char *answer = receive_message (caller);
+          if (!g_str_has_prefix (answer, "HTTP/1.1 429"))
+            g_error ("expected 429, got:\n%s", answer);
+          g_assert_nonnull (strstr (answer, "Retry-After: "));
+          g_free (answer);
+          refused++;
+        }
+      g_free (id);
+    }
+  g_test_message ("%u served, %u refused", served, refused);
+  /* A bucket of 2, and the tolerance of the settings of this test, 4.  */
+  g_assert_cmpuint (served, >=, 2);
+  g_assert_cmpuint (served, <=, 10);
+  g_assert_cmpuint (refused, >=, 8);
+  close (caller);
+}
+
 /* The data centre of the server is evacuated, as the caller's node knows: it
    sends nothing there until that ends.  */
 static void
@@ -1978,6 +2134,8 @@
   g_test_add_func ("/path/evacuated", test_evacuated);
   g_test_add_func ("/path/evacuated-at-the-server",
                    test_evacuated_at_the_server);
+  g_test_add_func ("/path/keys", test_keys);
+  g_test_add_func ("/path/usage-cap", test_usage_cap);
   g_test_add_func ("/path/failed-answer-lost", test_failed_answer_lost);
   g_test_add_func ("/path/late-request-cut-by-stop",
                    test_late_request_cut_by_stop);
