--- a/include/cardamom/workspace.h
+++ b/include/cardamom/workspace.h
@@ -18,8 +18,9 @@
   unsigned char bytes[CS_KEY_DIGEST_BYTES];
 } cs_key_digest_t;
 
-/* Set the secret that the digests are keyed with, from the name DEPLOYMENT, the
-   same at all nodes that exchange configurations.  Call it before the first digest. */
+/* Set the secret that the digests are keyed with, from the name DEPLOYMENT,
+   the same at all nodes that exchange configurations.  Call it before the
+   first digest. */
 void cs_key_digest_set_secret (cs_str_t deployment);
 
 /* The digest of KEY.  */
