--- a/tests/standins/standin-server.c
+++ b/tests/standins/standin-server.c
@@ -4,7 +4,8 @@
 
    It reports itself to the node at port REPORTS and answers each request after
    the work time with its NAME.  A request whose target contains "/crash" ends
-   the process at once.  Each start is another instance.  */
+   the process at once; one whose target contains "/large-N" gets N bytes. Each
+   start is another instance.  */
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
@@ -39,6 +40,16 @@
   g_free (handle->data);
 }
 
+static char *
+answer_body (cs_str_t target)
+{
+  const char *large
+      = g_strstr_len (target.data, (gssize)target.len, "/large-");
+  return large
+             ? g_strnfill (strtoul (large + strlen ("/large-"), NULL, 10), 'a')
+             : g_strdup (name);
+}
+
 static void
 on_work_done (uv_timer_t *timer)
 {
@@ -51,7 +62,9 @@
           = g_strdup_printf ("Attempt-Id: %.*s\r\nResponse-Seal: s\r\n",
                              (int)id.len, id.data ? id.data : "");
       run->exchange->user = NULL;
-      cs_exchange_answer (run->exchange, 200, fields, cs_str_of (name), false);
+      char *body = answer_body (run->exchange->request.request_target);
+      cs_exchange_answer (run->exchange, 200, fields, cs_str_of (body), false);
+      g_free (body);
       g_free (fields);
     }
   uv_close ((uv_handle_t *)timer, free_run);
@@ -133,7 +146,7 @@
       = { .request_received = on_request,
           .caller_disconnected = on_caller_disconnected };
   cs_http1_server_limits_t limits = { .head_max = 65536,
-                                      .body_max = 4 << 20,
+                                      .body_max = 64 << 20,
                                       .head_timeout = 10 * CS_SEC,
                                       .idle_timeout = 60 * CS_SEC };
   cs_http1_server_t *server;
