--- a/include/cardamom/client.h
+++ b/include/cardamom/client.h
@@ -4,6 +4,7 @@
 #ifndef CARDAMOM_CLIENT_H
 #define CARDAMOM_CLIENT_H
 
+#include "cardamom/memory-budget.h"
 #include "cardamom/message.h"
 #include "cardamom/net.h"
 
@@ -35,6 +36,8 @@
   int64_t max_per_answer; /* Limit for one body.  */
   int64_t max_total;      /* Limit for all of them together.  */
   int64_t in_use; /* In use by the answers of all clients that share it.  */
+  /* Of the whole process; NULL: none.  Short of it, answers are read later. */
+  cs_memory_budget_t *budget;
 } cs_answer_memory_t;
 
 typedef struct cs_http1_client cs_http1_client_t;
@@ -84,6 +87,16 @@
                            const cs_http1_client_handler_t *handler,
                            void *user);
 
+/* The same with HEAD, which CLIENT takes over, and BODY, of which it keeps a
+   reference until it is written; NULL: none.  */
+void cs_http1_client_send_body (cs_http1_client_t *client, GString *head,
+                                GBytes *body, bool is_head,
+                                const cs_http1_client_handler_t *handler,
+                                void *user);
+
+/* Read on if the answer was paused for want of memory, and there is some.  */
+void cs_http1_client_resume (cs_http1_client_t *client);
+
 /* Open the connection of CLIENT, which is new, without a request.  CONNECTED
    is called when it is open and CLIENT can be used; FAILED as for
    cs_http1_client_send.  */
--- a/include/cardamom/counters.h
+++ b/include/cardamom/counters.h
@@ -41,6 +41,10 @@
      "Answers replayed for a known idempotency key.")                         \
   X (ONCE_REFUSED, "cardamom_once_refused_total",                             \
      "Keyed requests refused because no record could be consulted.")          \
+  X (NO_MEMORY, "cardamom_no_memory_total",                                   \
+     "Jobs of other nodes refused for want of memory.")                       \
+  X (GAVE_WAY, "cardamom_gave_way_total",                                     \
+     "Bodies, answers and kept outcomes given up for want of memory.")        \
   X (UNAUTHORIZED, "cardamom_unauthorized_total",                             \
      "Requests refused because their key is not known.")                      \
   X (KEYS_CLOSED, "cardamom_keys_closed_total",                               \
--- a/include/cardamom/dispatcher.h
+++ b/include/cardamom/dispatcher.h
@@ -26,6 +26,9 @@
      dispatcher adds.  */
   cs_str_t head;
   cs_str_t body;
+  /* Holds BODY; a reference is kept instead of a copy.  NULL: BODY is copied.
+   */
+  GBytes *body_bytes;
   int64_t priority;             /* 0 goes first.  */
   cs_usec_t target_remaining;   /* Time until the latency target.  */
   cs_usec_t latency_target;     /* The whole latency target of its route.  */
@@ -103,6 +106,7 @@
   unsigned status;
   cs_str_t fields; /* Header lines for the caller.  */
   cs_str_t body;
+  GBytes *body_bytes; /* Holds BODY, for a reference; NULL: nothing does.  */
   /* BODY is delimited by the close of the connection, so it may be
      truncated.  */
   bool close_delimited;
--- a/include/cardamom/frames.h
+++ b/include/cardamom/frames.h
@@ -81,17 +81,24 @@
 void cs_node_info_unpack (cs_unpack_cursor_t *cursor, cs_node_info_t *info);
 
 /* Pack a whole CS_FRAME_JOB message.  NUMBER identifies the job on its stream.
+   With SPLIT, the bytes of the body are left out, and *SPLIT is set to where
+   they belong in the payload (cs_stream_send_split).
    cs_dispatch_request_unpack reads what follows the message's kind; the
    strings of REQUEST are views into the payload.  Sets CURSOR->failed for an
    invalid message.  */
 void cs_dispatch_request_pack (cs_pack_t *pack, uint64_t number,
-                               const cs_dispatch_request_t *request);
+                               const cs_dispatch_request_t *request,
+                               size_t *split);
 void cs_dispatch_request_unpack (cs_unpack_cursor_t *cursor, uint64_t *number,
                                  cs_dispatch_request_t *request);
 
-/* The same for CS_FRAME_OUTCOME.  NUMBER is that of the job.  */
+/* Read the kind and the number of a job from the first bytes of its message;
+   false if they are not those of a CS_FRAME_JOB.  */
+bool cs_frame_peek_job (cs_str_t beginning, uint64_t *number);
+
+/* The same as for jobs, for CS_FRAME_OUTCOME.  NUMBER is that of the job.  */
 void cs_outcome_pack (cs_pack_t *pack, uint64_t number,
-                      const cs_outcome_t *outcome);
+                      const cs_outcome_t *outcome, size_t *split);
 void cs_outcome_unpack (cs_unpack_cursor_t *cursor, uint64_t *number,
                         cs_outcome_t *outcome);
 
--- /dev/null
+++ b/include/cardamom/memory-budget.h
@@ -0,0 +1,39 @@
+/* The memory that a process may use for what callers, servers and other nodes
+   send: bodies, large messages and kept outcomes.  One thread uses it.  */
+#ifndef CARDAMOM_MEMORY_BUDGET_H
+#define CARDAMOM_MEMORY_BUDGET_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Up to this size, in bytes, a body counts as small.  */
+#define CS_SMALL_BODY_MAX 65536
+
+typedef struct
+{
+  int64_t limit; /* Bytes; 0: none.  */
+  int64_t used;
+  /* Free some memory; false if nothing can give way.  NULL: nothing can.  */
+  bool (*make_room) (void *user);
+  void *user;
+} cs_memory_budget_t;
+
+/* Whether BYTES more fit without anything giving way.  SMALL: for a small
+   body; those may use what large ones may not.  */
+bool cs_memory_budget_has_room (const cs_memory_budget_t *budget,
+                                int64_t bytes, bool small);
+
+/* Count BYTES more, if need be after others have given way; false, and nothing
+   is counted, if there is no room.  */
+bool cs_memory_budget_take (cs_memory_budget_t *budget, int64_t bytes,
+                            bool small);
+
+/* BYTES are free again.  */
+void cs_memory_budget_release (cs_memory_budget_t *budget, int64_t bytes);
+
+/* STRING, whose length is counted, as shared bytes; the last reference
+   releases it.  Takes ownership of STRING.  */
+GBytes *cs_memory_budget_share (cs_memory_budget_t *budget, GString *string);
+
+#endif
--- a/include/cardamom/net.h
+++ b/include/cardamom/net.h
@@ -19,6 +19,10 @@
    callback of STREAM gets them.  */
 void cs_uv_write (uv_stream_t *stream, GString *bytes);
 
+/* The same for HEAD, which is taken over, followed by BODY, of which a
+   reference is kept until it is written; NULL: nothing follows.  */
+void cs_uv_write_body (uv_stream_t *stream, GString *head, GBytes *body);
+
 /* A uv_alloc_cb that returns the same buffer for all connections of a thread:
    read callbacks have to consume the data before they return.  */
 void cs_uv_alloc_read_buffer (uv_handle_t *handle, size_t suggested,
--- a/include/cardamom/server.h
+++ b/include/cardamom/server.h
@@ -4,6 +4,7 @@
 #define CARDAMOM_SERVER_H
 
 #include "cardamom/context.h"
+#include "cardamom/memory-budget.h"
 #include "cardamom/message.h"
 #include "cardamom/net.h"
 
@@ -20,6 +21,8 @@
      request that the server refuses.  */
   void *conn;
   GString *answer;
+  GBytes *answer_body; /* Follows ANSWER; NULL: nothing does.  */
+  int64_t counted;     /* Of the body, in the server's budget.  */
   bool close, answered, delivered;
   /* Set by the handler before it answers: the body is close-delimited, since
      it may be incomplete.  */
@@ -47,9 +50,11 @@
 typedef struct
 {
   size_t head_max, body_max; /* Bytes.  */
-  unsigned connections_max;  /* Further ones are closed; 0: no limit.  */
-  cs_usec_t head_timeout;    /* From the first byte of a head to its end.  */
-  cs_usec_t idle_timeout;    /* Without a read or an answer.  */
+  /* Of more connections, the one that has been without a whole request for
+     longest is closed, or the new one; 0: no limit.  */
+  unsigned connections_max;
+  cs_usec_t head_timeout; /* From the first byte of a head to its end.  */
+  cs_usec_t idle_timeout; /* Without a read or an answer.  */
 } cs_http1_server_limits_t;
 
 /* Listen on ADDRESS ("IP:PORT").  Returns CS_BAD_INPUT if ADDRESS is
@@ -65,12 +70,32 @@
 void cs_http1_server_set_limits (cs_http1_server_t *server,
                                  const cs_http1_server_limits_t *limits);
 
+/* Count bodies in BUDGET, which is borrowed.  A request whose body does not
+   fit is refused with 503.  */
+void cs_http1_server_set_budget (cs_http1_server_t *server,
+                                 cs_memory_budget_t *budget);
+
+/* Refuse the request whose large body has made no progress for longest, if
+   that is long; or close the connection whose caller has taken nothing of a
+   large answer for longest.  Returns whether there was one.  */
+bool cs_http1_server_drop_stalled_body (cs_http1_server_t *server);
+bool cs_http1_server_drop_unread_answer (cs_http1_server_t *server);
+
 /* Answer EXCHANGE, which must not be used afterwards.  FIELDS are header
    lines, each with its CRLF, or NULL; the fields that frame the body are
    added.  CLOSE ends the connection after the answer.  */
 void cs_exchange_answer (cs_exchange_t *exchange, unsigned status,
                          const char *fields, cs_str_t body, bool close);
 
+/* The same with shared bytes, of which a reference is kept until they are
+   written; NULL: no body.  */
+void cs_exchange_answer_bytes (cs_exchange_t *exchange, unsigned status,
+                               const char *fields, GBytes *body, bool close);
+
+/* The body of the request of EXCHANGE, which is taken out of it; NULL if it is
+   empty.  The caller drops the reference.  */
+GBytes *cs_exchange_take_body (cs_exchange_t *exchange);
+
 /* Close the connection of EXCHANGE instead of answering.  EXCHANGE must not be
    used afterwards.  */
 void cs_exchange_abort (cs_exchange_t *exchange);
--- a/include/cardamom/stream.h
+++ b/include/cardamom/stream.h
@@ -6,6 +6,7 @@
 #define CARDAMOM_STREAM_H
 
 #include "cardamom/context.h"
+#include "cardamom/memory-budget.h"
 #include "cardamom/net.h"
 
 /* Largest payload in bytes: room for a body of 64 MiB, the largest by default,
@@ -21,6 +22,11 @@
   void (*connected) (void *user, cs_stream_t *stream);
   /* A payload was received; it is valid during the call.  */
   void (*received) (void *user, cs_stream_t *stream, cs_str_t payload);
+  /* A payload of LENGTH bytes, more than CS_SMALL_BODY_MAX, begins with
+     BEGINNING.  Returns whether it is received; if not, its bytes are dropped.
+     NULL: all are received.  */
+  bool (*admit) (void *user, cs_stream_t *stream, size_t length,
+                 cs_str_t beginning);
   /* STREAM has ended, for the reason WHY, and is freed after the call.  Not
      called for cs_stream_drop.  */
   void (*closed) (void *user, cs_stream_t *stream, const char *why);
@@ -48,6 +54,21 @@
    established.  */
 void cs_stream_send (cs_stream_t *stream, cs_str_t payload);
 
+/* The same for a payload that consists of the first SPLIT bytes of PAYLOAD,
+   BODY and the rest of PAYLOAD.  A reference to BODY is kept until it is
+   written. */
+void cs_stream_send_split (cs_stream_t *stream, cs_str_t payload, size_t split,
+                           GBytes *body);
+
+/* During the call of RECEIVED: VIEW, a part of the payload, as shared bytes;
+   NULL if the payload is small.  The caller drops the reference.  Large
+   payloads count in BUDGET until the last reference is dropped.  */
+GBytes *cs_stream_share (const cs_stream_t *stream, cs_str_t view);
+
+/* Count what STREAM receives of large payloads in BUDGET, which is borrowed.
+   ADMIT decides whether there is room.  */
+void cs_stream_set_budget (cs_stream_t *stream, cs_memory_budget_t *budget);
+
 /* The monotonic time at which STREAM last received bytes, or at which the
    connection was established if it has received none.  */
 cs_usec_t cs_stream_last_received (const cs_stream_t *stream);
--- a/include/cardamom/traffic.h
+++ b/include/cardamom/traffic.h
@@ -41,6 +41,7 @@
   cs_retry_window_settings_t retry_window;
   /* Memory bounds for answers of the backend server beside this node.  */
   cs_answer_memory_t answer_memory;
+  int64_t memory_max; /* For bodies and large messages, in bytes; 0: any.  */
   /* Time from the stop signal to the forced end of the process.  */
   cs_usec_t grace_period;
   cs_snapshot_t **snapshot; /* RCU pointer to the configuration in force, set
--- a/source/call/call.h
+++ b/source/call/call.h
@@ -12,7 +12,7 @@
 {
   unsigned status;
   char *fields;
-  GString *body;
+  GBytes *body; /* NULL: empty.  */
   bool close_delimited;
 } failed_answer_t;
 
@@ -27,6 +27,7 @@
   const char *service;
   route_state_t *route_state;
   GString *head;        /* HEAD of the cs_dispatch_request_t.  */
+  GBytes *body;         /* Of the request; NULL: empty.  */
   cs_str_t attempt_id;  /* The caller's; a view into the request.  */
   uint64_t fingerprint; /* From cs_request_fingerprint.  */
   uint64_t job_number;  /* Of the job in flight.  */
--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -45,7 +45,8 @@
   if (!answer)
     return;
   g_free (answer->fields);
-  g_string_free (answer->body, TRUE);
+  if (answer->body)
+    g_bytes_unref (answer->body);
   g_free (answer);
 }
 
@@ -55,6 +56,8 @@
   call_t *call = handle->data;
   drop_failed_answer (call->failed_answer);
   g_string_free (call->head, TRUE);
+  if (call->body)
+    g_bytes_unref (call->body);
   cs_snapshot_drop (call->traffic->ctx, call->snapshot);
   cs_snapshot_drop (call->traffic->ctx, call->newest);
   g_free (call);
@@ -155,11 +158,11 @@
 
 static void
 finish_answered (call_t *call, unsigned status, const char *fields,
-                 cs_str_t body, bool close_delimited)
+                 GBytes *body, bool close_delimited)
 {
   cs_counter_add (CS_C_CALLS_DONE, 1);
   call->exchange->close_delimited = close_delimited;
-  cs_exchange_answer (call->exchange, status, fields, body, false);
+  cs_exchange_answer_bytes (call->exchange, status, fields, body, false);
   free_call (call);
 }
 
@@ -171,8 +174,7 @@
   const failed_answer_t *answer = call->failed_answer;
   if (answer)
     {
-      finish_answered (call, answer->status, answer->fields,
-                       cs_str_of_gstring (answer->body),
+      finish_answered (call, answer->status, answer->fields, answer->body,
                        answer->close_delimited);
       return;
     }
@@ -198,6 +200,27 @@
   call_handle_outcome (call, outcome);
 }
 
+static cs_str_t
+view_of (GBytes *bytes)
+{
+  if (!bytes)
+    return (cs_str_t){ 0 };
+  return (cs_str_t){ .data = g_bytes_get_data (bytes, NULL),
+                     .len = g_bytes_get_size (bytes) };
+}
+
+/* The body of OUTCOME, with a reference for the caller; NULL if it is
+   empty.  */
+static GBytes *
+keep_body (const cs_outcome_t *outcome)
+{
+  if (outcome->body_bytes)
+    return g_bytes_ref (outcome->body_bytes);
+  return outcome->body.len
+             ? g_bytes_new (outcome->body.data, outcome->body.len)
+             : NULL;
+}
+
 static void
 send_job (call_t *call, peer_t *peer)
 {
@@ -210,7 +233,8 @@
           .service = cs_str_of (call->service),
           .version = cs_str_of (peer->info.version),
           .head = cs_str_of_gstring (call->head),
-          .body = cs_str_of_gstring (call->exchange->request.body),
+          .body = view_of (call->body),
+          .body_bytes = call->body,
           .priority = call->priority,
           .target_remaining = call->target_time - now,
           .latency_target = call->latency_target,
@@ -241,10 +265,17 @@
       return;
     }
   cs_pack_t pack;
+  size_t split = 0;
+  bool large = request.body.len > CS_SMALL_BODY_MAX;
   cs_pack_init (&pack);
-  cs_dispatch_request_pack (&pack, call->job_number, &request);
+  cs_dispatch_request_pack (&pack, call->job_number, &request,
+                            large ? &split : NULL);
   g_hash_table_insert (peer->calls, &call->job_number, call);
-  peer_send (peer, &pack);
+  if (!large)
+    peer_send (peer, &pack);
+  else if (peer->stream)
+    cs_stream_send_split (peer->stream, cs_pack_payload (&pack), split,
+                          call->body);
   cs_pack_clear (&pack);
 }
 
@@ -378,12 +409,11 @@
 {
   drop_failed_answer (call->failed_answer);
   call->failed_answer = g_new (failed_answer_t, 1);
-  *call->failed_answer = (failed_answer_t){
-    .status = outcome->status,
-    .fields = cs_str_dup (outcome->fields),
-    .body = g_string_new_len (outcome->body.data, (gssize)outcome->body.len),
-    .close_delimited = outcome->close_delimited
-  };
+  *call->failed_answer
+      = (failed_answer_t){ .status = outcome->status,
+                           .fields = cs_str_dup (outcome->fields),
+                           .body = keep_body (outcome),
+                           .close_delimited = outcome->close_delimited };
 }
 
 static void
@@ -406,8 +436,11 @@
       return;
     }
   char *fields = cs_str_dup (outcome->fields);
-  finish_answered (call, outcome->status, fields, outcome->body,
+  GBytes *body = keep_body (outcome);
+  finish_answered (call, outcome->status, fields, body,
                    outcome->close_delimited);
+  if (body)
+    g_bytes_unref (body);
   g_free (fields);
 }
 
@@ -664,6 +697,7 @@
   call->attempt_id
       = cs_http1_message_field (request, cs_header_names->attempt_id);
   call->fingerprint = call_fingerprint (request);
+  call->body = cs_exchange_take_body (exchange);
   call->refusal_reason = CS_REFUSED_NO_SERVER;
   exchange->user = call;
   call->link.data = call;
--- a/source/call/inbound.c
+++ b/source/call/inbound.c
@@ -28,9 +28,12 @@
   uint64_t number;
   cs_dispatch_t *dispatch; /* NULL when it has ended.  */
   char *attempt_id;        /* Attempt id; NULL for an idempotent job.  */
-  /* The outcome, kept for a query of the node that sent the job; NULL when
-     there is none.  */
-  GString *packed_outcome;
+  /* The outcome, kept for a query of the node that sent the job, if HAS_KEPT;
+     KEPT_FIELDS and KEPT_BODY (NULL: empty) hold what it views.  */
+  cs_outcome_t kept;
+  GString *kept_fields;
+  GBytes *kept_body;
+  bool has_kept;
   cs_usec_t ended_at;
   bool idempotent;
   /* It has not run and never will; the node that sent it gets this as the
@@ -38,11 +41,23 @@
   bool never_run;
 } job_t;
 
+/* Keep the outcome of JOB no longer.  */
+static void
+drop_kept (job_t *job)
+{
+  if (job->kept_fields)
+    g_string_free (job->kept_fields, TRUE);
+  if (job->kept_body)
+    g_bytes_unref (job->kept_body);
+  job->kept_fields = NULL;
+  job->kept_body = NULL;
+  job->has_kept = false;
+}
+
 static void
 free_job (job_t *job)
 {
-  if (job->packed_outcome)
-    g_string_free (job->packed_outcome, TRUE);
+  drop_kept (job);
   g_free (job->attempt_id);
   g_free (job);
 }
@@ -51,9 +66,15 @@
 send_outcome (inbound_t *inbound, uint64_t number, const cs_outcome_t *outcome)
 {
   cs_pack_t pack;
+  size_t split = 0;
+  bool large = outcome->body_bytes && outcome->body.len > CS_SMALL_BODY_MAX;
   cs_pack_init (&pack);
-  cs_outcome_pack (&pack, number, outcome);
-  cs_stream_send (inbound->stream, cs_pack_payload (&pack));
+  cs_outcome_pack (&pack, number, outcome, large ? &split : NULL);
+  if (large)
+    cs_stream_send_split (inbound->stream, cs_pack_payload (&pack), split,
+                          outcome->body_bytes);
+  else
+    cs_stream_send (inbound->stream, cs_pack_payload (&pack));
   cs_pack_clear (&pack);
 }
 
@@ -82,12 +103,19 @@
 static void
 retain_outcome (job_t *job, const cs_outcome_t *outcome)
 {
-  cs_pack_t pack;
-  cs_pack_init (&pack);
-  cs_outcome_pack (&pack, job->number, outcome);
-  cs_str_t payload = cs_pack_payload (&pack);
-  job->packed_outcome = g_string_new_len (payload.data, (gssize)payload.len);
-  cs_pack_clear (&pack);
+  job->kept = *outcome;
+  job->kept.crash_record = NULL;
+  job->kept_fields
+      = g_string_new_len (outcome->fields.data, (gssize)outcome->fields.len);
+  job->kept.fields = cs_str_of_gstring (job->kept_fields);
+  if (outcome->body_bytes)
+    job->kept_body = g_bytes_ref (outcome->body_bytes);
+  else if (outcome->body.len)
+    job->kept_body = g_bytes_new (outcome->body.data, outcome->body.len);
+  job->kept.body_bytes = job->kept_body;
+  if (job->kept_body)
+    job->kept.body.data = g_bytes_get_data (job->kept_body, NULL);
+  job->has_kept = true;
   job->ended_at = traffic_now (job->traffic);
   g_queue_push_tail (&job->traffic->ended_non_idempotent_jobs, job);
 }
@@ -190,8 +218,12 @@
   const peer_t *caller = g_hash_table_lookup (traffic->peers, inbound->name);
   traffic_attribute_retry (traffic, &request,
                            caller ? caller->info.service : "");
+  GBytes *body = cs_stream_share (inbound->stream, request.body);
+  request.body_bytes = body;
   cs_dispatch_t *dispatch
       = cs_dispatcher_submit (traffic->dispatcher, &request, on_job_done, job);
+  if (body)
+    g_bytes_unref (body);
   /* It is NULL when the job was refused; JOB may be freed then.  */
   if (dispatch)
     job->dispatch = dispatch;
@@ -241,22 +273,27 @@
 static void
 send_retained_outcome (inbound_t *inbound, uint64_t number, const job_t *job)
 {
-  cs_unpack_t unpack;
-  cs_unpack_cursor_t in;
-  cs_outcome_t outcome;
-  uint64_t old;
-  if (!job->packed_outcome
-      || cs_unpack_init (inbound->traffic->ctx, &unpack,
-                         cs_str_of_gstring (job->packed_outcome), &in)
-             != CS_OK)
+  if (job->has_kept)
+    send_outcome (inbound, number, &job->kept);
+  else
+    send_bodiless_outcome (inbound, number, CS_OUTCOME_UNKNOWN);
+}
+
+bool
+inbound_drop_kept_body (cs_traffic_t *traffic)
+{
+  for (GList *link = traffic->ended_non_idempotent_jobs.head; link;
+       link = link->next)
     {
-      send_bodiless_outcome (inbound, number, CS_OUTCOME_UNKNOWN);
-      return;
+      job_t *job = link->data;
+      if (job->kept_body
+          && g_bytes_get_size (job->kept_body) > CS_SMALL_BODY_MAX)
+        {
+          drop_kept (job);
+          return true;
+        }
     }
-  cs_unpack_int64 (&in);
-  cs_outcome_unpack (&in, &old, &outcome);
-  send_outcome (inbound, number, &outcome);
-  cs_unpack_clear (&unpack);
+  return false;
 }
 
 /* Answer a node that asks over a new stream for the outcome of a job that is
@@ -431,11 +468,36 @@
   g_ptr_array_unref (jobs);
 }
 
+/* A large message is received if there is memory for it; a job that is not is
+   refused, for it has not run and will not.  */
+static bool
+admit_payload (void *user, cs_stream_t *stream, size_t length,
+               cs_str_t beginning)
+{
+  inbound_t *inbound = user;
+  uint64_t number;
+  (void)stream;
+  cs_memory_budget_t *budget = &inbound->traffic->budget;
+  /* The stream counts what it receives.  */
+  if (!cs_frame_peek_job (beginning, &number))
+    return true;
+  if (cs_memory_budget_take (budget, (int64_t)length, false))
+    {
+      cs_memory_budget_release (budget, (int64_t)length);
+      return true;
+    }
+  cs_counter_add (CS_C_NO_MEMORY, 1);
+  send_bodiless_outcome_for (inbound, number, CS_OUTCOME_REFUSED,
+                             CS_REFUSED_OVERLOADED);
+  return false;
+}
+
 static void *
 on_accepted (void *user, cs_stream_t *stream)
 {
   inbound_t *inbound = g_new0 (inbound_t, 1);
   inbound->traffic = user;
+  cs_stream_set_budget (stream, &inbound->traffic->budget);
   inbound->stream = stream;
   inbound->jobs = g_hash_table_new (g_int64_hash, g_int64_equal);
   return inbound;
@@ -444,8 +506,9 @@
 cs_status_t
 inbound_listen (cs_traffic_t *traffic, const char *address)
 {
-  static const cs_stream_handler_t handler
-      = { .received = on_payload, .closed = on_stream_closed };
+  static const cs_stream_handler_t handler = { .received = on_payload,
+                                               .closed = on_stream_closed,
+                                               .admit = admit_payload };
   return cs_stream_listen (traffic->ctx, &traffic->loop, address,
                            PEER_ACK_TIMEOUT, &handler, on_accepted, traffic);
 }
@@ -460,11 +523,7 @@
       job = link->data;
       if (now - job->ended_at < OUTCOME_RETENTION)
         break;
-      if (job->packed_outcome)
-        {
-          g_string_free (job->packed_outcome, TRUE);
-          job->packed_outcome = NULL;
-        }
+      drop_kept (job);
     }
   while ((job = g_queue_peek_head (&traffic->ended_non_idempotent_jobs))
          && now - job->ended_at > ATTEMPT_ID_RETENTION)
--- a/source/call/peers.c
+++ b/source/call/peers.c
@@ -352,6 +352,8 @@
   cs_outcome_unpack (in, &number, &outcome);
   if (in->failed)
     return;
+  GBytes *body = cs_stream_share (peer->stream, outcome.body);
+  outcome.body_bytes = body;
   call_t *call = g_hash_table_lookup (peer->calls, &number);
   GHashTable *table = peer->calls;
   if (!call)
@@ -364,6 +366,21 @@
   peer_note_load (peer, &outcome.load);
   if (call)
     call_handle_outcome (call, &outcome);
+  if (body)
+    g_bytes_unref (body);
+}
+
+/* A large outcome is always received, after others have given way: a server
+   has begun to answer.  */
+static bool
+admit_payload (void *user, cs_stream_t *stream, size_t length,
+               cs_str_t beginning)
+{
+  peer_t *peer = user;
+  (void)stream, (void)beginning;
+  if (cs_memory_budget_take (&peer->traffic->budget, (int64_t)length, false))
+    cs_memory_budget_release (&peer->traffic->budget, (int64_t)length);
+  return true;
 }
 
 static void
@@ -408,7 +425,8 @@
 static const cs_stream_handler_t stream_handler
     = { .connected = on_stream_connected,
         .received = on_payload,
-        .closed = on_stream_closed };
+        .closed = on_stream_closed,
+        .admit = admit_payload };
 
 static void
 open_stream (peer_t *peer, cs_usec_t now)
@@ -421,6 +439,8 @@
   peer->stream
       = cs_stream_connect (&traffic->loop, traffic->ctx->clock, &address,
                            PEER_ACK_TIMEOUT, &stream_handler, peer);
+  if (peer->stream)
+    cs_stream_set_budget (peer->stream, &traffic->budget);
 }
 
 static void
--- a/source/call/traffic.c
+++ b/source/call/traffic.c
@@ -129,6 +129,18 @@
   traffic->handler.server_leaving (traffic->user);
 }
 
+/* Free some memory, from what can be missed most easily on.  */
+static bool
+make_room (void *user)
+{
+  cs_traffic_t *traffic = user;
+  bool freed = inbound_drop_kept_body (traffic)
+               || cs_http1_server_drop_stalled_body (traffic->caller_server)
+               || cs_http1_server_drop_unread_answer (traffic->caller_server);
+  cs_counter_add (CS_C_GAVE_WAY, freed);
+  return freed;
+}
+
 static void
 run_thread (void *arg)
 {
@@ -169,16 +181,20 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   traffic->non_idempotent_jobs = g_hash_table_new (g_str_hash, g_str_equal);
   g_queue_init (&traffic->ended_non_idempotent_jobs);
+  traffic->budget = (cs_memory_budget_t){ .limit = settings->memory_max,
+                                          .make_room = make_room,
+                                          .user = traffic };
   traffic->freshness = settings->freshness;
   traffic->keys_fresh_at = settings->keys_fresh_at;
   traffic->workspaces = workspaces_new (traffic, &settings->cap_tolerance);
   peer_add (traffic, &settings->self);
   traffic->crash_history
       = cs_crash_history_new (traffic->ctx, &crash_history_handler, traffic);
+  cs_answer_memory_t answer_memory = settings->answer_memory;
+  answer_memory.budget = &traffic->budget;
   traffic->dispatcher = cs_dispatcher_new (
-      traffic->ctx, &traffic->loop, &settings->answer_memory,
-      &settings->retry_window, traffic->crash_history, &dispatcher_handler,
-      traffic);
+      traffic->ctx, &traffic->loop, &answer_memory, &settings->retry_window,
+      traffic->crash_history, &dispatcher_handler, traffic);
   if (cs_http1_server_new (traffic->ctx, &traffic->loop,
                            settings->caller_address, &callers, traffic,
                            &traffic->caller_server)
@@ -188,6 +204,7 @@
       cs_fail (ctx, CS_UNAVAILABLE, "%s", cs_error_message (traffic->ctx));
       return NULL;
     }
+  cs_http1_server_set_budget (traffic->caller_server, &traffic->budget);
   uv_timer_init (&traffic->loop, &traffic->tick);
   traffic->tick.data = traffic;
   uv_timer_start (&traffic->tick, on_tick, TICK_MS, TICK_MS);
--- a/source/call/traffic.h
+++ b/source/call/traffic.h
@@ -9,6 +9,7 @@
 #include "cardamom/event.h"
 #include "cardamom/frames.h"
 #include "cardamom/freshness.h"
+#include "cardamom/memory-budget.h"
 #include "cardamom/placement.h"
 #include "cardamom/reach.h"
 #include "cardamom/retry-window.h"
@@ -116,6 +117,7 @@
   cs_mailbox_t mailbox;
   cs_traffic_handler_t handler;
   void *user;
+  cs_memory_budget_t budget; /* For all that is large.  */
   cs_http1_server_t *caller_server;
   cs_dispatcher_t *dispatcher;
   cs_crash_history_t *crash_history;
@@ -222,6 +224,8 @@
 /* inbound.c: the streams that other nodes open, and the jobs they send.  */
 cs_status_t inbound_listen (cs_traffic_t *traffic, const char *address);
 void inbound_tick (cs_traffic_t *traffic, cs_usec_t now);
+/* Drop the oldest kept outcome with a large body; false if there is none.  */
+bool inbound_drop_kept_body (cs_traffic_t *traffic);
 
 /* calls.c: callbacks of the HTTP server for callers.  */
 void calls_request_received (void *user, cs_exchange_t *exchange);
--- a/source/http1/client.c
+++ b/source/http1/client.c
@@ -27,12 +27,14 @@
   cs_http1_client_handler_t handler;
   void *user;
   cs_http1_message_t answer;
-  GString *request; /* Kept until the connection is open.  */
+  GString *request;     /* Kept until the connection is open.  */
+  GBytes *request_body; /* Of REQUEST; NULL: none.  */
   cs_usec_t idle_since, idle_deadline;
   size_t body_max;
   cs_answer_memory_t *memory; /* Shared with other clients; may be NULL.  */
   int64_t counted_bytes;      /* Of the present answer, in MEMORY.  */
   int skipped_answers;        /* Since the present request.  */
+  bool paused;                /* Not read for want of memory.  */
   bool handle_open;           /* TCP is initialised and not yet closed.  */
   bool connected;
   bool busy;        /* A request is in flight.  */
@@ -71,6 +73,8 @@
   cs_http1_message_clear (&client->answer);
   if (client->request)
     g_string_free (client->request, TRUE);
+  if (client->request_body)
+    g_bytes_unref (client->request_body);
   g_free (client);
 }
 
@@ -105,15 +109,36 @@
     return true;
   int64_t body = (int64_t)client->answer.body->len;
   client->memory->in_use += body - client->counted_bytes;
+  if (client->memory->budget)
+    client->memory->budget->used += body - client->counted_bytes;
   client->counted_bytes = body;
   return client->memory->in_use <= client->memory->max_total;
 }
 
+/* Whether there is memory to read on: what has been read counts already.  One
+   answer is always read, so that it ends.  */
+static bool
+may_read_on (const cs_http1_client_t *client)
+{
+  cs_memory_budget_t *budget = client->memory ? client->memory->budget : NULL;
+  if (!budget || client->counted_bytes <= CS_SMALL_BODY_MAX
+      || client->memory->in_use == client->counted_bytes)
+    return true;
+  if (!cs_memory_budget_take (budget, 0, false))
+    return false;
+  return true;
+}
+
 static void
 release_body (cs_http1_client_t *client)
 {
   if (client->memory)
-    client->memory->in_use -= client->counted_bytes;
+    {
+      client->memory->in_use -= client->counted_bytes;
+      if (client->memory->budget)
+        cs_memory_budget_release (client->memory->budget,
+                                  client->counted_bytes);
+    }
   client->counted_bytes = 0;
 }
 
@@ -272,7 +297,14 @@
       return;
     }
   if (n > 0)
-    consume (client, buf->base, (size_t)n);
+    {
+      consume (client, buf->base, (size_t)n);
+      if (client->busy && !client->closing && !may_read_on (client))
+        {
+          client->paused = true;
+          uv_read_stop ((uv_stream_t *)&client->tcp);
+        }
+    }
   else if (n == UV_EOF)
     consume_end (client);
   else
@@ -301,10 +333,14 @@
   client->connected = true;
   cs_tcp_set_options (&client->tcp, client->unacked_timeout);
   GString *request = client->request;
+  GBytes *body = client->request_body;
   client->request = NULL;
+  client->request_body = NULL;
   if (request)
     {
-      cs_uv_write ((uv_stream_t *)&client->tcp, request);
+      cs_uv_write_body ((uv_stream_t *)&client->tcp, request, body);
+      if (body)
+        g_bytes_unref (body);
       return;
     }
   client->busy = false;
@@ -368,6 +404,27 @@
 cs_http1_client_send (cs_http1_client_t *client, GString *request,
                       bool is_head, const cs_http1_client_handler_t *handler,
                       void *user)
+{
+  cs_http1_client_send_body (client, request, NULL, is_head, handler, user);
+}
+
+void
+cs_http1_client_resume (cs_http1_client_t *client)
+{
+  if (!client->paused || client->closing || !may_read_on (client))
+    return;
+  client->paused = false;
+  if (uv_read_start ((uv_stream_t *)&client->tcp, cs_uv_alloc_read_buffer,
+                     on_read)
+      != 0)
+    fail (client, CS_HTTP1_CONNECTION_BROKEN);
+}
+
+void
+cs_http1_client_send_body (cs_http1_client_t *client, GString *request,
+                           GBytes *body, bool is_head,
+                           const cs_http1_client_handler_t *handler,
+                           void *user)
 {
   client->handler = *handler;
   client->user = user;
@@ -377,10 +434,11 @@
   reset_answer (client);
   if (client->connected)
     {
-      cs_uv_write ((uv_stream_t *)&client->tcp, request);
+      cs_uv_write_body ((uv_stream_t *)&client->tcp, request, body);
       return;
     }
   client->request = request;
+  client->request_body = body ? g_bytes_ref (body) : NULL;
   open_connection (client);
 }
 
--- a/source/http1/net.c
+++ b/source/http1/net.c
@@ -26,43 +26,79 @@
 
 typedef struct
 {
-  uv_write_t request;
-  GString *bytes;
+  uv_write_t request; /* First.  */
+  GString *head;
+  GBytes *body; /* NULL: none.  */
 } pending_write_t;
 
+static void
+free_parts (GString *head, GBytes *body)
+{
+  g_string_free (head, TRUE);
+  if (body)
+    g_bytes_unref (body);
+}
+
 static void
 on_written (uv_write_t *request, int status)
 {
   (void)status;
   pending_write_t *pending = (pending_write_t *)request;
-  g_string_free (pending->bytes, TRUE);
+  free_parts (pending->head, pending->body);
   g_free (pending);
 }
 
+/* Skip the first WRITTEN bytes of the COUNT buffers in BUFS; returns how many
+   buffers are left, which are moved to the front.  */
+static unsigned
+skip_written (uv_buf_t *bufs, unsigned count, size_t written)
+{
+  unsigned left = 0;
+  for (unsigned i = 0; i < count; i++)
+    {
+      size_t skipped = MIN (written, bufs[i].len);
+      written -= skipped;
+      if (skipped < bufs[i].len)
+        bufs[left++] = uv_buf_init (bufs[i].base + skipped,
+                                    (unsigned)(bufs[i].len - skipped));
+    }
+  return left;
+}
+
 void
-cs_uv_write (uv_stream_t *stream, GString *bytes)
+cs_uv_write_body (uv_stream_t *stream, GString *head, GBytes *body)
 {
-  size_t written = 0;
+  gsize len = 0;
+  const char *data = body ? g_bytes_get_data (body, &len) : NULL;
+  uv_buf_t bufs[] = { uv_buf_init (head->str, (unsigned)head->len),
+                      uv_buf_init ((char *)data, (unsigned)len) };
+  unsigned count = len ? 2 : 1;
+  if (body)
+    g_bytes_ref (body);
   if (!stream->write_queue_size)
     {
-      uv_buf_t buf = uv_buf_init (bytes->str, (unsigned)bytes->len);
-      int n = uv_try_write (stream, &buf, 1);
+      int n = uv_try_write (stream, bufs, count);
       if (n > 0)
-        written = (size_t)n;
+        count = skip_written (bufs, count, (size_t)n);
     }
-  if (written == bytes->len)
+  if (!count)
     {
-      g_string_free (bytes, TRUE);
+      free_parts (head, body);
       return;
     }
   pending_write_t *pending = g_new0 (pending_write_t, 1);
-  pending->bytes = bytes;
-  uv_buf_t buf
-      = uv_buf_init (bytes->str + written, (unsigned)(bytes->len - written));
-  if (uv_write (&pending->request, stream, &buf, 1, on_written) != 0)
+  pending->head = head;
+  pending->body = body;
+  if (uv_write (&pending->request, stream, bufs, count, on_written) != 0)
     on_written (&pending->request, -1);
 }
 
+void
+cs_uv_write (uv_stream_t *stream, GString *bytes)
+{
+  cs_uv_write_body (stream, bytes, NULL);
+}
+
 void
 cs_uv_alloc_read_buffer (uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
--- a/source/http1/server.c
+++ b/source/http1/server.c
@@ -10,6 +10,16 @@
    side.  */
 #define LINGER_TIMEOUT (1 * CS_SEC)
 
+/* A body moves if it grows by so many bytes; one that has not for the time may
+   give way to others.  */
+#define BODY_STEP 16384
+#define BODY_STALL_MIN (500 * CS_MSEC)
+/* The same for a caller that takes nothing of its answer.  */
+#define ANSWER_STALL_MIN (1 * CS_SEC)
+/* Told to a caller whose body does not fit: bodies stall, and give way, within
+   a second.  */
+#define NO_ROOM_FIELDS "Retry-After: 1.000\r\n"
+
 /* Bytes of the status line and the framing fields, to size the buffer.  */
 #define FRAMING_BYTES_ESTIMATE 192
 
@@ -21,6 +31,7 @@
   cs_http1_server_handler_t handler;
   void *user;
   cs_http1_server_limits_t limits;
+  cs_memory_budget_t *budget; /* NULL: bodies are not counted.  */
   GQueue conns;
   bool draining, stopped, listener_closed, closing;
 };
@@ -37,6 +48,14 @@
   bool discard_input;        /* Further bytes are ignored.  */
   bool closing;
   bool lingering; /* The server's side is shut down.  */
+  /* Of the body of INCOMING: when it last grew by BODY_STEP, and its size
+     then.  */
+  cs_usec_t body_moved_at;
+  gsize body_moved_len;
+  /* Bytes not yet written when it was last looked at, and since when there
+     have not been fewer.  */
+  size_t unwritten;
+  cs_usec_t unwritten_since;
 } conn_t;
 
 const char *
@@ -53,12 +72,25 @@
   return "Status";
 }
 
+/* The body of EXCHANGE's request counts no longer.  */
+static void
+release_body (cs_exchange_t *exchange)
+{
+  conn_t *conn = exchange->conn;
+  if (exchange->counted)
+    cs_memory_budget_release (conn->server->budget, exchange->counted);
+  exchange->counted = 0;
+}
+
 static void
 free_exchange (cs_exchange_t *exchange)
 {
+  release_body (exchange);
   cs_http1_message_clear (&exchange->request);
   if (exchange->answer)
     g_string_free (exchange->answer, TRUE);
+  if (exchange->answer_body)
+    g_bytes_unref (exchange->answer_body);
   g_free (exchange);
 }
 
@@ -117,7 +149,7 @@
 {
   cs_exchange_t *exchange;
   GString *out = NULL;
-  bool close = false;
+  bool close = false, wrote = false;
   while (!close && (exchange = g_queue_peek_head (&conn->exchanges))
          && exchange->answered)
     {
@@ -130,13 +162,21 @@
       else
         g_string_append_len (out, exchange->answer->str,
                              (gssize)exchange->answer->len);
+      wrote = true;
+      if (exchange->answer_body)
+        {
+          cs_uv_write_body ((uv_stream_t *)&conn->tcp, out,
+                            exchange->answer_body);
+          out = NULL;
+        }
       close = exchange->close;
       free_exchange (exchange);
     }
-  if (!out)
+  if (!wrote)
     return;
   conn->progress_at = conn->server->clock->monotonic (conn->server->clock);
-  cs_uv_write ((uv_stream_t *)&conn->tcp, out);
+  if (out)
+    cs_uv_write ((uv_stream_t *)&conn->tcp, out);
   if (close)
     linger (conn);
   else if ((exchange = g_queue_peek_head (&conn->exchanges))
@@ -154,16 +194,19 @@
   return g_queue_peek_head (&conn->exchanges) != exchange;
 }
 
-void
-cs_exchange_answer (cs_exchange_t *exchange, unsigned status,
-                    const char *fields, cs_str_t body, bool close)
+/* Answer EXCHANGE with BODY, whose bytes BODY_BYTES holds if it is not NULL.
+ */
+static void
+answer_exchange (cs_exchange_t *exchange, unsigned status, const char *fields,
+                 cs_str_t body, GBytes *body_bytes, bool close)
 {
   conn_t *conn = exchange->conn;
   const http_parser *parser = &exchange->request.parser;
   bool bodyless_status = status == 204 || status == 304;
   bool is_head
       = exchange->request.head_complete && parser->method == HTTP_HEAD;
-  GString *out = g_string_sized_new (body.len + FRAMING_BYTES_ESTIMATE
+  GString *out = g_string_sized_new ((body_bytes ? 0 : body.len)
+                                     + FRAMING_BYTES_ESTIMATE
                                      + (fields ? strlen (fields) : 0));
   bool last
       = !conn->incoming && g_queue_peek_tail (&conn->exchanges) == exchange;
@@ -182,7 +225,9 @@
   if (exchange->close)
     g_string_append (out, "Connection: close\r\n");
   g_string_append (out, "\r\n");
-  if (!bodyless_status && !is_head)
+  if (!bodyless_status && !is_head && body_bytes)
+    exchange->answer_body = g_bytes_ref (body_bytes);
+  else if (!bodyless_status && !is_head)
     g_string_append_len (out, body.data, (gssize)body.len);
   exchange->answer = out;
   exchange->answered = true;
@@ -192,6 +237,40 @@
     flush_answers (conn);
 }
 
+void
+cs_exchange_answer (cs_exchange_t *exchange, unsigned status,
+                    const char *fields, cs_str_t body, bool close)
+{
+  answer_exchange (exchange, status, fields, body, NULL, close);
+}
+
+void
+cs_exchange_answer_bytes (cs_exchange_t *exchange, unsigned status,
+                          const char *fields, GBytes *body, bool close)
+{
+  cs_str_t view = { 0 };
+  if (body)
+    view = (cs_str_t){ .data = g_bytes_get_data (body, NULL),
+                       .len = g_bytes_get_size (body) };
+  /* Small ones are joined to the head, for one write.  */
+  answer_exchange (exchange, status, fields, view,
+                   view.len > CS_SMALL_BODY_MAX ? body : NULL, close);
+}
+
+GBytes *
+cs_exchange_take_body (cs_exchange_t *exchange)
+{
+  conn_t *conn = exchange->conn;
+  GString *body = exchange->request.body;
+  if (!body->len)
+    return NULL;
+  exchange->request.body = g_string_new (NULL);
+  if (!exchange->counted)
+    return g_string_free_to_bytes (body);
+  exchange->counted = 0;
+  return cs_memory_budget_share (conn->server->budget, body);
+}
+
 static cs_exchange_t *
 incoming_exchange (conn_t *conn)
 {
@@ -209,7 +288,7 @@
 /* Refuse the request that is being read: it is answered with STATUS after the
    requests before it, and further input is discarded.  */
 static void
-refuse_incoming (conn_t *conn, unsigned status)
+refuse_incoming_with (conn_t *conn, unsigned status, const char *fields)
 {
   cs_exchange_t *exchange = incoming_exchange (conn);
   conn->incoming = NULL;
@@ -218,8 +297,80 @@
   exchange->delivered = true;
   conn->discard_input = true;
   cs_counter_add (CS_C_REFUSED_INPUT, 1);
-  cs_exchange_answer (exchange, status, conn->server->handler.refusal_fields,
-                      CS_STR (""), true);
+  release_body (exchange);
+  g_string_free (exchange->request.body, TRUE);
+  exchange->request.body = g_string_new (NULL);
+  cs_exchange_answer (exchange, status, fields, CS_STR (""), true);
+}
+
+static void
+refuse_incoming (conn_t *conn, unsigned status)
+{
+  refuse_incoming_with (conn, status, conn->server->handler.refusal_fields);
+}
+
+/* Count what has come of the body of EXCHANGE, which CONN reads; false if
+   there is no room for it.  */
+static bool
+count_body (conn_t *conn, cs_exchange_t *exchange)
+{
+  cs_http1_server_t *server = conn->server;
+  gsize len = exchange->request.body->len;
+  if (len < conn->body_moved_len || len - conn->body_moved_len >= BODY_STEP)
+    {
+      conn->body_moved_len = len;
+      conn->body_moved_at = conn->progress_at;
+    }
+  int64_t more = (int64_t)len - exchange->counted;
+  if (!server->budget || !more)
+    return true;
+  if (!cs_memory_budget_take (server->budget, more, len <= CS_SMALL_BODY_MAX))
+    return false;
+  exchange->counted += more;
+  return true;
+}
+
+void
+cs_http1_server_set_budget (cs_http1_server_t *server,
+                            cs_memory_budget_t *budget)
+{
+  server->budget = budget;
+}
+
+bool
+cs_http1_server_drop_stalled_body (cs_http1_server_t *server)
+{
+  cs_usec_t now = server->clock->monotonic (server->clock);
+  conn_t *oldest = NULL;
+  for (const GList *at = server->conns.head; at; at = at->next)
+    {
+      conn_t *conn = at->data;
+      if (conn->incoming && conn->incoming->counted > CS_SMALL_BODY_MAX
+          && (!oldest || conn->body_moved_at < oldest->body_moved_at))
+        oldest = conn;
+    }
+  if (!oldest || now - oldest->body_moved_at < BODY_STALL_MIN)
+    return false;
+  refuse_incoming_with (oldest, 503, NO_ROOM_FIELDS);
+  return true;
+}
+
+bool
+cs_http1_server_drop_unread_answer (cs_http1_server_t *server)
+{
+  cs_usec_t now = server->clock->monotonic (server->clock);
+  conn_t *oldest = NULL;
+  for (const GList *at = server->conns.head; at; at = at->next)
+    {
+      conn_t *conn = at->data;
+      if (conn->unwritten > CS_SMALL_BODY_MAX
+          && (!oldest || conn->unwritten_since < oldest->unwritten_since))
+        oldest = conn;
+    }
+  if (!oldest || now - oldest->unwritten_since < ANSWER_STALL_MIN)
+    return false;
+  close_conn (oldest);
+  return true;
 }
 
 /* Send 100 Continue, once, if the request of EXCHANGE expects it, no body of
@@ -248,6 +399,7 @@
   cs_http1_server_t *server = conn->server;
   conn->incoming = NULL;
   conn->head_started_at = 0;
+  conn->body_moved_len = 0;
   exchange->user = NULL;
   g_queue_push_tail (&conn->exchanges, exchange);
   if (!cs_http1_message_should_keep_alive (&exchange->request))
@@ -272,6 +424,11 @@
           refuse_incoming (conn, (unsigned)exchange->request.error_status);
           return;
         }
+      if (!count_body (conn, exchange))
+        {
+          refuse_incoming_with (conn, 503, NO_ROOM_FIELDS);
+          return;
+        }
       if (!exchange->request.complete)
         {
           send_continue (conn, exchange);
@@ -302,6 +459,24 @@
     consume (conn, buf->base, (size_t)n);
 }
 
+/* Close the connection that has been without a whole request for longest,
+   other than KEPT; false if there is none.  */
+static bool
+close_idlest (cs_http1_server_t *server, const conn_t *kept)
+{
+  conn_t *idlest = NULL;
+  for (const GList *at = server->conns.head; at; at = at->next)
+    {
+      conn_t *conn = at->data;
+      if (conn != kept && g_queue_is_empty (&conn->exchanges)
+          && (!idlest || conn->progress_at < idlest->progress_at))
+        idlest = conn;
+    }
+  if (idlest)
+    close_conn (idlest);
+  return idlest != NULL;
+}
+
 static void
 on_connection (uv_stream_t *listener, int status)
 {
@@ -317,7 +492,8 @@
   g_queue_push_tail_link (&server->conns, &conn->link);
   unsigned max = server->limits.connections_max;
   if (uv_accept (listener, (uv_stream_t *)&conn->tcp) != 0
-      || (max && cs_http1_server_connection_count (server) > max)
+      || (max && cs_http1_server_connection_count (server) > max
+          && !close_idlest (server, conn))
       || uv_read_start ((uv_stream_t *)&conn->tcp, cs_uv_alloc_read_buffer,
                         on_read)
              != 0)
@@ -328,14 +504,29 @@
   cs_tcp_set_options (&conn->tcp, 0);
 }
 
+/* Look at how much of the answers CONN's caller has not taken.  */
+static void
+note_unwritten (conn_t *conn, cs_usec_t now)
+{
+  size_t unwritten = conn->tcp.write_queue_size;
+  if (unwritten < conn->unwritten || !conn->unwritten)
+    conn->unwritten_since = now;
+  conn->unwritten = unwritten;
+}
+
 /* Refuse the request or close CONN if one of the timeouts has passed.  */
 static void
 check_timeout (conn_t *conn, cs_usec_t now)
 {
+  note_unwritten (conn, now);
   const cs_http1_server_limits_t *limits = &conn->server->limits;
   bool waiting = !g_queue_is_empty (&conn->exchanges);
   if (conn->lingering)
     {
+      /* It lingers from when the last byte is written, or the caller takes no
+         more.  */
+      if (conn->unwritten && conn->unwritten_since == now)
+        conn->progress_at = now;
       if (now - conn->progress_at > LINGER_TIMEOUT)
         close_conn (conn);
       return;
@@ -345,7 +536,12 @@
       && now - conn->head_started_at > limits->head_timeout)
     refuse_incoming (conn, 408);
   else if (!waiting && now - conn->progress_at > limits->idle_timeout)
-    close_conn (conn);
+    {
+      if (conn->incoming && conn->incoming->request.head_complete)
+        refuse_incoming (conn, 408);
+      else
+        close_conn (conn);
+    }
 }
 
 static void
--- a/source/run/answers.c
+++ b/source/run/answers.c
@@ -42,6 +42,22 @@
          && !cs_http1_message_field (answer, "content-encoding").data;
 }
 
+/* The body of ANSWER, which is taken out of it; NULL if it is empty.  A large
+   one counts in the budget.  */
+static GBytes *
+take_body (cs_dispatcher_t *dispatcher, cs_http1_message_t *answer)
+{
+  GString *body = answer->body;
+  cs_memory_budget_t *budget = dispatcher->answer_memory.budget;
+  if (!body->len)
+    return NULL;
+  answer->body = g_string_new (NULL);
+  if (!budget || body->len <= CS_SMALL_BODY_MAX)
+    return g_string_free_to_bytes (body);
+  budget->used += (int64_t)body->len;
+  return cs_memory_budget_share (budget, body);
+}
+
 static void
 on_answer (void *user, cs_http1_message_t *answer)
 {
@@ -56,6 +72,7 @@
                            .service_time = service_time,
                            .status = status };
   GString *fields = NULL;
+  GBytes *body = NULL;
   dispatcher_release_conn (dispatch);
   if (status != 421)
     cs_crash_detector_note_answer (&dispatcher->crash_detector,
@@ -94,7 +111,11 @@
       outcome.kind = CS_OUTCOME_ANSWERED;
       fields = caller_fields (answer);
       outcome.fields = cs_str_of_gstring (fields);
-      outcome.body = cs_str_of_gstring (answer->body);
+      body = take_body (dispatcher, answer);
+      outcome.body_bytes = body;
+      if (body)
+        outcome.body = (cs_str_t){ .data = g_bytes_get_data (body, NULL),
+                                   .len = g_bytes_get_size (body) };
       outcome.close_delimited = answer->close_delimited;
       dispatcher_record_failure_rate (dispatcher, status >= 500);
       dispatcher_record_run (dispatcher, dispatch, status >= 500,
@@ -105,6 +126,8 @@
                               dispatcher_wall_ms (dispatcher));
     }
   dispatcher_finish (dispatch, &outcome);
+  if (body)
+    g_bytes_unref (body);
   if (fields)
     g_string_free (fields, TRUE);
   if (status == 421)
--- a/source/run/dispatcher-internal.h
+++ b/source/run/dispatcher-internal.h
@@ -37,9 +37,9 @@
       queued; /* First, so that a queue entry is a cs_dispatch_t.  */
   cs_dispatcher_t *dispatcher;
   dispatch_state_t state;
-  dispatcher_conn_t *conn;       /* Set while it is in flight.  */
-  GString *id, *route, *request; /* REQUEST: head, then body.  */
-  size_t head_len;
+  dispatcher_conn_t *conn; /* Set while it is in flight.  */
+  GString *id, *route, *head;
+  GBytes *body; /* NULL: empty.  */
   cs_usec_t deadline, sent_at;
   cs_usec_t service_time; /* Set when it is DISPATCH_UNANSWERED.  */
   int64_t sent_wall_ms;   /* SENT_AT as wall time.  */
--- a/source/run/dispatcher.c
+++ b/source/run/dispatcher.c
@@ -182,7 +182,9 @@
 {
   g_string_free (dispatch->id, TRUE);
   g_string_free (dispatch->route, TRUE);
-  g_string_free (dispatch->request, TRUE);
+  g_string_free (dispatch->head, TRUE);
+  if (dispatch->body)
+    g_bytes_unref (dispatch->body);
   g_free (dispatch);
 }
 
@@ -348,21 +350,18 @@
   return dispatcher_open_conn (dispatcher);
 }
 
-/* The bytes to send, with the deadline and the expected instance.  */
+/* The head to send, with the deadline and the expected instance.  */
 static GString *
-build_request (cs_dispatcher_t *dispatcher, const cs_dispatch_t *dispatch,
-               cs_usec_t now)
+build_head (cs_dispatcher_t *dispatcher, const cs_dispatch_t *dispatch,
+            cs_usec_t now)
 {
-  GString *out = g_string_sized_new (dispatch->request->len + 128);
-  g_string_append_len (out, dispatch->request->str,
-                       (gssize)dispatch->head_len);
+  GString *out = g_string_sized_new (dispatch->head->len + 128);
+  g_string_append_len (out, dispatch->head->str, (gssize)dispatch->head->len);
   g_string_append_printf (out, "%s: %" G_GINT64_FORMAT "\r\n%s: %s\r\n\r\n",
                           cs_header_names->time_remaining,
                           MAX ((dispatch->deadline - now) / CS_MSEC, 1),
                           cs_header_names->expected_instance,
                           dispatcher->server.report.instance);
-  g_string_append_len (out, dispatch->request->str + dispatch->head_len,
-                       (gssize)(dispatch->request->len - dispatch->head_len));
   return out;
 }
 
@@ -390,8 +389,8 @@
   conn->uses++;
   g_queue_push_tail (&dispatcher->in_flight, dispatch);
   cs_counter_add (CS_C_SERVED, 1);
-  cs_http1_client_send (
-      conn->client, build_request (dispatcher, dispatch, now),
+  cs_http1_client_send_body (
+      conn->client, build_head (dispatcher, dispatch, now), dispatch->body,
       dispatch->method_is_head, &dispatcher_answer_handler, conn);
 }
 
@@ -518,6 +517,7 @@
     {
       cs_dispatch_t *dispatch = link->data;
       next = link->next;
+      cs_http1_client_resume (dispatch->conn->client);
       if (now <= dispatch->deadline + DEADLINE_GRACE)
         continue;
       dispatcher_conn_t *conn = dispatch->conn;
@@ -647,13 +647,11 @@
   dispatch->dispatcher = dispatcher;
   dispatch->id = copy_text (request->id);
   dispatch->route = copy_text (request->route);
-  dispatch->request
-      = g_string_sized_new (request->head.len + request->body.len);
-  g_string_append_len (dispatch->request, request->head.data,
-                       (gssize)request->head.len);
-  g_string_append_len (dispatch->request, request->body.data,
-                       (gssize)request->body.len);
-  dispatch->head_len = request->head.len;
+  dispatch->head = copy_text (request->head);
+  if (request->body_bytes)
+    dispatch->body = g_bytes_ref (request->body_bytes);
+  else if (request->body.len)
+    dispatch->body = g_bytes_new (request->body.data, request->body.len);
   dispatch->idempotent = request->idempotent;
   dispatch->method_is_head = request->method_is_head;
   dispatch->retry = request->retry;
--- a/source/sidecar/control.c
+++ b/source/sidecar/control.c
@@ -274,6 +274,7 @@
           .retry_window = settings->retry_window,
           .answer_memory = settings->answer_memory,
           .grace_period = settings->grace,
+          .memory_max = (settings->memory_mb << 20) / 2,
           .cap_tolerance = settings->cap_tolerance,
           .freshness = { .fail_closed = settings->fail_closed,
                          .revoke = settings->revoke },
--- a/source/sidecar/main.c
+++ b/source/sidecar/main.c
@@ -1,6 +1,7 @@
 /* cardamom-sidecar: the proxy beside a backend server, on an event loop.  An
    adapter connects it to the platform.  */
 #include <argtable2.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -37,6 +38,8 @@
   return status == CS_OK ? 0 : 2;
 }
 
+#define LARGE_BUFFER_BYTES (256 << 10)
+
 int
 main (int argc, char **argv)
 {
@@ -76,6 +79,10 @@
   if (check->count)
     return check_settings (path);
   signal (SIGPIPE, SIG_IGN);
+  /* Large buffers go back to the system when they are freed.  Without this the
+     allocator keeps them in its heap once some have been freed.  */
+  mallopt (M_MMAP_THRESHOLD, LARGE_BUFFER_BYTES);
+  mallopt (M_TRIM_THRESHOLD, 4 * LARGE_BUFFER_BYTES);
   cs_ctx_t *ctx
       = cs_ctx_new (NULL, cs_clock_boottime (), (guint32)g_random_int ());
   control_run (ctx, path);
--- a/source/sidecar/operator-rows.c
+++ b/source/sidecar/operator-rows.c
@@ -56,7 +56,8 @@
 set_limits (control_t *control, const cs_request_limits_t *configured)
 {
   cs_http1_server_limits_t limits
-      = { .head_max = configured->max_header_bytes > 0
+      = { .connections_max = (unsigned)(control->settings.max_fds * 6 / 10),
+          .head_max = configured->max_header_bytes > 0
                           ? (size_t)configured->max_header_bytes
                           : HEAD_MAX_DEFAULT,
           .body_max = configured->max_body_bytes > 0
--- a/source/sidecar/settings.h
+++ b/source/sidecar/settings.h
@@ -25,6 +25,8 @@
   char table[CS_NAME_SIZE];      /* The platform's table.  */
   char deployment[CS_NAME_SIZE]; /* Name of the whole mesh; may be empty.  */
   double link_mbps;              /* Speed of the host's link; 0: unknown.  */
+  int64_t memory_mb;             /* Of the host; 0: no limit is kept.  */
+  int64_t max_fds;               /* Of the process; 0: no limit is kept.  */
   int64_t first_start;           /* 1: the mesh starts for the first time.  */
   cs_usec_t grace;               /* From a stop signal to the end.  */
   cs_retry_window_settings_t retry_window; /* Limits retries.  */
--- a/source/stream/frames.c
+++ b/source/stream/frames.c
@@ -101,9 +101,53 @@
     info->server_state = (cs_backend_state_t)state;
 }
 
+/* Pack BODY, or with SPLIT only what goes before its bytes.  */
+static void
+pack_body (cs_pack_t *pack, cs_str_t body, size_t *split)
+{
+  if (!split)
+    {
+      cs_pack_bytes (pack, body);
+      return;
+    }
+  msgpack_pack_bin (&pack->packer, body.len);
+  *split = cs_pack_payload (pack).len;
+}
+
+/* The unsigned number at *AT of TEXT, in any msgpack form; *AT is moved behind
+   it.  False if there is none.  */
+static bool
+peek_number (cs_str_t text, size_t *at, uint64_t *number)
+{
+  if (*at >= text.len)
+    return false;
+  unsigned char first = (unsigned char)text.data[(*at)++];
+  *number = first;
+  if (first < 0x80)
+    return true;
+  if (first < 0xcc || first > 0xcf)
+    return false;
+  size_t bytes = (size_t)1 << (first - 0xcc);
+  *number = 0;
+  for (; bytes && *at < text.len; bytes--)
+    *number = *number << 8 | (unsigned char)text.data[(*at)++];
+  return bytes == 0;
+}
+
+bool
+cs_frame_peek_job (cs_str_t beginning, uint64_t *number)
+{
+  /* The head of an array of 16 elements or more.  */
+  size_t at = 3;
+  uint64_t kind;
+  return beginning.len > at && (unsigned char)beginning.data[0] == 0xdc
+         && peek_number (beginning, &at, &kind) && kind == CS_FRAME_JOB
+         && peek_number (beginning, &at, number);
+}
+
 void
 cs_dispatch_request_pack (cs_pack_t *pack, uint64_t number,
-                          const cs_dispatch_request_t *request)
+                          const cs_dispatch_request_t *request, size_t *split)
 {
   cs_pack_array (pack, JOB_FIELDS);
   cs_pack_int64 (pack, CS_FRAME_JOB);
@@ -120,7 +164,7 @@
   cs_pack_str (pack, request->service);
   cs_pack_str (pack, request->version);
   cs_pack_bytes (pack, request->head);
-  cs_pack_bytes (pack, request->body);
+  pack_body (pack, request->body, split);
   cs_pack_uint64 (pack, request->fingerprint);
   cs_pack_int64 (pack, (int64_t)(request->inherited_retry * 1000.0));
   cs_pack_int64 (pack, request->sent_at);
@@ -168,7 +212,8 @@
 }
 
 void
-cs_outcome_pack (cs_pack_t *pack, uint64_t number, const cs_outcome_t *outcome)
+cs_outcome_pack (cs_pack_t *pack, uint64_t number, const cs_outcome_t *outcome,
+                 size_t *split)
 {
   cs_pack_array (pack, OUTCOME_FIELDS);
   cs_pack_int64 (pack, CS_FRAME_OUTCOME);
@@ -186,7 +231,7 @@
   cs_pack_int64 (pack, outcome->load.mean_service_time);
   cs_pack_int64 (pack, outcome->load.failure_permille);
   cs_pack_bytes (pack, outcome->fields);
-  cs_pack_bytes (pack, outcome->body);
+  pack_body (pack, outcome->body, split);
   cs_pack_int64 (pack, outcome->load.limit_interval);
   cs_pack_int64 (pack, outcome->load.limit_wait);
   cs_pack_int64 (pack, outcome->server_leaving);
--- a/source/stream/stream.c
+++ b/source/stream/stream.c
@@ -7,6 +7,8 @@
 #define LENGTH_BYTES 4
 #define FLUSH_BYTES 65536        /* A flush at this size bounds the buffer.  */
 #define RETAINED_BYTES_MAX 16384 /* Larger empty input buffers are freed.  */
+/* Of a large payload, so many bytes are received before it is admitted.  */
+#define BEGINNING_BYTES 64
 
 struct cs_stream
 {
@@ -17,8 +19,13 @@
   cs_stream_handler_t handler;
   void *user;
   cs_usec_t unacked_timeout, last_received;
-  GString *partial; /* Received bytes of an incomplete payload.  */
-  GString *unsent;  /* Payloads not yet written to the socket.  */
+  GString *partial;           /* Received bytes of an incomplete payload.  */
+  GString *unsent;            /* Payloads not yet written to the socket.  */
+  cs_memory_budget_t *budget; /* NULL: nothing is counted.  */
+  int64_t counted;   /* Of the large payload that is being received.  */
+  bool admitted;     /* It was admitted.  */
+  size_t drop_left;  /* Bytes to come of one that was not.  */
+  GBytes *delivered; /* The large payload that RECEIVED has now.  */
   bool connected, closing;
   int open_handles; /* The stream is freed when both are closed.  */
 };
@@ -29,6 +36,8 @@
   cs_stream_t *stream = handle->data;
   if (--stream->open_handles > 0)
     return;
+  if (stream->counted)
+    cs_memory_budget_release (stream->budget, stream->counted);
   g_string_free (stream->partial, TRUE);
   g_string_free (stream->unsent, TRUE);
   g_free (stream);
@@ -84,8 +93,48 @@
     uv_prepare_start (&stream->flush_prepare, on_prepare);
 }
 
-/* Pass each whole payload in DATA to the handler.  Returns the bytes used, or
-   -1 when STREAM has ended.  */
+void
+cs_stream_set_budget (cs_stream_t *stream, cs_memory_budget_t *budget)
+{
+  stream->budget = budget;
+}
+
+void
+cs_stream_send_split (cs_stream_t *stream, cs_str_t payload, size_t split,
+                      GBytes *body)
+{
+  guint32 length
+      = GUINT32_TO_BE ((guint32)(payload.len + g_bytes_get_size (body)));
+  if (stream->closing)
+    return;
+  g_string_append_len (stream->unsent, (const char *)&length, LENGTH_BYTES);
+  g_string_append_len (stream->unsent, payload.data, (gssize)split);
+  if (stream->connected)
+    {
+      GString *out = stream->unsent;
+      stream->unsent = g_string_new (NULL);
+      cs_uv_write_body ((uv_stream_t *)&stream->tcp, out, body);
+      uv_prepare_start (&stream->flush_prepare, on_prepare);
+    }
+  else
+    g_string_append_len (stream->unsent, g_bytes_get_data (body, NULL),
+                         (gssize)g_bytes_get_size (body));
+  g_string_append_len (stream->unsent, payload.data + split,
+                       (gssize)(payload.len - split));
+}
+
+GBytes *
+cs_stream_share (const cs_stream_t *stream, cs_str_t view)
+{
+  if (!stream->delivered || !view.len)
+    return NULL;
+  const char *data = g_bytes_get_data (stream->delivered, NULL);
+  return g_bytes_new_from_bytes (stream->delivered, (gsize)(view.data - data),
+                                 view.len);
+}
+
+/* Pass each whole small payload in DATA to the handler, up to the first large
+   one.  Returns the bytes used, or -1 when STREAM has ended.  */
 static gssize
 deliver_payloads (cs_stream_t *stream, const char *data, size_t len)
 {
@@ -101,7 +150,7 @@
           end_stream (stream, "payload over the limit");
           return -1;
         }
-      if (len - used - LENGTH_BYTES < length)
+      if (length > CS_SMALL_BODY_MAX || len - used - LENGTH_BYTES < length)
         break;
       cs_str_t payload = { .data = data + used + LENGTH_BYTES, .len = length };
       stream->handler.received (stream->user, stream, payload);
@@ -112,6 +161,112 @@
   return (gssize)used;
 }
 
+/* The length of the payload at the front of the partial input; 0 if it is not
+   known yet.  */
+static size_t
+front_length (const cs_stream_t *stream)
+{
+  guint32 length;
+  if (stream->partial->len < LENGTH_BYTES)
+    return 0;
+  memcpy (&length, stream->partial->str, LENGTH_BYTES);
+  return GUINT32_FROM_BE (length);
+}
+
+static void
+free_empty_partial (cs_stream_t *stream)
+{
+  if (stream->partial->len
+      || stream->partial->allocated_len <= RETAINED_BYTES_MAX)
+    return;
+  g_string_free (stream->partial, TRUE);
+  stream->partial = g_string_new (NULL);
+}
+
+/* Decide whether the large payload of LENGTH bytes, whose beginning has been
+   received, is received; if not, drop it.  Returns whether it is.  */
+static bool
+admit_large (cs_stream_t *stream, size_t length)
+{
+  cs_str_t beginning = { .data = stream->partial->str + LENGTH_BYTES,
+                         .len = stream->partial->len - LENGTH_BYTES };
+  if (stream->handler.admit
+      && !stream->handler.admit (stream->user, stream, length, beginning))
+    {
+      size_t received = MIN (beginning.len, length);
+      stream->drop_left = length - received;
+      g_string_erase (stream->partial, 0, (gssize)(LENGTH_BYTES + received));
+      free_empty_partial (stream);
+      return false;
+    }
+  stream->admitted = true;
+  if (stream->budget)
+    {
+      stream->counted = (int64_t)(LENGTH_BYTES + length);
+      stream->budget->used += stream->counted;
+    }
+  /* The buffer grows once; its pages are touched as they are filled.  */
+  gsize had = stream->partial->len;
+  g_string_set_size (stream->partial, LENGTH_BYTES + length + 1);
+  g_string_truncate (stream->partial, had);
+  return true;
+}
+
+/* Pass the large payload of LENGTH bytes at the front of the partial input,
+   which is whole, to the handler.  */
+static void
+deliver_large (cs_stream_t *stream, size_t length)
+{
+  GString *whole = stream->partial;
+  size_t end = LENGTH_BYTES + length;
+  stream->partial
+      = g_string_new_len (whole->str + end, (gssize)(whole->len - end));
+  g_string_truncate (whole, end);
+  stream->admitted = false;
+  stream->counted = 0;
+  stream->delivered = stream->budget
+                          ? cs_memory_budget_share (stream->budget, whole)
+                          : g_string_free_to_bytes (whole);
+  GBytes *delivered = stream->delivered;
+  cs_str_t payload = { .data = (const char *)g_bytes_get_data (delivered, NULL)
+                               + LENGTH_BYTES,
+                       .len = length };
+  stream->handler.received (stream->user, stream, payload);
+  stream->delivered = NULL;
+  g_bytes_unref (delivered);
+}
+
+/* Handle the partial input as far as it goes.  */
+static void
+consume_partial (cs_stream_t *stream)
+{
+  size_t length;
+  while (!stream->closing && (length = front_length (stream)) > 0)
+    {
+      if (length > CS_STREAM_PAYLOAD_MAX || length <= CS_SMALL_BODY_MAX)
+        {
+          gssize used = deliver_payloads (stream, stream->partial->str,
+                                          stream->partial->len);
+          if (used < 0)
+            return;
+          g_string_erase (stream->partial, 0, used);
+          free_empty_partial (stream);
+          if (!used)
+            return;
+        }
+      else if (!stream->admitted)
+        {
+          if (stream->partial->len < LENGTH_BYTES + BEGINNING_BYTES
+              || (!admit_large (stream, length) && stream->drop_left))
+            return;
+        }
+      else if (stream->partial->len - LENGTH_BYTES < length)
+        return;
+      else
+        deliver_large (stream, length);
+    }
+}
+
 static void
 on_read (uv_stream_t *handle, ssize_t n, const uv_buf_t *buf)
 {
@@ -125,24 +280,23 @@
       return;
     }
   stream->last_received = stream->clock->monotonic (stream->clock);
+  const char *data = buf->base;
+  size_t len = (size_t)n, dropped = MIN (stream->drop_left, len);
+  stream->drop_left -= dropped;
+  data += dropped;
+  len -= dropped;
   if (!stream->partial->len)
     {
-      gssize used = deliver_payloads (stream, buf->base, (size_t)n);
-      if (used >= 0)
-        g_string_append_len (stream->partial, buf->base + used, n - used);
-      return;
-    }
-  g_string_append_len (stream->partial, buf->base, n);
-  gssize used
-      = deliver_payloads (stream, stream->partial->str, stream->partial->len);
-  if (used > 0)
-    g_string_erase (stream->partial, 0, used);
-  if (used > 0 && !stream->partial->len
-      && stream->partial->allocated_len > RETAINED_BYTES_MAX)
-    {
-      g_string_free (stream->partial, TRUE);
-      stream->partial = g_string_new (NULL);
+      gssize used = deliver_payloads (stream, data, len);
+      if (used < 0)
+        return;
+      data += used;
+      len -= (size_t)used;
     }
+  if (!len)
+    return;
+  g_string_append_len (stream->partial, data, (gssize)len);
+  consume_partial (stream);
 }
 
 static bool
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -1762,7 +1762,7 @@
           .fingerprint = 5 };
   cs_pack_t pack;
   cs_pack_init (&pack);
-  cs_dispatch_request_pack (&pack, number, &request);
+  cs_dispatch_request_pack (&pack, number, &request, NULL);
   send_frame (fd, &pack);
   cs_pack_clear (&pack);
 }
@@ -1893,7 +1893,7 @@
                            .fields = CS_STR ("Cardamom-Leaving: 1\r\n") };
   cs_pack_t pack;
   cs_pack_init (&pack);
-  cs_outcome_pack (&pack, number, &outcome);
+  cs_outcome_pack (&pack, number, &outcome, NULL);
   send_frame (fd, &pack);
   cs_pack_clear (&pack);
   expect_answer (caller, "200", "");
