Promise the time of a host's link to large bodies before they are sent

The node beside the server says yes to a large body's size and times before it is sent; what cannot arrive in time is refused before a byte has crossed.

--- a/include/cardamom/counters.h
+++ b/include/cardamom/counters.h
@@ -41,6 +41,8 @@
      "Answers replayed for a known idempotency key.")                         \
   X (ONCE_REFUSED, "cardamom_once_refused_total",                             \
      "Keyed requests refused because no record could be consulted.")          \
+  X (LINK_REFUSED, "cardamom_link_refused_total",                             \
+     "Large bodies refused because this host's link had no time for them.")   \
   X (NO_MEMORY, "cardamom_no_memory_total",                                   \
      "Jobs of other nodes refused for want of memory.")                       \
   X (GAVE_WAY, "cardamom_gave_way_total",                                     \
--- a/include/cardamom/dispatcher.h
+++ b/include/cardamom/dispatcher.h
@@ -94,6 +94,7 @@
   cs_usec_t limit_interval, limit_wait;
   cs_usec_t cold_left;  /* For how long the server stays cold; 0: warm.  */
   cs_usec_t transit;    /* Mean delay of the messages to that node.  */
+  cs_usec_t link_wait;  /* Until its link is free for another large body.  */
   bool refuses_retries; /* The retry budget has no room.  */
 } cs_load_t;
 
@@ -216,6 +217,13 @@
                                      const cs_dispatch_request_t *request,
                                      cs_dispatch_done_t done, void *user);
 
+/* Why a request like REQUEST, whose body has not come yet, would be refused,
+   or CS_REFUSED_COUNT.  *WAIT and *RUN_TIME are set to what is expected.  */
+cs_refusal_reason_t
+cs_dispatcher_preview (cs_dispatcher_t *dispatcher,
+                       const cs_dispatch_request_t *request, cs_usec_t *wait,
+                       cs_usec_t *run_time);
+
 /* Cancel DISPATCH, whose caller has disconnected; its callback is not called.
    If it is in flight, it is aborted only when it is idempotent.  */
 void cs_dispatcher_cancel (cs_dispatcher_t *dispatcher,
--- a/include/cardamom/frames.h
+++ b/include/cardamom/frames.h
@@ -40,7 +40,12 @@
   /* To the keeper of usage caps: a pledge, reports of use and asks for tokens;
      and its answer.  The traffic thread handles both.  */
   CS_FRAME_CAP_ASK,
-  CS_FRAME_CAP_GRANT
+  CS_FRAME_CAP_GRANT,
+  /* Before a large body is sent: may the job come?  Answered by
+     CS_FRAME_BODY_GO, or by a CS_FRAME_OUTCOME that refuses the job.  The
+     traffic thread handles both.  */
+  CS_FRAME_BODY_ASK,
+  CS_FRAME_BODY_GO
 } cs_control_frame_kind_t;
 
 /* A node's description of itself, which it sends to the others.  The nodes
@@ -92,6 +97,14 @@
 void cs_dispatch_request_unpack (cs_unpack_cursor_t *cursor, uint64_t *number,
                                  cs_dispatch_request_t *request);
 
+/* Pack a whole CS_FRAME_BODY_ASK message for REQUEST; read what follows its
+   kind.  BYTES is the size of the body, and of REQUEST only what the question
+   holds is set.  */
+void cs_body_ask_pack (cs_pack_t *pack, uint64_t number,
+                       const cs_dispatch_request_t *request);
+void cs_body_ask_unpack (cs_unpack_cursor_t *cursor, uint64_t *number,
+                         cs_dispatch_request_t *request, size_t *bytes);
+
 /* Read the kind and the number of a job from the first bytes of its message;
    false if they are not those of a CS_FRAME_JOB.  */
 bool cs_frame_peek_job (cs_str_t beginning, uint64_t *number);
--- a/source/call/call.h
+++ b/source/call/call.h
@@ -53,9 +53,11 @@
   peer_t *tried[MAX_TRIED_NODES];
   unsigned tried_count;           /* Of TRIED.  */
   failed_answer_t *failed_answer; /* NULL: none.  */
-  unsigned server_attempts;       /* Attempts that reached a server.  */
-  cs_usec_t wait_max;             /* As in the cs_dispatch_request_t.  */
-  unsigned redirects;             /* Refusals as CS_REFUSED_LONGER_WAIT.  */
+  /* It has asked PEER whether its body may come, and has not been sent.  */
+  bool awaits_go;
+  unsigned server_attempts; /* Attempts that reached a server.  */
+  cs_usec_t wait_max;       /* As in the cs_dispatch_request_t.  */
+  unsigned redirects;       /* Refusals as CS_REFUSED_LONGER_WAIT.  */
   bool sent_again; /* To the same server, after a stale connection.  */
   /* Refusals as CS_REFUSED_OVERLOADED or CS_REFUSED_RETRY_BUDGET.  */
   unsigned overload_refusals;
--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -221,31 +221,79 @@
              : NULL;
 }
 
+/* What the node beside the server gets of CALL, which is sent now.  */
+static cs_dispatch_request_t
+describe_request (const call_t *call, const peer_t *peer)
+{
+  cs_usec_t now = traffic_now (call->traffic);
+  const http_parser *parser = &call->exchange->request.parser;
+  return (cs_dispatch_request_t){ .id = call->attempt_id,
+                                  .route = cs_str_of (call->route->path),
+                                  .service = cs_str_of (call->service),
+                                  .version = cs_str_of (peer->info.version),
+                                  .head = cs_str_of_gstring (call->head),
+                                  .body = view_of (call->body),
+                                  .body_bytes = call->body,
+                                  .priority = call->priority,
+                                  .target_remaining = call->target_time - now,
+                                  .latency_target = call->latency_target,
+                                  .deadline_remaining = call->deadline - now,
+                                  .sent_at = now,
+                                  .wait_max = call->wait_max,
+                                  .idempotent = call->route->idempotent,
+                                  .method_is_head
+                                  = parser->method == HTTP_HEAD,
+                                  .retry = call_is_retry (call),
+                                  .inherited_retry = call->inherited_retry,
+                                  .fingerprint = call->fingerprint };
+}
+
+/* Send CALL's job to its peer, another node.  */
+static void
+send_to_peer (call_t *call)
+{
+  peer_t *peer = call->peer;
+  cs_dispatch_request_t request = describe_request (call, peer);
+  cs_pack_t pack;
+  size_t split = 0;
+  bool large = request.body.len > CS_SMALL_BODY_MAX;
+  cs_pack_init (&pack);
+  cs_dispatch_request_pack (&pack, call->job_number, &request,
+                            large ? &split : NULL);
+  if (!large)
+    peer_send (peer, &pack);
+  else if (peer->stream)
+    cs_stream_send_split (peer->stream, cs_pack_payload (&pack), split,
+                          call->body);
+  cs_pack_clear (&pack);
+}
+
+/* Ask the peer of CALL whether its body may come.  */
+static void
+ask_for_body (call_t *call)
+{
+  cs_dispatch_request_t request = describe_request (call, call->peer);
+  cs_pack_t pack;
+  cs_pack_init (&pack);
+  cs_body_ask_pack (&pack, call->job_number, &request);
+  peer_send (call->peer, &pack);
+  cs_pack_clear (&pack);
+  call->awaits_go = true;
+}
+
+void
+call_send_body (call_t *call)
+{
+  if (!call->awaits_go)
+    return;
+  call->awaits_go = false;
+  send_to_peer (call);
+}
+
 static void
 send_job (call_t *call, peer_t *peer)
 {
   cs_traffic_t *traffic = call->traffic;
-  cs_usec_t now = traffic_now (traffic);
-  const http_parser *parser = &call->exchange->request.parser;
-  cs_dispatch_request_t request
-      = { .id = call->attempt_id,
-          .route = cs_str_of (call->route->path),
-          .service = cs_str_of (call->service),
-          .version = cs_str_of (peer->info.version),
-          .head = cs_str_of_gstring (call->head),
-          .body = view_of (call->body),
-          .body_bytes = call->body,
-          .priority = call->priority,
-          .target_remaining = call->target_time - now,
-          .latency_target = call->latency_target,
-          .deadline_remaining = call->deadline - now,
-          .sent_at = now,
-          .wait_max = call->wait_max,
-          .idempotent = call->route->idempotent,
-          .method_is_head = parser->method == HTTP_HEAD,
-          .retry = call_is_retry (call),
-          .inherited_retry = call->inherited_retry,
-          .fingerprint = call->fingerprint };
   call_note_sent (call, peer);
   call->peer = peer;
   call->peer_boot = peer->hello_boot;
@@ -255,6 +303,7 @@
     call->tried[call->tried_count++] = peer;
   if (peer->self)
     {
+      cs_dispatch_request_t request = describe_request (call, peer);
       traffic_attribute_retry (traffic, &request, traffic->self->info.service);
       cs_dispatch_t *dispatch = cs_dispatcher_submit (
           traffic->dispatcher, &request, on_local_outcome, call);
@@ -264,19 +313,13 @@
         call->local_dispatch = dispatch;
       return;
     }
-  cs_pack_t pack;
-  size_t split = 0;
-  bool large = request.body.len > CS_SMALL_BODY_MAX;
-  cs_pack_init (&pack);
-  cs_dispatch_request_pack (&pack, call->job_number, &request,
-                            large ? &split : NULL);
   g_hash_table_insert (peer->calls, &call->job_number, call);
-  if (!large)
-    peer_send (peer, &pack);
-  else if (peer->stream)
-    cs_stream_send_split (peer->stream, cs_pack_payload (&pack), split,
-                          call->body);
-  cs_pack_clear (&pack);
+  if (call->body
+      && cs_link_must_ask ((double)peer->info.link_mbps,
+                           g_bytes_get_size (call->body)))
+    ask_for_body (call);
+  else
+    send_to_peer (call);
 }
 
 /* End CALL, which gets no further attempt: as not run, unless an earlier one
@@ -447,6 +490,7 @@
 void
 call_handle_outcome (call_t *call, const cs_outcome_t *outcome)
 {
+  call->awaits_go = false;
   call->server_attempts += outcome->reached_server;
   if (outcome->retries_strained)
     cs_dispatcher_hold_retries (call->traffic->dispatcher);
@@ -500,6 +544,13 @@
 void
 call_stream_lost (call_t *call, peer_t *peer)
 {
+  if (call->awaits_go)
+    {
+      /* Nothing but a question was sent.  */
+      call->awaits_go = false;
+      dispatch_call (call);
+      return;
+    }
   if (!call->route->idempotent)
     {
       /* It may be running: only that node knows.  */
@@ -546,7 +597,7 @@
 {
   /* A request that was sent nowhere, or that is still in this node's queue and
      is removed from it, has not run.  */
-  bool not_run = !call->peer
+  bool not_run = !call->peer || call->awaits_go
                  || (call->local_dispatch
                      && cs_dispatch_is_queued (call->local_dispatch));
   cancel_attempt (call);
@@ -580,7 +631,7 @@
   (void)user;
   if (!call)
     return;
-  call->may_have_run |= call->peer != NULL;
+  call->may_have_run |= call->peer != NULL && !call->awaits_go;
   cancel_attempt (call);
   free_call (call);
 }
--- a/source/call/choose.c
+++ b/source/call/choose.c
@@ -126,6 +126,19 @@
   return MAX (delay, share);
 }
 
+/* The time that the body of CALL is expected to wait for the link of PEER's
+   host and to take on it, if it is large.  */
+static cs_usec_t
+expected_body_delay (const call_t *call, const peer_t *peer,
+                     const cs_load_t *load, cs_usec_t age)
+{
+  size_t bytes = call->body ? g_bytes_get_size (call->body) : 0;
+  double mbps = (double)peer->info.link_mbps;
+  if (!cs_link_must_ask (mbps, bytes))
+    return 0;
+  return cs_link_transfer_time (mbps, bytes) + MAX (load->link_wait - age, 0);
+}
+
 /* PEER's state for the placement of CALL.  */
 static cs_placement_node_t
 describe_peer (const call_t *call, peer_t *peer, const char *version,
@@ -161,7 +174,9 @@
     = load.mean_service_time > 0 ? load.mean_service_time : run_time,
     .run_time = run_time,
     .round_trip = peer->round_trip,
-    .transit = peer->self ? 0 : cs_transit_fade (load.transit, age),
+    .transit = peer->self ? 0
+                          : cs_transit_fade (load.transit, age)
+                                + expected_body_delay (call, peer, &load, age),
     .limit_delay
     = expected_turn_delay (call, peer, &load, age, own_calls, now),
     .failure_permille
--- a/source/call/inbound.c
+++ b/source/call/inbound.c
@@ -63,8 +63,13 @@
 }
 
 static void
-send_outcome (inbound_t *inbound, uint64_t number, const cs_outcome_t *outcome)
+send_outcome (inbound_t *inbound, uint64_t number, const cs_outcome_t *ended)
 {
+  cs_traffic_t *traffic = inbound->traffic;
+  cs_outcome_t with_link = *ended;
+  const cs_outcome_t *outcome = &with_link;
+  with_link.load.link_wait
+      = cs_link_wait (&traffic->link, traffic_now (traffic));
   cs_pack_t pack;
   size_t split = 0;
   bool large = outcome->body_bytes && outcome->body.len > CS_SMALL_BODY_MAX;
@@ -229,6 +234,58 @@
     job->dispatch = dispatch;
 }
 
+/* Answer a node that asks whether a large body may come: with a promise of the
+   link's time, or with the refusal of its job.  */
+static void
+handle_body_ask (inbound_t *inbound, cs_unpack_cursor_t *in)
+{
+  cs_traffic_t *traffic = inbound->traffic;
+  uint64_t number;
+  size_t bytes;
+  cs_dispatch_request_t request;
+  cs_link_request_t link = { 0 };
+  cs_body_ask_unpack (in, &number, &request, &bytes);
+  if (in->failed)
+    return;
+  cs_usec_t now = traffic_now (traffic);
+  cs_refusal_reason_t reason = cs_dispatcher_preview (
+      traffic->dispatcher, &request, &link.server_wait, &link.run_time);
+  link.bytes = bytes;
+  link.target_remaining = request.target_remaining;
+  link.latency_target = request.latency_target;
+  link.deadline_remaining = request.deadline_remaining;
+  if (!traffic_allows_route_here (traffic, request.route))
+    reason = CS_REFUSED_MISMATCH;
+  else if (reason == CS_REFUSED_COUNT
+           && !cs_memory_budget_has_room (&traffic->budget, (int64_t)bytes,
+                                          false))
+    reason = CS_REFUSED_OVERLOADED;
+  else if (reason == CS_REFUSED_COUNT
+           && !cs_link_promise (&traffic->link, &link, now))
+    {
+      cs_counter_add (CS_C_LINK_REFUSED, 1);
+      reason = CS_REFUSED_OVERLOADED;
+    }
+  if (reason != CS_REFUSED_COUNT)
+    {
+      cs_outcome_t outcome
+          = { .kind = CS_OUTCOME_REFUSED,
+              .reason = reason,
+              .expected_wait
+              = MAX (cs_link_wait (&traffic->link, now), link.server_wait),
+              .load = cs_dispatcher_load (traffic->dispatcher) };
+      send_outcome (inbound, number, &outcome);
+      return;
+    }
+  cs_pack_t pack;
+  cs_pack_init (&pack);
+  cs_pack_array (&pack, 2);
+  cs_pack_int64 (&pack, CS_FRAME_BODY_GO);
+  cs_pack_uint64 (&pack, number);
+  cs_stream_send (inbound->stream, cs_pack_payload (&pack));
+  cs_pack_clear (&pack);
+}
+
 static void
 handle_cancel (inbound_t *inbound, cs_unpack_cursor_t *in)
 {
@@ -407,6 +464,9 @@
     case CS_FRAME_CRASH_RECORDS:
       crash_records_received (traffic, &in);
       break;
+    case CS_FRAME_BODY_ASK:
+      handle_body_ask (inbound, &in);
+      break;
     case CS_FRAME_CAP_ASK:
       if (inbound->name[0])
         workspaces_handle_ask (traffic, inbound->name, inbound->stream, &in);
--- a/source/call/peers.c
+++ b/source/call/peers.c
@@ -383,6 +383,16 @@
   return true;
 }
 
+static void
+handle_body_go (peer_t *peer, cs_unpack_cursor_t *in)
+{
+  uint64_t number = cs_unpack_uint64 (in);
+  call_t *call
+      = in->failed ? NULL : g_hash_table_lookup (peer->calls, &number);
+  if (call)
+    call_send_body (call);
+}
+
 static void
 pass_to_control (peer_t *peer, cs_str_t payload)
 {
@@ -413,6 +423,8 @@
     handle_outcome (peer, &in);
   else if (kind == CS_FRAME_CRASH_RECORDS)
     crash_records_received (peer->traffic, &in);
+  else if (kind == CS_FRAME_BODY_GO)
+    handle_body_go (peer, &in);
   else if (kind == CS_FRAME_CAP_GRANT)
     workspaces_handle_grant (peer, &in);
   else if (kind >= CS_FRAME_CONTROL_FIRST)
--- a/source/call/traffic.c
+++ b/source/call/traffic.c
@@ -184,6 +184,7 @@
   traffic->budget = (cs_memory_budget_t){ .limit = settings->memory_max,
                                           .make_room = make_room,
                                           .user = traffic };
+  cs_link_init (&traffic->link, (double)settings->self.link_mbps);
   traffic->freshness = settings->freshness;
   traffic->keys_fresh_at = settings->keys_fresh_at;
   traffic->workspaces = workspaces_new (traffic, &settings->cap_tolerance);
--- a/source/run/dispatcher.c
+++ b/source/run/dispatcher.c
@@ -673,6 +673,38 @@
   return dispatch;
 }
 
+cs_refusal_reason_t
+cs_dispatcher_preview (cs_dispatcher_t *dispatcher,
+                       const cs_dispatch_request_t *request, cs_usec_t *wait,
+                       cs_usec_t *run_time)
+{
+  char *route = cs_str_dup (request->route);
+  *run_time = cs_service_times_of_route (
+      &dispatcher->service_times, route,
+      cs_service_time_initial (request->latency_target));
+  g_free (route);
+  cs_server_capacity_t capacity
+      = { .slots = dispatcher_usable_slots (dispatcher),
+          .running = dispatcher->in_flight.length,
+          .mean_service_time
+          = cs_service_times_mean (&dispatcher->service_times, *run_time),
+          .limit = &dispatcher->limit };
+  /* It comes later, so it waits behind all that is queued now.  */
+  cs_queued_request_t last = { .priority = INT64_MAX };
+  *wait = cs_request_queue_expected_wait (&dispatcher->queue, &capacity, &last,
+                                          dispatcher_now (dispatcher));
+  if (dispatcher->stopping)
+    return CS_REFUSED_STOPPING;
+  if (dispatcher->server.state != CS_BACKEND_READY || dispatcher->evacuated)
+    return CS_REFUSED_NO_SERVER;
+  if (!cs_str_equal (request->service,
+                     cs_str_of (dispatcher->server.report.service)))
+    return CS_REFUSED_MISMATCH;
+  if (request->retry && !takes_retries (dispatcher))
+    return CS_REFUSED_RETRY_BUDGET;
+  return CS_REFUSED_COUNT;
+}
+
 cs_dispatch_t *
 cs_dispatcher_submit (cs_dispatcher_t *dispatcher,
                       const cs_dispatch_request_t *request,
--- a/source/stream/frames.c
+++ b/source/stream/frames.c
@@ -6,7 +6,7 @@
    outcome message.  */
 #define NODE_INFO_FIELDS 15
 #define JOB_FIELDS 17
-#define OUTCOME_FIELDS 22
+#define OUTCOME_FIELDS 23
 /* A job message is invalid when its deadline or target time is further away
    than this.  The node that sends it allows a call DEFAULT_CALL_TIMEOUT
    (call/calls.c) at most, whatever the route allows.  */
@@ -114,6 +114,42 @@
   *split = cs_pack_payload (pack).len;
 }
 
+void
+cs_body_ask_pack (cs_pack_t *pack, uint64_t number,
+                  const cs_dispatch_request_t *request)
+{
+  cs_pack_array (pack, 9);
+  cs_pack_int64 (pack, CS_FRAME_BODY_ASK);
+  cs_pack_uint64 (pack, number);
+  cs_pack_uint64 (pack, request->body.len);
+  cs_pack_str (pack, request->service);
+  cs_pack_str (pack, request->route);
+  cs_pack_int64 (pack, request->target_remaining / CS_MSEC);
+  cs_pack_int64 (pack, request->latency_target / CS_MSEC);
+  cs_pack_int64 (pack, request->deadline_remaining / CS_MSEC);
+  cs_pack_int64 (pack, request->retry);
+}
+
+void
+cs_body_ask_unpack (cs_unpack_cursor_t *cursor, uint64_t *number,
+                    cs_dispatch_request_t *request, size_t *bytes)
+{
+  *request = (cs_dispatch_request_t){ .wait_max = INT64_MAX };
+  *number = cs_unpack_uint64 (cursor);
+  *bytes = (size_t)cs_unpack_uint64 (cursor);
+  request->service = cs_unpack_str (cursor);
+  request->route = cs_unpack_str (cursor);
+  request->target_remaining = cs_unpack_int64 (cursor) * CS_MSEC;
+  request->latency_target = cs_unpack_int64 (cursor) * CS_MSEC;
+  request->deadline_remaining = cs_unpack_int64 (cursor) * CS_MSEC;
+  request->retry = cs_unpack_int64 (cursor) != 0;
+  if (request->deadline_remaining > JOB_TIME_MAX
+      || request->target_remaining > JOB_TIME_MAX
+      || request->target_remaining < -JOB_TIME_MAX
+      || request->latency_target < 0 || request->latency_target > JOB_TIME_MAX)
+    cursor->failed = true;
+}
+
 /* The unsigned number at *AT of TEXT, in any msgpack form; *AT is moved behind
    it.  False if there is none.  */
 static bool
@@ -241,6 +277,7 @@
                 | (outcome->retries_strained ? OUTCOME_RETRIES_STRAINED : 0));
   cs_pack_int64 (pack, outcome->load.transit);
   cs_pack_int64 (pack, outcome->load.cold_left);
+  cs_pack_int64 (pack, outcome->load.link_wait);
 }
 
 void
@@ -279,12 +316,15 @@
     }
   if (cursor->remaining)
     outcome->load.cold_left = cs_unpack_int64 (cursor);
+  if (cursor->remaining)
+    outcome->load.link_wait = cs_unpack_int64 (cursor);
   if (kind < CS_OUTCOME_ANSWERED || kind > CS_OUTCOME_UNKNOWN || reason < 0
       || reason >= CS_REFUSED_COUNT || outcome->status > 999
       || outcome->load.limit_interval < 0
       || outcome->load.limit_interval > JOB_TIME_MAX
       || outcome->load.limit_wait < 0 || outcome->load.transit < 0
-      || outcome->load.transit > JOB_TIME_MAX || outcome->load.cold_left < 0
+      || outcome->load.transit > JOB_TIME_MAX || outcome->load.link_wait < 0
+      || outcome->load.link_wait > JOB_TIME_MAX || outcome->load.cold_left < 0
       || outcome->load.cold_left > JOB_TIME_MAX
       || outcome->load.limit_wait > JOB_TIME_MAX)
     cursor->failed = true;
