--- a/include/cardamom/dispatcher.h
+++ b/include/cardamom/dispatcher.h
@@ -44,6 +44,9 @@
   bool may_be_call; /* Of a server, rather than a request of a client.  */
   /* From cs_request_fingerprint; 0: not known.  */
   uint64_t fingerprint;
+  /* What a cold server of SERVICE takes a second, as the sender knows it: a
+     node that has just started has no configuration.  0: no limit.  */
+  double warmup_per_s;
 } cs_dispatch_request_t;
 
 /* Why a request has not run.  */
--- a/source/call/call.h
+++ b/source/call/call.h
@@ -90,6 +90,9 @@
 /* Look up the configuration in force, by which CALL may reach servers.  */
 void call_update_newest (call_t *call);
 
+/* What a cold server of the call's service takes a second; 0: no limit.  */
+double call_warmup_rate (const call_t *call);
+
 /* A request of CALL is sent to PEER.  */
 void call_note_sent (call_t *call, peer_t *peer);
 
--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -245,7 +245,8 @@
                                   = parser->method == HTTP_HEAD,
                                   .retry = call_is_retry (call),
                                   .inherited_retry = call->inherited_retry,
-                                  .fingerprint = call->fingerprint };
+                                  .fingerprint = call->fingerprint,
+                                  .warmup_per_s = call_warmup_rate (call) };
 }
 
 /* Send CALL's job to its peer, another node.  */
--- a/source/call/choose.c
+++ b/source/call/choose.c
@@ -76,13 +76,19 @@
   return cs_reach_check (&reach, peer->info.dc, peer->info.region);
 }
 
+double
+call_warmup_rate (const call_t *call)
+{
+  const cs_service_t *service
+      = g_hash_table_lookup (call->snapshot->services, call->service);
+  return service ? service->warmup_per_s : 0;
+}
+
 /* What the servers of the call's service take while they are cold.  */
 static cs_cold_rate_t
 cold_rate (const call_t *call)
 {
-  const cs_service_t *service
-      = g_hash_table_lookup (call->snapshot->services, call->service);
-  return (cs_cold_rate_t){ .per_second = service ? service->warmup_per_s : 0,
+  return (cs_cold_rate_t){ .per_second = call_warmup_rate (call),
                            .senders
                            = g_hash_table_size (call->traffic->peers) };
 }
--- a/source/call/inbound.c
+++ b/source/call/inbound.c
@@ -196,6 +196,8 @@
   if (in->failed
       || (!request.idempotent && reject_duplicate (inbound, number, &request)))
     return;
+  if (!traffic_has_config (traffic))
+    cs_dispatcher_set_warmup (traffic->dispatcher, request.warmup_per_s);
   age_request (inbound, &request);
   if (request.deadline_remaining <= 0)
     {
--- a/source/call/traffic.c
+++ b/source/call/traffic.c
@@ -19,6 +19,15 @@
   return snapshot;
 }
 
+bool
+traffic_has_config (cs_traffic_t *traffic)
+{
+  rcu_read_lock ();
+  bool has = rcu_dereference (*traffic->snapshot) != NULL;
+  rcu_read_unlock ();
+  return has;
+}
+
 static bool
 snapshot_allows_route_here (const cs_traffic_t *traffic,
                             const cs_snapshot_t *snapshot, cs_str_t route)
--- a/source/call/traffic.h
+++ b/source/call/traffic.h
@@ -163,6 +163,8 @@
 /* The configuration in force, with a reference for the caller; NULL before the
    first.  */
 cs_snapshot_t *traffic_acquire_snapshot (cs_traffic_t *traffic);
+/* Whether this node has a configuration.  */
+bool traffic_has_config (cs_traffic_t *traffic);
 /* Whether the configuration in force allows requests of ROUTE to run in this
    node's region.  */
 bool traffic_allows_route_here (cs_traffic_t *traffic, cs_str_t route);
--- a/source/stream/frames.c
+++ b/source/stream/frames.c
@@ -5,7 +5,7 @@
 /* Elements of the msgpack arrays of a cs_node_info_t, a job message and an
    outcome message.  */
 #define NODE_INFO_FIELDS 15
-#define JOB_FIELDS 17
+#define JOB_FIELDS 18
 #define OUTCOME_FIELDS 23
 /* A job message is invalid when its deadline or target time is further away
    than this.  The node that sends it allows a call DEFAULT_CALL_TIMEOUT
@@ -205,6 +205,7 @@
   cs_pack_int64 (pack, (int64_t)(request->inherited_retry * 1000.0));
   cs_pack_int64 (pack, request->sent_at);
   cs_pack_int64 (pack, request->wait_max);
+  cs_pack_int64 (pack, (int64_t)(request->warmup_per_s * 1000.0));
 }
 
 void
@@ -245,6 +246,11 @@
           || request->wait_max < 0)
         cursor->failed = true;
     }
+  if (cursor->remaining)
+    {
+      int64_t per_1000_s = cs_unpack_int64 (cursor);
+      request->warmup_per_s = (double)MAX (per_1000_s, 0) / 1000.0;
+    }
 }
 
 void
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -29,6 +29,7 @@
 {
   cs_ctx_t *ctx;
   cs_snapshot_t *snapshot;
+  cs_snapshot_t *server_snapshot; /* Of SERVER_NODE.  */
   cs_traffic_t *caller_node, *server_node;
   cs_node_info_t caller_info, server_info;
   unsigned caller_port; /* Where callers connect to CALLER_NODE.  */
@@ -221,7 +222,8 @@
           .grace_period = 6 * CS_SEC,
           .keys_fresh_at = &keys_fresh_at,
           .cap_tolerance = { .window = 5 * CS_SEC, .over = 0.1, .slack = 4 },
-          .snapshot = &mesh->snapshot };
+          .snapshot = info == &mesh->server_info ? &mesh->server_snapshot
+                                                 : &mesh->snapshot };
   cs_traffic_t *traffic
       = cs_traffic_new (mesh->ctx, &settings, &handler, mesh);
   g_assert_nonnull (traffic);
@@ -232,9 +234,12 @@
 /* Report to the node that the backend server is ready.  STARTED_MS, when it
    was started, is also the number in the name of its instance.  */
 static void
-report_server (mesh_t *mesh, int64_t slots, int64_t started_ms)
+report_cold_server (mesh_t *mesh, int64_t slots, int64_t started_ms,
+                    cs_usec_t cold_for)
 {
   cs_backend_t backend = { .state = CS_BACKEND_READY };
+  if (cold_for)
+    backend.warm_at = cs_now (mesh->ctx) + cold_for;
   backend.report.slots = slots;
   backend.report.started_ms = started_ms;
   g_strlcpy (backend.report.service, SERVICE, CS_NAME_SIZE);
@@ -246,6 +251,12 @@
   cs_traffic_set_server_state (mesh->server_node, &backend);
 }
 
+static void
+report_server (mesh_t *mesh, int64_t slots, int64_t started_ms)
+{
+  report_cold_server (mesh, slots, started_ms, 0);
+}
+
 /* Send a request whose caller waits for DEADLINE_MS.  */
 static void
 send_request_for (int fd, const char *method, const char *path, const char *id,
@@ -337,7 +348,7 @@
   retry_settings = *retries;
   unsigned peer_port = free_port ();
   mesh->ctx = cs_ctx_new (NULL, cs_clock_boottime (), 5);
-  mesh->snapshot = make_snapshot (mesh->ctx);
+  mesh->snapshot = mesh->server_snapshot = make_snapshot (mesh->ctx);
   mesh->server_listener = listen_on_free_port (&mesh->server_port);
   mesh->proxy.listener = listen_on_free_port (&mesh->proxy.port);
   mesh->proxy.target_port = peer_port;
@@ -1188,6 +1199,7 @@
   g_assert_cmpint (cs_snapshot_link (mesh->ctx, snapshot, errors), ==, CS_OK);
   g_string_free (errors, TRUE);
   rcu_set_pointer (&mesh->snapshot, snapshot);
+  rcu_set_pointer (&mesh->server_snapshot, snapshot);
 }
 
 /* While a request runs, a configuration takes force that allows another region
@@ -1233,6 +1245,43 @@
   return names;
 }
 
+/* The node beside a cold server has just started and has no configuration; the
+   callers' node has.  Guards against a server that gets more than it takes
+   until the configuration is there (FAILBACK after a loss of power).  */
+static void
+test_cold_without_config (void)
+{
+  mesh_t *mesh = start_mesh (20);
+  cs_snapshot_t *with_rate = make_snapshot (mesh->ctx);
+  cs_service_t *service = g_hash_table_lookup (with_rate->services, SERVICE);
+  service->warmup_per_s = 2;
+  with_rate->version = 2;
+  rcu_set_pointer (&mesh->snapshot, with_rate);
+  rcu_set_pointer (&mesh->server_snapshot, NULL);
+  report_cold_server (mesh, 20, 2, 30 * CS_SEC);
+  g_usleep (SOCKET_ABSENCE_MS * 1000);
+  int callers[12];
+  unsigned reached = 0;
+  for (int i = 0; i < 12; i++)
+    {
+      char *id = g_strdup_printf ("c%d", i);
+      callers[i] = connect_to (mesh->caller_port);
+      send_request (callers[i], "PUT", "/write/1", id, "x");
+      g_free (id);
+    }
+  gint64 since = g_get_monotonic_time ();
+  while (g_get_monotonic_time () - since < G_USEC_PER_SEC)
+    if (readable (mesh->server_listener, 50))
+      {
+        accept_one (mesh->server_listener);
+        reached++;
+      }
+  g_test_message ("%u reached the server in a second", reached);
+  g_assert_cmpuint (reached, <=, 3);
+  for (int i = 0; i < 12; i++)
+    close (callers[i]);
+}
+
 /* Put a configuration in force whose workspace "shop" holds the key HELD_KEY
    and may send PER_S requests a second and BURST besides; 0: any.  The route
    "read" is anonymous.  */
@@ -1261,6 +1310,7 @@
   g_assert_true (
       cs_workspaces_add_key (snapshot->workspaces, workspace, &digest));
   rcu_set_pointer (&mesh->snapshot, snapshot);
+  rcu_set_pointer (&mesh->server_snapshot, snapshot);
   /* As the control thread does when a configuration takes force.  */
   cs_traffic_set_limits (mesh->caller_node, &limits);
   cs_traffic_set_limits (mesh->server_node, &limits);
@@ -2134,6 +2184,7 @@
   g_test_add_func ("/path/evacuated", test_evacuated);
   g_test_add_func ("/path/evacuated-at-the-server",
                    test_evacuated_at_the_server);
+  g_test_add_func ("/path/cold-without-config", test_cold_without_config);
   g_test_add_func ("/path/keys", test_keys);
   g_test_add_func ("/path/usage-cap", test_usage_cap);
   g_test_add_func ("/path/failed-answer-lost", test_failed_answer_lost);
