--- a/include/cardamom/cap.h
+++ b/include/cardamom/cap.h
@@ -1,5 +1,6 @@
-/* Usage caps of workspaces over all nodes: the keeper of some workspaces, and
-   what a node holds of their caps.  No input or output; times are passed in.
+/* Usage caps of workspaces over all nodes: the coordinator of some workspaces,
+   and what a node holds of their caps.  No input or output; times are passed
+   in.
 
    It is made for workspaces whose callers come at few nodes or at all of them,
    in bursts, move between data centres, repeat at once, or send many times
@@ -13,11 +14,12 @@
 
 #include "cardamom/clock.h"
 
-/* Every workspace belongs to one of these groups, which has one keeper.  */
+/* Every workspace belongs to one of these groups, which has one coordinator.
+ */
 #define CS_CAP_GROUPS 4
 
-/* A pledge is valid for this long at the keeper; a node that has lost its
-   keeper pledges to another one CS_CAP_PLEDGE_MARGIN after that at the
+/* A pledge is valid for this long at the coordinator; a node that has lost its
+   coordinator pledges to another one CS_CAP_PLEDGE_MARGIN after that at the
    earliest.  */
 #define CS_CAP_PLEDGE_TIME (1000 * CS_MSEC)
 #define CS_CAP_PLEDGE_MARGIN (500 * CS_MSEC)
@@ -46,42 +48,44 @@
   int64_t want; /* Requests that wait for a token.  */
 } cs_cap_ask_t;
 
-/* The keeper's answer.  */
+/* The coordinator's answer.  */
 typedef struct
 {
   uint64_t workspace;
   int64_t add; /* Tokens more.  */
-  /* Of ADD, those that the keeper has taken from the bucket already: they are
-     not reported as used.  */
+  /* Of ADD, those that the coordinator has taken from the bucket already: they
+     are not reported as used.  */
   int64_t charged;
   /* When a token for a request that still waits is expected; 0: none waits. */
   cs_usec_t retry_after;
 } cs_cap_grant_t;
 
-/* The keeper's side.  */
-typedef struct cs_cap_keeper cs_cap_keeper_t;
+/* The coordinator's side.  */
+typedef struct cs_cap_coordinator cs_cap_coordinator_t;
 
-cs_cap_keeper_t *cs_cap_keeper_new (const cs_cap_tolerance_t *tolerance);
-void cs_cap_keeper_free (cs_cap_keeper_t *keeper);
+cs_cap_coordinator_t *
+cs_cap_coordinator_new (const cs_cap_tolerance_t *tolerance);
+void cs_cap_coordinator_free (cs_cap_coordinator_t *coordinator);
 
 /* NODE has pledged its part of the groups, a set of bits; it has released
    the others.  */
-void cs_cap_keeper_pledge (cs_cap_keeper_t *keeper, uint64_t node,
-                           unsigned groups, cs_usec_t now);
+void cs_cap_coordinator_pledge (cs_cap_coordinator_t *coordinator,
+                                uint64_t node, unsigned groups, cs_usec_t now);
 
-/* The part, 0 to 1, of GROUP that is pledged to this keeper, where NODES nodes
-   have a part.  */
-double cs_cap_keeper_part (cs_cap_keeper_t *keeper, unsigned group,
-                           unsigned nodes, cs_usec_t now);
+/* The part, 0 to 1, of GROUP that is pledged to this coordinator, where NODES
+   nodes have a part.  */
+double cs_cap_coordinator_part (cs_cap_coordinator_t *coordinator,
+                                unsigned group, unsigned nodes, cs_usec_t now);
 
-/* Handle ASK of NODE under CAP, of which PART is this keeper's.  */
-cs_cap_grant_t cs_cap_keeper_ask (cs_cap_keeper_t *keeper, uint64_t node,
-                                  const cs_cap_ask_t *ask, const cs_cap_t *cap,
-                                  double part, cs_usec_t now);
+/* Handle ASK of NODE under CAP, of which PART is this coordinator's.  */
+cs_cap_grant_t cs_cap_coordinator_ask (cs_cap_coordinator_t *coordinator,
+                                       uint64_t node, const cs_cap_ask_t *ask,
+                                       const cs_cap_t *cap, double part,
+                                       cs_usec_t now);
 
 /* NODE holds nothing of GROUP any more.  */
-void cs_cap_keeper_forget (cs_cap_keeper_t *keeper, uint64_t node,
-                           unsigned group);
+void cs_cap_coordinator_forget (cs_cap_coordinator_t *coordinator,
+                                uint64_t node, unsigned group);
 
 /* A node's side: its tokens, for all workspaces.  */
 typedef struct cs_allowance cs_allowance_t;
@@ -102,11 +106,11 @@
                            int64_t (*wanted) (void *user, uint64_t workspace),
                            void *user, cs_usec_t now, GArray *asks);
 
-/* Add what the keeper grants.  */
+/* Add what the coordinator grants.  */
 void cs_allowance_grant (cs_allowance_t *allowance,
                          const cs_cap_grant_t *grant, cs_usec_t now);
 
-/* Drop all tokens of GROUP: its keeper is lost.  */
+/* Drop all tokens of GROUP: its coordinator is lost.  */
 void cs_allowance_drop (cs_allowance_t *allowance, unsigned group);
 
 /* The group of WORKSPACE.  */
--- a/include/cardamom/counters.h
+++ b/include/cardamom/counters.h
@@ -54,7 +54,7 @@
   X (OVER_CAP, "cardamom_over_cap_total",                                     \
      "Requests refused because they lie beyond their workspace's cap.")       \
   X (CAP_WAITS, "cardamom_cap_waits_total",                                   \
-     "Requests that waited for the keeper of their workspace's cap.")         \
+     "Requests that waited for the coordinator of their workspace's cap.")    \
   X (QUARANTINED, "cardamom_quarantined_total",                               \
      "Requests refused by quarantine.")                                       \
   X (STRIKES, "cardamom_strikes_total",                                       \
--- a/include/cardamom/dispatcher.h
+++ b/include/cardamom/dispatcher.h
@@ -70,7 +70,7 @@
   CS_REFUSED_KEY_UNKNOWN, /* No workspace holds its key.  */
   CS_REFUSED_KEYS_CLOSED, /* The node's view is too old for keyed requests.  */
   CS_REFUSED_OVER_CAP,    /* Beyond the usage cap of its workspace.  */
-  CS_REFUSED_NO_KEEPER,   /* The keeper of that cap does not answer.  */
+  CS_REFUSED_NO_COORDINATOR, /* The coordinator of that cap does not answer. */
   CS_REFUSED_COUNT
 } cs_refusal_reason_t;
 
--- a/include/cardamom/event.h
+++ b/include/cardamom/event.h
@@ -35,7 +35,7 @@
   X (COLD, "cold", 20, "The server beside the node is cold, or warm again.")  \
   X (KEYS, "keys", 20,                                                        \
      "The node refuses keyed requests, or serves them again.")                \
-  X (CAP, "cap", 10, "The keeper of some usage caps changed.")                \
+  X (CAP, "cap", 10, "The coordinator of some usage caps changed.")           \
   X (EVACUATION, "evacuation", 20,                                            \
      "A data centre is evacuated, or no longer.")                             \
   X (INPUT, "input", 5, "A caller's message was refused.")                    \
--- a/include/cardamom/frames.h
+++ b/include/cardamom/frames.h
@@ -37,8 +37,8 @@
   CS_FRAME_SERVER_LIMIT,
   /* The names of all rows that the sender holds, after it has sent them.  */
   CS_FRAME_ROWS_COMPLETE,
-  /* To the keeper of usage caps: a pledge, reports of use and asks for tokens;
-     and its answer.  The traffic thread handles both.  */
+  /* To the coordinator of usage caps: a pledge, reports of use and asks for
+     tokens; and its answer.  The traffic thread handles both.  */
   CS_FRAME_CAP_ASK,
   CS_FRAME_CAP_GRANT,
   /* Before a large body is sent: may the job come?  Answered by
--- a/include/cardamom/link.h
+++ b/include/cardamom/link.h
@@ -1,10 +1,10 @@
-/* The time of a host's link, promised to large bodies before they are sent.
+/* The time of a host's link, reserved for large bodies before they are sent.
 
    It is made for servers whose links are thinner than what callers upload:
-   sent without a promise, bodies fill the link's queue until all of them, and
-   the small requests between them, come too late.  A large body is sent only
-   when the node beside the server has said that it arrives in time; what does
-   not is refused before a byte of it is sent.  The clock is passed in.  */
+   sent without a reservation, bodies fill the link's queue until all of them,
+   and the small requests between them, come too late.  A large body is sent
+   only when the node beside the server has said that it arrives in time; what
+   does not is refused before a byte of it is sent.  The clock is passed in. */
 #ifndef CARDAMOM_LINK_H
 #define CARDAMOM_LINK_H
 
@@ -16,7 +16,7 @@
 typedef struct
 {
   double bytes_per_s; /* For large bodies; 0: not known, nothing is limited. */
-  cs_usec_t free_at;  /* When all that is promised has arrived.  */
+  cs_usec_t free_at;  /* When all that is reserved has arrived.  */
 } cs_link_t;
 
 /* A body that wants to be sent, at the receiving node.  */
@@ -43,10 +43,10 @@
 /* The time until LINK is free.  */
 cs_usec_t cs_link_wait (const cs_link_t *link, cs_usec_t now);
 
-/* Promise time to REQUEST, or refuse it because it would come too late.  The
+/* Reserve time for REQUEST, or refuse it because it would come too late.  The
    body is to be sent *HOLD from now: sent at once, it would wait in the
    network and hold up small requests.  */
-bool cs_link_promise (cs_link_t *link, const cs_link_request_t *request,
+bool cs_link_reserve (cs_link_t *link, const cs_link_request_t *request,
                       cs_usec_t now, cs_usec_t *hold);
 
 #endif
--- a/source/call/inbound.c
+++ b/source/call/inbound.c
@@ -285,8 +285,8 @@
     }
 }
 
-/* Answer a node that asks whether a large body may come: with a promise of the
-   link's time, or with the refusal of its job.  */
+/* Answer a node that asks whether a large body may come: with a reservation of
+   the link's time, or with the refusal of its job.  */
 static void
 handle_body_ask (inbound_t *inbound, cs_unpack_cursor_t *in)
 {
@@ -313,7 +313,7 @@
                                           false))
     reason = CS_REFUSED_OVERLOADED;
   else if (reason == CS_REFUSED_COUNT
-           && !cs_link_promise (&traffic->link, &link, now, &hold))
+           && !cs_link_reserve (&traffic->link, &link, now, &hold))
     {
       cs_counter_add (CS_C_LINK_REFUSED, 1);
       reason = CS_REFUSED_OVERLOADED;
@@ -334,7 +334,7 @@
       send_go (inbound, number);
       return;
     }
-  /* Turns come in the order of the promises.  */
+  /* Turns come in the order of the reservations.  */
   held_go_t *go = g_new (held_go_t, 1);
   *go = (held_go_t){ .inbound = inbound, .number = number, .at = now + hold };
   g_queue_push_tail (&traffic->held_gos, go);
--- a/source/call/traffic.h
+++ b/source/call/traffic.h
@@ -120,7 +120,7 @@
   void *user;
   cs_memory_budget_t budget; /* For all that is large.  */
   cs_link_t link;            /* Of this host, towards it.  */
-  GQueue held_gos;           /* Promises of its time that are not yet told.  */
+  GQueue held_gos; /* Reservations of its time that are not yet told.  */
   cs_http1_server_t *caller_server;
   cs_dispatcher_t *dispatcher;
   cs_crash_history_t *crash_history;
@@ -247,7 +247,8 @@
 void call_handle_outcome (call_t *call, const cs_outcome_t *outcome);
 /* The stream to PEER broke while it had CALL in flight.  */
 void call_stream_lost (call_t *call, peer_t *peer);
-/* PEER has promised that the body of CALL comes in time: send it.  */
+/* The node beside the server has reserved time for the body of CALL: send it.
+ */
 void call_send_body (call_t *call);
 /* Ask PEER for the outcome of CALL; fail it when PEER has restarted.  */
 void call_query_outcome (call_t *call, peer_t *peer);
--- a/source/call/workspaces.c
+++ b/source/call/workspaces.c
@@ -4,20 +4,20 @@
 #include "cardamom/header-names.h"
 #include "workspaces.h"
 
-/* A keeper hears of every node that pledges to it this often.  */
+/* A coordinator hears of every node that pledges to it this often.  */
 #define PLEDGE_INTERVAL (300 * CS_MSEC)
-/* A keeper that has not answered for so long is given up.  */
-#define KEEPER_SILENCE_MAX (600 * CS_MSEC)
-/* A keeper that comes before the present one takes its place only after it has
-   been reachable for so long.  */
-#define KEEPER_SETTLE_TIME (2 * CS_SEC)
-/* A caller waits this long for the keeper, and is told to come back after the
-   second time if that does not answer: another one has taken its place.  */
+/* A coordinator that has not answered for so long is given up.  */
+#define COORDINATOR_SILENCE_MAX (600 * CS_MSEC)
+/* A coordinator that comes before the present one takes its place only after
+   it has been reachable for so long.  */
+#define COORDINATOR_SETTLE_TIME (2 * CS_SEC)
+/* A caller waits this long for the coordinator, and is told to come back after
+   the second time if that does not answer: another one has taken its place. */
 #define GRANT_WAIT_MAX (300 * CS_MSEC)
-#define NO_KEEPER_RETRY_AFTER (500 * CS_MSEC)
+#define NO_COORDINATOR_RETRY_AFTER (500 * CS_MSEC)
 #define ALL_GROUPS ((1u << CS_CAP_GROUPS) - 1)
 
-/* The keeper of one group, as this node sees it.  */
+/* The coordinator of one group, as this node sees it.  */
 typedef struct
 {
   peer_t *peer; /* NULL: none.  */
@@ -31,13 +31,13 @@
   /* A better one has been reachable since then; 0: there is none.  */
   const peer_t *better;
   cs_usec_t better_since;
-} keeper_t;
+} coordinator_t;
 
 struct workspaces
 {
   cs_traffic_t *traffic;
-  keeper_t keepers[CS_CAP_GROUPS];
-  cs_cap_keeper_t *caps; /* Those that this node keeps.  */
+  coordinator_t coordinators[CS_CAP_GROUPS];
+  cs_cap_coordinator_t *caps; /* Those that this node keeps.  */
   cs_allowance_t *allowance;
   GHashTable *waiting; /* uint64_t * (workspace) -> GQueue of call_t *.  */
   unsigned nodes;      /* Nodes that have a part.  */
@@ -48,7 +48,7 @@
 {
   workspaces_t *workspaces = g_new0 (workspaces_t, 1);
   workspaces->traffic = traffic;
-  workspaces->caps = cs_cap_keeper_new (tolerance);
+  workspaces->caps = cs_cap_coordinator_new (tolerance);
   workspaces->allowance = cs_allowance_new ();
   workspaces->waiting
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
@@ -170,14 +170,14 @@
              && now - call->waiting_since > GRANT_WAIT_MAX)
         {
           stop_waiting (call);
-          call_refuse_uncharged (call, CS_REFUSED_NO_KEEPER,
-                                 NO_KEEPER_RETRY_AFTER);
+          call_refuse_uncharged (call, CS_REFUSED_NO_COORDINATOR,
+                                 NO_COORDINATOR_RETRY_AFTER);
         }
     }
   g_list_free (queues);
 }
 
-/* The keeper's side.  */
+/* The coordinator's side.  */
 
 static uint64_t
 node_id (const char *name)
@@ -197,13 +197,13 @@
   /* This node does not know the workspace yet, or not any more.  */
   if (!workspace)
     return (cs_cap_grant_t){ .workspace = ask->workspace,
-                             .retry_after = NO_KEEPER_RETRY_AFTER };
+                             .retry_after = NO_COORDINATOR_RETRY_AFTER };
   cs_cap_t cap = { .workspace = ask->workspace,
                    .per_s = workspace->per_s,
                    .burst = workspace->burst };
-  double part = cs_cap_keeper_part (
+  double part = cs_cap_coordinator_part (
       workspaces->caps, cs_cap_group (ask->workspace), workspaces->nodes, now);
-  return cs_cap_keeper_ask (workspaces->caps, node, ask, &cap, part, now);
+  return cs_cap_coordinator_ask (workspaces->caps, node, ask, &cap, part, now);
 }
 
 /* Note that NODE pledges GROUPS to this node, and has released the others.  */
@@ -211,10 +211,10 @@
 note_pledge (workspaces_t *workspaces, uint64_t node, unsigned groups,
              cs_usec_t now)
 {
-  cs_cap_keeper_pledge (workspaces->caps, node, groups, now);
+  cs_cap_coordinator_pledge (workspaces->caps, node, groups, now);
   for (unsigned group = 0; group < CS_CAP_GROUPS; group++)
     if (!(groups & 1u << group))
-      cs_cap_keeper_forget (workspaces->caps, node, group);
+      cs_cap_coordinator_forget (workspaces->caps, node, group);
 }
 
 void
@@ -262,13 +262,13 @@
 
 /* This node's side.  */
 
-/* The groups whose keeper is PEER.  */
+/* The groups whose coordinator is PEER.  */
 static unsigned
 groups_of (const workspaces_t *workspaces, const peer_t *peer)
 {
   unsigned groups = 0;
   for (unsigned group = 0; group < CS_CAP_GROUPS; group++)
-    if (workspaces->keepers[group].peer == peer)
+    if (workspaces->coordinators[group].peer == peer)
       groups |= 1u << group;
   return groups;
 }
@@ -301,7 +301,7 @@
 }
 
 static void
-send_asks (peer_t *keeper, const GArray *asks, unsigned groups)
+send_asks (peer_t *coordinator, const GArray *asks, unsigned groups)
 {
   cs_pack_t pack;
   cs_pack_init (&pack);
@@ -316,22 +316,22 @@
       cs_pack_int64 (&pack, ask->held);
       cs_pack_int64 (&pack, ask->want);
     }
-  peer_send (keeper, &pack);
+  peer_send (coordinator, &pack);
   cs_pack_clear (&pack);
 }
 
-/* Pledge to KEEPER, report and ask, if there is something to report or to ask,
-   or the last message is old.  */
+/* Pledge to COORDINATOR, report and ask, if there is something to report or to
+   ask, or the last message is old.  */
 static void
-talk_to (workspaces_t *workspaces, peer_t *keeper, cs_usec_t now)
+talk_to (workspaces_t *workspaces, peer_t *coordinator, cs_usec_t now)
 {
-  unsigned groups = groups_of (workspaces, keeper);
+  unsigned groups = groups_of (workspaces, coordinator);
   cs_usec_t sent_at = 0;
   GArray *asks = g_array_new (FALSE, FALSE, sizeof (cs_cap_ask_t));
   for (unsigned group = 0; group < CS_CAP_GROUPS; group++)
     if (groups & 1u << group)
       {
-        sent_at = workspaces->keepers[group].sent_at;
+        sent_at = workspaces->coordinators[group].sent_at;
         cs_allowance_collect (workspaces->allowance, group, count_waiting,
                               workspaces, now, asks);
       }
@@ -340,15 +340,15 @@
       for (unsigned group = 0; group < CS_CAP_GROUPS; group++)
         if (groups & 1u << group)
           {
-            keeper_t *k = &workspaces->keepers[group];
+            coordinator_t *k = &workspaces->coordinators[group];
             k->sent_at = now;
-            if (!k->unanswered_since && !keeper->self)
+            if (!k->unanswered_since && !coordinator->self)
               k->unanswered_since = now;
           }
-      if (keeper->self)
+      if (coordinator->self)
         ask_self (workspaces, asks, groups, now);
       else
-        send_asks (keeper, asks, groups);
+        send_asks (coordinator, asks, groups);
     }
   g_array_unref (asks);
 }
@@ -362,28 +362,28 @@
   unsigned groups = groups_of (workspaces, peer);
   for (unsigned group = 0; group < CS_CAP_GROUPS; group++)
     {
-      keeper_t *keeper = &workspaces->keepers[group];
-      if (!keeper->peer && keeper->released_by == peer
+      coordinator_t *coordinator = &workspaces->coordinators[group];
+      if (!coordinator->peer && coordinator->released_by == peer
           && !(pledged & 1u << group))
-        keeper->pledge_after = 0;
+        coordinator->pledge_after = 0;
     }
   for (unsigned group = 0; group < CS_CAP_GROUPS; group++)
     if (groups & 1u << group)
-      workspaces->keepers[group].unanswered_since = 0;
+      workspaces->coordinators[group].unanswered_since = 0;
   while (in->remaining >= 4 && !in->failed)
     {
       cs_cap_grant_t grant = { .workspace = cs_unpack_uint64 (in) };
       grant.add = cs_unpack_int64 (in);
       grant.charged = cs_unpack_int64 (in);
       grant.retry_after = cs_unpack_int64 (in);
-      /* What an earlier keeper grants does not count any more.  */
+      /* What an earlier coordinator grants does not count any more.  */
       if (!in->failed && grant.retry_after >= 0
           && groups & 1u << cs_cap_group (grant.workspace))
         apply_grant (workspaces, &grant, now);
     }
 }
 
-/* Choice of keepers.  */
+/* Choice of coordinators.  */
 
 static bool
 can_keep (const peer_t *peer)
@@ -394,7 +394,7 @@
 
 /* The node that comes first for GROUP among those that can keep caps.  */
 static peer_t *
-best_keeper (const cs_traffic_t *traffic, unsigned group)
+best_coordinator (const cs_traffic_t *traffic, unsigned group)
 {
   GHashTableIter iter;
   gpointer value;
@@ -426,79 +426,80 @@
   return MAX (nodes, 1);
 }
 
-/* Give up the keeper of GROUP.  RELEASED: it does not count on this node's
-   part any more.  */
+/* Give up the coordinator of GROUP.  RELEASED: it does not count on this
+   node's part any more.  */
 static void
-lose_keeper (workspaces_t *workspaces, unsigned group, bool released,
-             const char *why)
+lose_coordinator (workspaces_t *workspaces, unsigned group, bool released,
+                  const char *why)
 {
-  keeper_t *keeper = &workspaces->keepers[group];
-  cs_event_log (CS_E_CAP, "group=%u keeper=%s state=lost why=\"%s\"", group,
-                keeper->peer->info.name, why);
-  keeper->pledge_after
-      = released ? 0
-                 : keeper->sent_at + CS_CAP_PLEDGE_TIME + CS_CAP_PLEDGE_MARGIN;
-  keeper->peer = NULL;
-  keeper->released_by = NULL;
-  keeper->unanswered_since = 0;
-  keeper->better = NULL;
+  coordinator_t *coordinator = &workspaces->coordinators[group];
+  cs_event_log (CS_E_CAP, "group=%u coordinator=%s state=lost why=\"%s\"",
+                group, coordinator->peer->info.name, why);
+  coordinator->pledge_after
+      = released
+            ? 0
+            : coordinator->sent_at + CS_CAP_PLEDGE_TIME + CS_CAP_PLEDGE_MARGIN;
+  coordinator->peer = NULL;
+  coordinator->released_by = NULL;
+  coordinator->unanswered_since = 0;
+  coordinator->better = NULL;
   cs_allowance_drop (workspaces->allowance, group);
 }
 
-/* Give up the keeper of GROUP if it cannot be one any more.  */
+/* Give up the coordinator of GROUP if it cannot be one any more.  */
 static void
-check_keeper (workspaces_t *workspaces, unsigned group, cs_usec_t now)
+check_coordinator (workspaces_t *workspaces, unsigned group, cs_usec_t now)
 {
-  const keeper_t *keeper = &workspaces->keepers[group];
-  const peer_t *peer = keeper->peer;
+  const coordinator_t *coordinator = &workspaces->coordinators[group];
+  const peer_t *peer = coordinator->peer;
   if (!peer || peer->self)
     return;
   if (peer->info.stopping)
-    lose_keeper (workspaces, group, true, "it stops");
+    lose_coordinator (workspaces, group, true, "it stops");
   else if (peer->process_gone
-           || (peer->hello_received && peer->hello_boot != keeper->boot))
-    lose_keeper (workspaces, group, true, "its process has ended");
+           || (peer->hello_received && peer->hello_boot != coordinator->boot))
+    lose_coordinator (workspaces, group, true, "its process has ended");
   else if (!peer_is_reachable (peer))
-    lose_keeper (workspaces, group, false, "not reachable");
-  else if (keeper->unanswered_since
-           && now - keeper->unanswered_since > KEEPER_SILENCE_MAX)
-    lose_keeper (workspaces, group, false, "silent");
+    lose_coordinator (workspaces, group, false, "not reachable");
+  else if (coordinator->unanswered_since
+           && now - coordinator->unanswered_since > COORDINATOR_SILENCE_MAX)
+    lose_coordinator (workspaces, group, false, "silent");
 }
 
 static void
-choose_keeper (workspaces_t *workspaces, unsigned group, cs_usec_t now)
+choose_coordinator (workspaces_t *workspaces, unsigned group, cs_usec_t now)
 {
-  keeper_t *keeper = &workspaces->keepers[group];
-  peer_t *best = best_keeper (workspaces->traffic, group);
-  if (!keeper->peer && now >= keeper->pledge_after)
+  coordinator_t *coordinator = &workspaces->coordinators[group];
+  peer_t *best = best_coordinator (workspaces->traffic, group);
+  if (!coordinator->peer && now >= coordinator->pledge_after)
     {
-      keeper->peer = best;
-      keeper->boot = best->self ? 0 : best->hello_boot;
-      keeper->sent_at = 0;
-      cs_event_log (CS_E_CAP, "group=%u keeper=%s state=chosen", group,
+      coordinator->peer = best;
+      coordinator->boot = best->self ? 0 : best->hello_boot;
+      coordinator->sent_at = 0;
+      cs_event_log (CS_E_CAP, "group=%u coordinator=%s state=chosen", group,
                     best->info.name);
       return;
     }
-  if (!keeper->peer || best == keeper->peer)
+  if (!coordinator->peer || best == coordinator->peer)
     {
-      keeper->better = NULL;
+      coordinator->better = NULL;
       return;
     }
-  if (keeper->better != best)
+  if (coordinator->better != best)
     {
-      keeper->better = best;
-      keeper->better_since = now;
+      coordinator->better = best;
+      coordinator->better_since = now;
     }
   /* Its last messages are answered: it knows what this node has used.  The
      next message to it, if there is one, releases the group.  */
-  else if (now - keeper->better_since > KEEPER_SETTLE_TIME
-           && !keeper->unanswered_since)
+  else if (now - coordinator->better_since > COORDINATOR_SETTLE_TIME
+           && !coordinator->unanswered_since)
     {
-      peer_t *before = keeper->peer;
+      peer_t *before = coordinator->peer;
       GArray *none = g_array_new (FALSE, FALSE, sizeof (cs_cap_ask_t));
-      lose_keeper (workspaces, group, before->self,
-                   "another one comes before it");
-      keeper->released_by = before;
+      lose_coordinator (workspaces, group, before->self,
+                        "another one comes before it");
+      coordinator->released_by = before;
       if (before->self)
         ask_self (workspaces, none, groups_of (workspaces, before), now);
       else
@@ -534,9 +535,10 @@
   call->waiting_since = now;
   call->awaits_token = true;
   g_queue_push_tail_link (queue, &call->waiting_link);
-  peer_t *keeper = workspaces->keepers[cs_cap_group (workspace->id)].peer;
-  if (keeper && !keeper->self)
-    talk_to (workspaces, keeper, now);
+  peer_t *coordinator
+      = workspaces->coordinators[cs_cap_group (workspace->id)].peer;
+  if (coordinator && !coordinator->self)
+    talk_to (workspaces, coordinator, now);
   return false;
 }
 
@@ -560,14 +562,14 @@
     workspaces->nodes = count_nodes (traffic);
   for (unsigned group = 0; group < CS_CAP_GROUPS; group++)
     {
-      check_keeper (workspaces, group, now);
-      if (slow_tick || !workspaces->keepers[group].peer)
-        choose_keeper (workspaces, group, now);
+      check_coordinator (workspaces, group, now);
+      if (slow_tick || !workspaces->coordinators[group].peer)
+        choose_coordinator (workspaces, group, now);
     }
   for (unsigned group = 0; group < CS_CAP_GROUPS; group++)
     {
-      peer_t *peer = workspaces->keepers[group].peer;
-      /* A keeper of several groups is talked to once.  */
+      peer_t *peer = workspaces->coordinators[group].peer;
+      /* A coordinator of several groups is talked to once.  */
       if (peer && (groups_of (workspaces, peer) & ((1u << group) - 1)) == 0)
         talk_to (workspaces, peer, now);
     }
--- a/source/call/workspaces.h
+++ b/source/call/workspaces.h
@@ -1,5 +1,5 @@
 /* Workspaces at the node that callers use: keys, and the exchange with the
-   keepers of usage caps.  */
+   coordinators of usage caps.  */
 #ifndef CALL_WORKSPACES_H
 #define CALL_WORKSPACES_H
 
@@ -19,7 +19,8 @@
 bool workspaces_key_is_gone (const call_t *call);
 
 /* Whether CALL may be sent under the cap of its workspace.  If not, it waits
-   for the keeper, and call_start_charged or call_refuse_uncharged follows.  */
+   for the coordinator, and call_start_charged or call_refuse_uncharged
+   follows.  */
 bool workspaces_charge (call_t *call);
 
 /* CALL ends.  RAN: a server may have run it.  */
@@ -31,8 +32,8 @@
                             cs_stream_t *stream, cs_unpack_cursor_t *in);
 void workspaces_handle_grant (peer_t *peer, cs_unpack_cursor_t *in);
 
-/* Report, ask, and turn to other keepers.  SLOW_TICK: call it so every 100 ms,
-   and without it more often.  */
+/* Report, ask, and turn to other coordinators.  SLOW_TICK: call it so every
+   100 ms, and without it more often.  */
 void workspaces_tick (cs_traffic_t *traffic, bool slow_tick, cs_usec_t now);
 
 #endif
--- a/source/run/dispatcher.c
+++ b/source/run/dispatcher.c
@@ -38,7 +38,7 @@
       = { "full",         "expired",     "gone",     "other",
           "shed",         "trial",       "stopping", "quarantined",
           "retry-budget", "longer-wait", "region",   "evacuated",
-          "key-unknown",  "keys-closed", "over-cap", "no-cap-keeper" };
+          "key-unknown",  "keys-closed", "over-cap", "no-cap-coordinator" };
   return reason < CS_REFUSED_COUNT ? names[reason] : "unknown";
 }
 
--- a/source/run/link.c
+++ b/source/run/link.c
@@ -3,10 +3,10 @@
 #include "cardamom/link.h"
 
 /* The part of a link that large bodies may use: small requests, answers and
-   messages between nodes need no promise, and shall find room.  */
+   messages between nodes need no reservation, and shall find room.  */
 #define LARGE_PERCENT 85
 /* A body that takes less time than this on the link of its server needs no
-   promise: to ask would take as long.  */
+   reservation: to ask would take as long.  */
 #define ASK_MIN (10 * CS_MSEC)
 /* A body is sent so long before its turn: the answer and its first bytes take
    some time to cross, and the link shall not be idle.  */
@@ -40,7 +40,7 @@
 }
 
 bool
-cs_link_promise (cs_link_t *link, const cs_link_request_t *request,
+cs_link_reserve (cs_link_t *link, const cs_link_request_t *request,
                  cs_usec_t now, cs_usec_t *hold)
 {
   *hold = 0;
--- a/source/workspace/allowance.c
+++ b/source/workspace/allowance.c
@@ -3,8 +3,8 @@
 
 /* Use is reported at the latest after this time.  */
 #define REPORT_INTERVAL (150 * CS_MSEC)
-/* Tokens that nobody has taken for so long are dropped; the keeper lends them
-   to others later than that.  */
+/* Tokens that nobody has taken for so long are dropped; the coordinator lends
+   them to others later than that.  */
 #define UNUSED_LIFE (8 * CS_SEC)
 
 typedef struct
@@ -14,7 +14,7 @@
   cs_usec_t taken_at; /* Of the last token.  */
   cs_usec_t reported_at;
   /* A report or an ask has no answer yet.  No other one is made meanwhile: the
-     keeper would not know what the first answer adds.  */
+     coordinator would not know what the first answer adds.  */
   bool awaits_grant;
 } entry_t;
 
--- a/tests/test-caps.c
+++ b/tests/test-caps.c
@@ -1,7 +1,7 @@
 /* Usage caps over many nodes, by a model without sockets: nodes that hold
-   tokens, a keeper, and the time that messages take.  Seeded.  Three ways are
-   compared: fixed parts, leased rates that follow demand, and the keeper that
-   is built (docs/design/workspaces.md).  */
+   tokens, a coordinator, and the time that messages take.  Seeded.  Three ways
+   are compared: fixed parts, leased rates that follow demand, and the
+   coordinator that is built (docs/design/workspaces.md).  */
 #include <math.h>
 
 #include "cardamom/cap.h"
@@ -20,34 +20,34 @@
 {
   FIXED,
   LEASED,
-  KEEPER,
+  COORDINATOR,
   POLICIES
 } policy_t;
 
 static const char *const policy_names[]
-    = { "fixed parts", "leased rates", "keeper" };
+    = { "fixed parts", "leased rates", "coordinator" };
 
 typedef struct
 {
   const char *name;
   int nodes, users; /* Callers use the first USERS nodes.  */
   double per_s, burst;
-  double demand;      /* Requests a second.  */
-  double hot;         /* Times as many, from 6 to 12 s.  */
-  bool moves;         /* At 9 s the callers move to as many other nodes.  */
-  bool keeper_ends;   /* At 8 s; its process is seen to have ended.  */
-  bool keeper_is_cut; /* From half of the nodes, from 8 s on.  */
+  double demand;         /* Requests a second.  */
+  double hot;            /* Times as many, from 6 to 12 s.  */
+  bool moves;            /* At 9 s the callers move to as many other nodes.  */
+  bool coordinator_ends; /* At 8 s; its process is seen to have ended.  */
+  bool coordinator_is_cut; /* From half of the nodes, from 8 s on.  */
 } pattern_t;
 
 typedef struct
 {
   cs_allowance_t *allowance;
-  GQueue waiting; /* cs_usec_t *: arrivals.  */
-  int keeper;     /* Index; -1: none.  */
+  GQueue waiting;  /* cs_usec_t *: arrivals.  */
+  int coordinator; /* Index; -1: none.  */
   cs_usec_t pledge_after, sent_at;
   double tokens, rate; /* Of the other policies.  */
   unsigned arrivals;   /* Since the last lease.  */
-  cs_usec_t link;      /* To the keepers, one way.  */
+  cs_usec_t link;      /* To the coordinators, one way.  */
 } node_t;
 
 typedef struct simulation simulation_t;
@@ -55,7 +55,7 @@
 typedef struct
 {
   simulation_t *sim;
-  int node, keeper;
+  int node, coordinator;
   GArray *asks, *grants;
 } message_t;
 
@@ -65,7 +65,7 @@
   policy_t policy;
   GRand *random;
   GSequence *events;
-  cs_cap_keeper_t *keepers[2];
+  cs_cap_coordinator_t *coordinators[2];
   node_t nodes[NODES_MAX];
   GArray *served; /* cs_usec_t.  */
   double ideal_tokens;
@@ -118,7 +118,8 @@
   message_t *message = item;
   node_t *node = &sim->nodes[message->node];
   for (guint i = 0;
-       node->keeper == message->keeper && i < message->grants->len; i++)
+       node->coordinator == message->coordinator && i < message->grants->len;
+       i++)
     {
       const cs_cap_grant_t *grant
           = &g_array_index (message->grants, cs_cap_grant_t, i);
@@ -133,18 +134,20 @@
 {
   simulation_t *sim = simulation;
   message_t *message = item;
-  cs_cap_keeper_t *keeper = sim->keepers[message->keeper];
+  cs_cap_coordinator_t *coordinator = sim->coordinators[message->coordinator];
   const pattern_t *pattern = sim->pattern;
   cs_cap_t cap = { .workspace = WORKSPACE,
                    .per_s = pattern->per_s,
                    .burst = pattern->burst };
-  cs_cap_keeper_pledge (keeper, (uint64_t)message->node, 1, now);
+  cs_cap_coordinator_pledge (coordinator, (uint64_t)message->node, 1, now);
   for (guint i = 0; i < message->asks->len; i++)
     {
-      cs_cap_grant_t grant = cs_cap_keeper_ask (
-          keeper, (uint64_t)message->node,
+      cs_cap_grant_t grant = cs_cap_coordinator_ask (
+          coordinator, (uint64_t)message->node,
           &g_array_index (message->asks, cs_cap_ask_t, i), &cap,
-          cs_cap_keeper_part (keeper, 0, (unsigned)pattern->nodes, now), now);
+          cs_cap_coordinator_part (coordinator, 0, (unsigned)pattern->nodes,
+                                   now),
+          now);
       g_array_append_val (message->grants, grant);
     }
   sim->messages++;
@@ -156,13 +159,13 @@
 talk (simulation_t *sim, int index, cs_usec_t now)
 {
   node_t *node = &sim->nodes[index];
-  if (node->keeper < 0 && now >= node->pledge_after)
-    node->keeper = 1;
-  if (node->keeper < 0)
+  if (node->coordinator < 0 && now >= node->pledge_after)
+    node->coordinator = 1;
+  if (node->coordinator < 0)
     return;
   message_t *message = g_new0 (message_t, 1);
   message->node = index;
-  message->keeper = node->keeper;
+  message->coordinator = node->coordinator;
   message->asks = g_array_new (FALSE, FALSE, sizeof (cs_cap_ask_t));
   message->grants = g_array_new (FALSE, FALSE, sizeof (cs_cap_grant_t));
   cs_allowance_collect (node->allowance, 0, count_waiting, node, now,
@@ -188,7 +191,7 @@
       sim->ideal_tokens--;
       sim->ideal++;
     }
-  if (sim->policy != KEEPER)
+  if (sim->policy != COORDINATOR)
     {
       if (node->tokens >= 1)
         {
@@ -235,7 +238,7 @@
       = MIN (sim->ideal_tokens + pattern->per_s * dt, pattern->burst);
   if (sim->policy == LEASED && now % LEASE_TIME == 0)
     lease (sim);
-  for (int i = 0; i < pattern->nodes && sim->policy != KEEPER; i++)
+  for (int i = 0; i < pattern->nodes && sim->policy != COORDINATOR; i++)
     {
       node_t *node = &sim->nodes[i];
       double burst = pattern->burst / pattern->per_s * node->rate;
@@ -248,17 +251,18 @@
 step_failures (simulation_t *sim, cs_usec_t now)
 {
   const pattern_t *pattern = sim->pattern;
-  if (now != 8 * CS_SEC || (!pattern->keeper_ends && !pattern->keeper_is_cut))
+  if (now != 8 * CS_SEC
+      || (!pattern->coordinator_ends && !pattern->coordinator_is_cut))
     return;
   for (int i = 0; i < pattern->nodes; i++)
     {
       node_t *node = &sim->nodes[i];
-      if (pattern->keeper_is_cut && i % 2)
+      if (pattern->coordinator_is_cut && i % 2)
         continue;
       cs_allowance_drop (node->allowance, 0);
-      node->keeper = -1;
+      node->coordinator = -1;
       node->pledge_after
-          = pattern->keeper_ends
+          = pattern->coordinator_ends
                 ? now
                 : node->sent_at + CS_CAP_PLEDGE_TIME + CS_CAP_PLEDGE_MARGIN;
     }
@@ -277,7 +281,7 @@
           sim->refused++;
           g_free (g_queue_pop_head (&node->waiting));
         }
-      if (sim->policy == KEEPER && (now / STEP + i) % (TICK / STEP) == 0)
+      if (sim->policy == COORDINATOR && (now / STEP + i) % (TICK / STEP) == 0)
         talk (sim, i, now);
     }
 }
@@ -322,7 +326,7 @@
   sim->events = event_queue_new ();
   sim->served = g_array_new (FALSE, FALSE, sizeof (cs_usec_t));
   for (int i = 0; i < 2; i++)
-    sim->keepers[i] = cs_cap_keeper_new (&tolerance);
+    sim->coordinators[i] = cs_cap_coordinator_new (&tolerance);
   for (int i = 0; i < pattern->nodes; i++)
     {
       sim->nodes[i].allowance = cs_allowance_new ();
@@ -361,7 +365,7 @@
       g_queue_clear_full (&sim->nodes[i].waiting, g_free);
     }
   for (int i = 0; i < 2; i++)
-    cs_cap_keeper_free (sim->keepers[i]);
+    cs_cap_coordinator_free (sim->coordinators[i]);
   g_array_unref (sim->served);
   g_sequence_free (sim->events);
   g_rand_free (sim->random);
@@ -395,35 +399,38 @@
       result_t results[POLICIES];
       for (int policy = 0; policy < POLICIES; policy++)
         results[policy] = play (&patterns[i], (policy_t)policy, 1);
-      g_assert_cmpfloat (results[KEEPER].over, <=, 1.0);
-      g_assert_cmpfloat (results[KEEPER].refused_inside, <=, 0.03);
-      g_assert_cmpfloat (results[KEEPER].messages_per_s, <=, 60);
+      g_assert_cmpfloat (results[COORDINATOR].over, <=, 1.0);
+      g_assert_cmpfloat (results[COORDINATOR].refused_inside, <=, 0.03);
+      g_assert_cmpfloat (results[COORDINATOR].messages_per_s, <=, 60);
       if (patterns[i].users <= 3)
         g_assert_cmpfloat (results[FIXED].refused_inside, >=, 0.5);
     }
 }
 
-/* The keeper ends, or is cut off from half of the nodes, while a workspace
-   asks for eight times its usual.  Guards against a sum over the cap; what is
-   refused meanwhile is printed.  */
+/* The coordinator ends, or is cut off from half of the nodes, while a
+   workspace asks for eight times its usual.  Guards against a sum over the
+   cap; what is refused meanwhile is printed.  */
 static void
 test_failures (void)
 {
   static const pattern_t patterns[] = {
-    { "hot, keeper ends", 80, 80, LARGE, .hot = 8, .keeper_ends = true },
-    { "hot, keeper cut off", 80, 80, LARGE, .hot = 8, .keeper_is_cut = true },
-    { "keeper ends", 80, 80, LARGE, .hot = 1, .keeper_ends = true },
-    { "small, hot, keeper cut off", 80, 80, SMALL, .hot = 8,
-      .keeper_is_cut = true },
+    { "hot, coordinator ends", 80, 80, LARGE, .hot = 8,
+      .coordinator_ends = true },
+    { "hot, coordinator cut off", 80, 80, LARGE, .hot = 8,
+      .coordinator_is_cut = true },
+    { "coordinator ends", 80, 80, LARGE, .hot = 1, .coordinator_ends = true },
+    { "small, hot, coordinator cut off", 80, 80, SMALL, .hot = 8,
+      .coordinator_is_cut = true },
   };
   for (size_t i = 0; i < G_N_ELEMENTS (patterns); i++)
     for (guint32 seed = 1; seed <= 3; seed++)
       {
-        result_t result = play (&patterns[i], KEEPER, seed);
+        result_t result = play (&patterns[i], COORDINATOR, seed);
         g_assert_cmpfloat (result.over, <=, 1.0);
       }
   /* In the same process, nothing but the burst is lost.  */
-  g_assert_cmpfloat (play (&patterns[2], KEEPER, 4).refused_inside, <=, 0.08);
+  g_assert_cmpfloat (play (&patterns[2], COORDINATOR, 4).refused_inside, <=,
+                     0.08);
 }
 
 /* What is given back is not counted, and what lies idle is lent to others.  */
--- a/tests/test-link.c
+++ b/tests/test-link.c
@@ -78,7 +78,7 @@
       tried[at] = true;
       cs_usec_t hold = 0;
       if (promises && cs_link_must_ask (MBPS, request.bytes)
-          && !cs_link_promise (&servers[at].promised, &request, now, &hold))
+          && !cs_link_reserve (&servers[at].promised, &request, now, &hold))
         continue;
       body_t *body = g_new (body_t, 1);
       *body = (body_t){ .bytes = bytes, .asked_at = now, .at = now + hold };
@@ -174,21 +174,21 @@
                                 .deadline_remaining = 2 * CS_SEC };
   cs_usec_t hold;
   cs_link_init (&link, MBPS);
-  g_assert_true (cs_link_promise (&link, &request, 0, &hold));
+  g_assert_true (cs_link_reserve (&link, &request, 0, &hold));
   g_assert_cmpint (cs_link_wait (&link, 0), ==, 800 * CS_MSEC);
-  g_assert_false (cs_link_promise (&link, &request, 0, &hold));
+  g_assert_false (cs_link_reserve (&link, &request, 0, &hold));
   /* A refusal promises nothing.  */
   g_assert_cmpint (cs_link_wait (&link, 0), ==, 800 * CS_MSEC);
-  g_assert_true (cs_link_promise (&link, &request, 800 * CS_MSEC, &hold));
+  g_assert_true (cs_link_reserve (&link, &request, 800 * CS_MSEC, &hold));
   /* Late in any case: after a short wait only.  */
   request.target_remaining = 0;
-  g_assert_false (cs_link_promise (&link, &request, 900 * CS_MSEC, &hold));
-  g_assert_true (cs_link_promise (&link, &request, 1600 * CS_MSEC, &hold));
+  g_assert_false (cs_link_reserve (&link, &request, 900 * CS_MSEC, &hold));
+  g_assert_true (cs_link_reserve (&link, &request, 1600 * CS_MSEC, &hold));
   request.deadline_remaining = 0;
-  g_assert_false (cs_link_promise (&link, &request, 9 * CS_SEC, &hold));
+  g_assert_false (cs_link_reserve (&link, &request, 9 * CS_SEC, &hold));
   /* The link's speed is not known.  */
   cs_link_init (&link, 0);
-  g_assert_true (cs_link_promise (&link, &request, 0, &hold));
+  g_assert_true (cs_link_reserve (&link, &request, 0, &hold));
   g_assert_false (cs_link_must_ask (0, 1 << 30));
   g_assert_false (cs_link_must_ask (MBPS, 4000));
   g_assert_true (cs_link_must_ask (MBPS, 60000));
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -1396,7 +1396,7 @@
 {
   mesh_t *mesh = start_mesh (4);
   put_workspace (mesh, 2, "k1", 2, 2);
-  g_usleep (3000000); /* Nodes choose keepers, and the bucket fills.  */
+  g_usleep (3000000); /* Nodes choose coordinators, and the bucket fills.  */
   unsigned served = 0, refused = 0;
   int caller = connect_to (mesh->caller_port);
   for (int i = 0; i < 20; i++)
