Count the credits of an earlier coordinator against its successor

Cause: two coordinators stopped within 0.7 s. Each successor lent its credits anew while those of the one before had just been used, which its memory only knew. A coordinator that stopped went on to give to its own node by the parts of all others for a second. A node that had just started counted one node, so as its own coordinator it took the whole cap until the first slow tick.

Change: a new bucket starts below empty by what coordinators lend at the most, so that the sum holds however often they change; credits are bounded by one second of the cap's rate and two tokens, so that this debt is paid soon. A node that stops forgets the pledges of others first. Nodes are counted before the first choice of a coordinator.

--- a/include/cardamom/cap.h
+++ b/include/cardamom/cap.h
@@ -72,6 +72,10 @@
 void cs_cap_coordinator_pledge (cs_cap_coordinator_t *coordinator,
                                 uint64_t node, unsigned groups, cs_usec_t now);
 
+/* This node stops: the others turn to another coordinator when they hear of
+   it, and their parts count there.  */
+void cs_cap_coordinator_forget_pledges (cs_cap_coordinator_t *coordinator);
+
 /* The part, 0 to 1, of GROUP that is pledged to this coordinator, where NODES
    nodes have a part.  */
 double cs_cap_coordinator_part (cs_cap_coordinator_t *coordinator,
--- a/source/call/traffic.c
+++ b/source/call/traffic.c
@@ -477,6 +477,7 @@
     return;
   traffic->stop.started_at = traffic_now (traffic);
   traffic->self->info.stopping = true;
+  workspaces_stop (traffic);
   publish_own_member (traffic);
   cs_dispatcher_stop (traffic->dispatcher);
 }
--- a/source/call/workspaces.c
+++ b/source/call/workspaces.c
@@ -40,7 +40,7 @@
   cs_cap_coordinator_t *caps; /* Those that this node keeps.  */
   cs_allowance_t *allowance;
   GHashTable *waiting; /* uint64_t * (workspace) -> GQueue of call_t *.  */
-  unsigned nodes;      /* Nodes that have a part.  */
+  unsigned nodes;      /* Nodes that have a part; 0: not counted yet.  */
 };
 
 workspaces_t *
@@ -52,7 +52,6 @@
   workspaces->allowance = cs_allowance_new ();
   workspaces->waiting
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
-  workspaces->nodes = 1;
   return workspaces;
 }
 
@@ -508,6 +507,12 @@
     }
 }
 
+void
+workspaces_stop (cs_traffic_t *traffic)
+{
+  cs_cap_coordinator_forget_pledges (traffic->workspaces->caps);
+}
+
 bool
 workspaces_charge (call_t *call)
 {
@@ -558,7 +563,7 @@
   workspaces_t *workspaces = traffic->workspaces;
   if (!traffic->has_caps)
     return;
-  if (slow_tick)
+  if (slow_tick || !workspaces->nodes)
     workspaces->nodes = count_nodes (traffic);
   for (unsigned group = 0; group < CS_CAP_GROUPS; group++)
     {
--- a/source/call/workspaces.h
+++ b/source/call/workspaces.h
@@ -32,6 +32,9 @@
                             cs_stream_t *stream, cs_unpack_cursor_t *in);
 void workspaces_handle_grant (peer_t *peer, cs_unpack_cursor_t *in);
 
+/* This node stops: it does not give by the parts of others any more.  */
+void workspaces_stop (cs_traffic_t *traffic);
+
 /* Report, ask, and turn to other coordinators.  SLOW_TICK: call it so every
    100 ms, and without it more often.  */
 void workspaces_tick (cs_traffic_t *traffic, bool slow_tick, cs_usec_t now);
--- a/source/workspace/cap-coordinator.c
+++ b/source/workspace/cap-coordinator.c
@@ -10,6 +10,10 @@
 /* A credit shall last for this long at the node's present rate: a report and
    its answer between two regions take some 100 ms.  */
 #define CREDIT_TIME_S 0.25
+/* Credits are worth no more than the cap's rate in this time, and this many
+   tokens: a coordinator that takes over waits until as much has come.  */
+#define CREDIT_TOTAL_TIME_S 1.0
+#define CREDIT_TOTAL_MIN 2.0
 /* Weight of one report in the mean rate of a node.  */
 #define RATE_WEIGHT 0.3
 /* A credit that its node has not reported on for so long is lent to others;
@@ -130,6 +134,14 @@
     }
 }
 
+void
+cs_cap_coordinator_forget_pledges (cs_cap_coordinator_t *coordinator)
+{
+  g_hash_table_remove_all (coordinator->pledges);
+  for (unsigned group = 0; group < CS_CAP_GROUPS; group++)
+    coordinator->pledged[group] = 0;
+}
+
 double
 cs_cap_coordinator_part (cs_cap_coordinator_t *coordinator, unsigned group,
                          unsigned nodes, cs_usec_t now)
@@ -138,9 +150,25 @@
               1.0);
 }
 
+/* The most that coordinators lend together as credits under CAP.  */
+static double
+lent_max (const cs_cap_tolerance_t *tolerance, const cs_cap_t *cap)
+{
+  double window_s = (double)tolerance->window / (double)CS_SEC;
+  double tolerated = tolerance->over * (cap->per_s * window_s + cap->burst)
+                     + tolerance->slack;
+  return MIN (CREDIT_PART * tolerated,
+              cap->per_s * CREDIT_TOTAL_TIME_S + CREDIT_TOTAL_MIN);
+}
+
+/* The bucket of CAP's workspace.  A new one holds what came since this
+   coordinator took the group over, less what an earlier one may have lent:
+   what that has given is not known.  So the sum holds however often
+   coordinators change.  */
 static bucket_t *
-bucket_of (cs_cap_coordinator_t *coordinator, uint64_t workspace)
+bucket_of (cs_cap_coordinator_t *coordinator, const cs_cap_t *cap)
 {
+  uint64_t workspace = cap->workspace;
   bucket_t *bucket = g_hash_table_lookup (coordinator->buckets, &workspace);
   if (!bucket)
     {
@@ -148,15 +176,14 @@
       bucket->credits = g_hash_table_new_full (g_int64_hash, g_int64_equal,
                                                g_free, g_free);
       bucket->filled_at = coordinator->kept_since[cs_cap_group (workspace)];
+      bucket->tokens = -lent_max (&coordinator->tolerance, cap);
       g_hash_table_insert (coordinator->buckets,
                            g_memdup2 (&workspace, sizeof workspace), bucket);
     }
   return bucket;
 }
 
-/* Add what RATE gives until NOW, up to SIZE.  A new bucket holds what came
-   since this coordinator took the group over: what an earlier one has given is
-   not known.  */
+/* Add what RATE gives until NOW, up to SIZE.  */
 static void
 fill (bucket_t *bucket, double rate, double size, cs_usec_t now)
 {
@@ -216,14 +243,10 @@
                         const cs_cap_ask_t *ask, const cs_cap_t *cap,
                         double part, cs_usec_t now)
 {
-  const cs_cap_tolerance_t *tolerance = &coordinator->tolerance;
-  bucket_t *bucket = bucket_of (coordinator, ask->workspace);
+  bucket_t *bucket = bucket_of (coordinator, cap);
   double rate = cap->per_s * part;
   double size = MAX (MAX (cap->burst * part, rate * BUCKET_TIME_S), 1.0);
-  double window_s = (double)tolerance->window / (double)CS_SEC;
-  double total = CREDIT_PART * part
-                 * (tolerance->over * (cap->per_s * window_s + cap->burst)
-                    + tolerance->slack);
+  double total = part * lent_max (&coordinator->tolerance, cap);
   cs_cap_grant_t grant = { .workspace = ask->workspace };
   fill (bucket, rate, size, now);
   bucket->tokens = MIN (bucket->tokens - (double)ask->used, size);
--- a/tests/test-caps.c
+++ b/tests/test-caps.c
@@ -433,6 +433,79 @@
                      0.08);
 }
 
+static int64_t
+want_ten (void *user, uint64_t workspace)
+{
+  (void)user;
+  (void)workspace;
+  return 10;
+}
+
+/* Three coordinators follow one another within a window, as in the soak with
+   seed 10; the first one's bucket is full, and a node uses all that it gets.
+   Guards against a successor that lends anew what the one before has lent.  */
+static void
+test_successors (void)
+{
+  static const cs_cap_tolerance_t tight
+      = { .window = WINDOW, .over = 0.1, .slack = 2 };
+  static const cs_cap_t cap
+      = { .workspace = WORKSPACE, .per_s = 2, .burst = 2 };
+  cs_allowance_t *allowance = cs_allowance_new ();
+  cs_cap_coordinator_t *coordinator = NULL;
+  GArray *asks = g_array_new (FALSE, FALSE, sizeof (cs_cap_ask_t));
+  unsigned used = 0;
+  for (cs_usec_t now = CS_SEC; now < 3 * CS_SEC + WINDOW; now += 20 * CS_MSEC)
+    {
+      if (now == CS_SEC || now == 3200 * CS_MSEC || now == 3800 * CS_MSEC)
+        {
+          if (coordinator)
+            cs_cap_coordinator_free (coordinator);
+          coordinator = cs_cap_coordinator_new (&tight);
+          cs_allowance_drop (allowance, 0);
+        }
+      g_array_set_size (asks, 0);
+      cs_cap_coordinator_pledge (coordinator, 1, 1, now);
+      if (now < 3 * CS_SEC)
+        continue;
+      cs_allowance_collect (allowance, 0, want_ten, NULL, now, asks);
+      for (guint i = 0; i < asks->len; i++)
+        {
+          cs_cap_grant_t grant = cs_cap_coordinator_ask (
+              coordinator, 1, &g_array_index (asks, cs_cap_ask_t, i), &cap,
+              cs_cap_coordinator_part (coordinator, 0, 1, now), now);
+          cs_allowance_grant (allowance, &grant, now);
+        }
+      while (cs_allowance_take (allowance, WORKSPACE, now))
+        used++;
+    }
+  g_test_message ("%u in a window", used);
+  /* (2 x 5 + 2) x 1.1 + 2.  */
+  g_assert_cmpuint (used, <=, 15);
+  g_assert_cmpuint (used, >=, 6);
+  cs_cap_coordinator_free (coordinator);
+  cs_allowance_free (allowance);
+  g_array_unref (asks);
+}
+
+/* A node that stops was the coordinator of five.  Guards against what it gives
+   by their parts after they have turned to its successor.  */
+static void
+test_stopping_coordinator (void)
+{
+  cs_cap_coordinator_t *coordinator = cs_cap_coordinator_new (&tolerance);
+  cs_usec_t counted_at = CS_SEC + 200 * CS_MSEC;
+  for (uint64_t node = 1; node <= 5; node++)
+    cs_cap_coordinator_pledge (coordinator, node, 1, CS_SEC);
+  g_assert_cmpfloat (cs_cap_coordinator_part (coordinator, 0, 5, counted_at),
+                     ==, 1.0);
+  cs_cap_coordinator_forget_pledges (coordinator);
+  cs_cap_coordinator_pledge (coordinator, 1, 1, counted_at);
+  g_assert_cmpfloat (cs_cap_coordinator_part (coordinator, 0, 5, counted_at),
+                     ==, 0.2);
+  cs_cap_coordinator_free (coordinator);
+}
+
 /* What is given back is not counted, and what lies idle is lent to others.  */
 static void
 test_tokens (void)
@@ -473,6 +546,8 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/caps/patterns", test_patterns);
   g_test_add_func ("/caps/failures", test_failures);
+  g_test_add_func ("/caps/successors", test_successors);
+  g_test_add_func ("/caps/stopping-coordinator", test_stopping_coordinator);
   g_test_add_func ("/caps/tokens", test_tokens);
   return g_test_run ();
 }
