A body that is being read does not give way to itself

What callers could do: while there was no room, the caller whose large body had stalled for longest sent one more byte. Its own request was chosen to give way, refused and freed while it was read: a use after free, by a client that nobody controls. Found by reading the change again.

Change: the connection that asks for room is passed over, among stalled bodies and among unread answers; it is refused by itself if nothing else can give way.

Measured: /bodies/stalled-goes-on did not end well before (no result within 20 s), passes after, with all of test-bodies three times.

--- a/source/http1/server.c
+++ b/source/http1/server.c
@@ -32,6 +32,7 @@
   void *user;
   cs_http1_server_limits_t limits;
   cs_memory_budget_t *budget; /* NULL: bodies are not counted.  */
+  const void *reading; /* The conn_t that asks for room; it never gives way. */
   GQueue conns;
   bool draining, stopped, listener_closed, closing;
 };
@@ -324,10 +325,13 @@
   int64_t more = (int64_t)len - exchange->counted;
   if (!server->budget || !more)
     return true;
-  if (!cs_memory_budget_take (server->budget, more, len <= CS_SMALL_BODY_MAX))
-    return false;
-  exchange->counted += more;
-  return true;
+  server->reading = conn;
+  bool taken = cs_memory_budget_take (server->budget, more,
+                                      len <= CS_SMALL_BODY_MAX);
+  server->reading = NULL;
+  if (taken)
+    exchange->counted += more;
+  return taken;
 }
 
 void
@@ -345,7 +349,8 @@
   for (const GList *at = server->conns.head; at; at = at->next)
     {
       conn_t *conn = at->data;
-      if (conn->incoming && conn->incoming->counted > CS_SMALL_BODY_MAX
+      if (conn != server->reading && conn->incoming
+          && conn->incoming->counted > CS_SMALL_BODY_MAX
           && (!oldest || conn->body_moved_at < oldest->body_moved_at))
         oldest = conn;
     }
@@ -363,7 +368,7 @@
   for (const GList *at = server->conns.head; at; at = at->next)
     {
       conn_t *conn = at->data;
-      if (conn->unwritten > CS_SMALL_BODY_MAX
+      if (conn != server->reading && conn->unwritten > CS_SMALL_BODY_MAX
           && (!oldest || conn->unwritten_since < oldest->unwritten_since))
         oldest = conn;
     }
--- a/tests/test-bodies.c
+++ b/tests/test-bodies.c
@@ -223,6 +223,29 @@
   g_assert_cmpint (rig.budget.used, ==, 0);
 }
 
+/* The body that has stalled for longest goes on while there is no room.  Guards
+   against a request that gives way to itself: it would be freed while it is
+   read.  */
+static void
+test_stalled_body_goes_on (void)
+{
+  rig_t rig;
+  int stalled[3];
+  start_rig (&rig, 0);
+  for (int i = 0; i < 3; i++)
+    stalled[i] = send_body (&rig, LARGE_BYTES, LARGE_BYTES - 1);
+  run_for (&rig, 700);
+  rig.budget.limit = rig.budget.used;
+  send_text (stalled[0], "u");
+  run_for (&rig, 20);
+  expect_status (stalled[0], "200");
+  expect_status (stalled[1], "503");
+  for (int i = 0; i < 3; i++)
+    close (stalled[i]);
+  run_for (&rig, 50);
+  g_assert_cmpint (rig.budget.used, ==, 0);
+}
+
 /* More connections than allowed.  Guards against an ordinary caller who is
    turned away because of others that say nothing.  */
 static void
@@ -459,6 +482,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/bodies/budget", test_budget);
   g_test_add_func ("/bodies/stalled-give-way", test_stalled_bodies_give_way);
+  g_test_add_func ("/bodies/stalled-goes-on", test_stalled_body_goes_on);
   g_test_add_func ("/bodies/idlest-connection-closed",
                    test_idlest_connection_is_closed);
   g_test_add_func ("/bodies/slow-reader-gets-last-answer",
