--- a/source/http1/server.c
+++ b/source/http1/server.c
@@ -326,8 +326,8 @@
   if (!server->budget || !more)
     return true;
   server->reading = conn;
-  bool taken = cs_memory_budget_take (server->budget, more,
-                                      len <= CS_SMALL_BODY_MAX);
+  bool taken
+      = cs_memory_budget_take (server->budget, more, len <= CS_SMALL_BODY_MAX);
   server->reading = NULL;
   if (taken)
     exchange->counted += more;
--- a/tests/test-bodies.c
+++ b/tests/test-bodies.c
@@ -223,7 +223,7 @@
   g_assert_cmpint (rig.budget.used, ==, 0);
 }
 
-/* The body that has stalled for longest goes on while there is no room.  Guards
+/* The body that has stalled for longest goes on while there is no room. Guards
    against a request that gives way to itself: it would be freed while it is
    read.  */
 static void
