--- a/review/standins-2/case-cap.c
+++ b/review/standins-2/case-cap.c
@@ -20,9 +20,9 @@
 #define WINDOW 5.0 /* Bounds of a site with tenants.  */
 #define OVER 0.1
 #define SLACK 20
-#define CLIENTS 24     /* At each node, ...  */
-#define PACE 0.04      /* ... each sends one request in so many seconds.  */
-#define CALM 6.0       /* Before the first stop.  */
+#define CLIENTS 24 /* At each node, ...  */
+#define PACE 0.04  /* ... each sends one request in so many seconds.  */
+#define CALM 6.0   /* Before the first stop.  */
 
 static const char settings[]
     = ", \"fail_closed\": true, \"revoke\": \"5000ms\","
@@ -144,8 +144,9 @@
     {
       numbers[node] = node;
       rig_start_node (node, true, settings);
-      servers[node] = (rig_server_t){ .node = node, .version = "v1",
-                                      .work_ms = 2, .slots = 64 };
+      servers[node] = (rig_server_t){
+        .node = node, .version = "v1", .work_ms = 2, .slots = 64
+      };
       snprintf (servers[node].instance, 32, "i-%d", node);
       rig_start_server (&servers[node]);
     }
@@ -165,8 +166,8 @@
     }
   rig_sleep (CALM);
   double began = rig_now ();
-  rig_record ("%d requests ran so far", servers[1].run_count
-                                            + servers[2].run_count);
+  rig_record ("%d requests ran so far",
+              servers[1].run_count + servers[2].run_count);
   for (int node = 1; node <= NODES; node++)
     {
       if (rig_trouble ())
--- a/review/standins-2/case-late-report.c
+++ b/review/standins-2/case-late-report.c
@@ -60,12 +60,11 @@
   return NULL;
 }
 
-static rig_server_t old_server = { .node = 1, .instance = "i-1", .version = "v1",
-                                   .work_ms = 30 },
-                    other = { .node = 2, .instance = "i-2", .version = "v1",
-                              .work_ms = 30 },
-                    new_server = { .node = 1, .instance = "i-3",
-                                   .version = "v1", .work_ms = 30 };
+static rig_server_t old_server
+    = { .node = 1, .instance = "i-1", .version = "v1", .work_ms = 30 },
+    other = { .node = 2, .instance = "i-2", .version = "v1", .work_ms = 30 },
+    new_server
+    = { .node = 1, .instance = "i-3", .version = "v1", .work_ms = 30 };
 
 static void *
 report_others (void *user)
@@ -103,7 +102,8 @@
 
   /* A planned replacement: i-1 drains, leaves and ends.  */
   old_server.leaving = true;
-  rig_record ("i-1 reports draining: %d", rig_report (&old_server, "draining"));
+  rig_record ("i-1 reports draining: %d",
+              rig_report (&old_server, "draining"));
   rig_sleep (DRAIN + 0.5);
   rig_record ("i-1 leaves: %d", rig_deregister (&old_server));
   rig_stop_server (&old_server);
--- a/review/standins-2/case-unframed.c
+++ b/review/standins-2/case-unframed.c
@@ -8,8 +8,8 @@
 #include "rig.h"
 
 #define ANSWER_BYTES 12000000
-#define LARGE 6           /* Requests for large answers, ...  */
-#define LARGE_EVERY 0.6   /* ... one after so many seconds.  */
+#define LARGE 6         /* Requests for large answers, ...  */
+#define LARGE_EVERY 0.6 /* ... one after so many seconds.  */
 #define UNFRAMED_PART 0.05
 #define STEP 20000  /* Bytes that a client reads at once, ...  */
 #define PAUSE_MS 20 /* ... and the pause after: some 1 MB a second.  */
@@ -38,8 +38,7 @@
             "Attempt-Id: %s\r\nTimeout-Remaining-Ms: 2000\r\n", id);
   if (rig_connect (conn, rig_port (1, PORT_CALLERS), 8))
     rig_exchange (conn, "GET", "/d/large", fields, NULL, fast ? 0 : STEP,
-                  fast ? 0 : PAUSE_MS,
-                  &answer);
+                  fast ? 0 : PAUSE_MS, &answer);
   rig_close (conn);
   bool all = answer.length == ANSWER_BYTES;
   rig_record ("request %s: status %d, %s, %zu of %d bytes, %s", id,
--- a/review/standins-2/rig.c
+++ b/review/standins-2/rig.c
@@ -131,8 +131,8 @@
 static struct sockaddr_in
 loopback (int port)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET,
-                                 .sin_port = htons ((uint16_t)port) };
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons ((uint16_t)port) };
   address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   return address;
 }
@@ -251,8 +251,7 @@
 void
 rig_signal_node (int node, int number)
 {
-  rig_record ("node %d gets signal %d (%s)", node, number,
-              strsignal (number));
+  rig_record ("node %d gets signal %d (%s)", node, number, strsignal (number));
   kill (node_pids[node], number);
 }
 
@@ -265,6 +264,21 @@
   rig_record ("node %d has ended, status %d", node, status);
 }
 
+long
+rig_memory_kb (int node)
+{
+  char path[64], line[128];
+  long kb = 0;
+  snprintf (path, sizeof path, "/proc/%d/status", (int)node_pids[node]);
+  FILE *file = fopen (path, "r");
+  while (file && fgets (line, sizeof line, file))
+    if (sscanf (line, "VmRSS: %ld kB", &kb) == 1)
+      break;
+  if (file)
+    fclose (file);
+  return kb;
+}
+
 bool
 rig_is_ready (int node)
 {
@@ -432,12 +446,11 @@
   answer->status = atoi (answer->head + strlen ("HTTP/1.1 "));
   answer->has_length
       = find_field (answer->head, "content-length", value, sizeof value);
-  size_t length
-      = answer->has_length ? strtoull (value, NULL, 10) : SIZE_MAX;
-  answer->closes = !answer->has_length
-                   || (find_field (answer->head, "connection", value,
-                                   sizeof value)
-                       && strcasecmp (value, "close") == 0);
+  size_t length = answer->has_length ? strtoull (value, NULL, 10) : SIZE_MAX;
+  answer->closes
+      = !answer->has_length
+        || (find_field (answer->head, "connection", value, sizeof value)
+            && strcasecmp (value, "close") == 0);
   answer->length = read_body (conn, length, step, pause_ms, &clean);
   /* As a client has to take it: to the length, or to a clean end.  */
   answer->whole = answer->has_length ? answer->length == length : clean;
@@ -459,7 +472,8 @@
 void
 rig_new_id (char id[24])
 {
-  snprintf (id, 24, "%016llx", __atomic_add_fetch (&last_id, 1, __ATOMIC_RELAXED));
+  snprintf (id, 24, "%016llx",
+            __atomic_add_fetch (&last_id, 1, __ATOMIC_RELAXED));
 }
 
 /* The platform.  */
@@ -575,28 +589,26 @@
   const char *mark = strstr (head, "/large");
   bool large = mark && path_end && mark < path_end && server->large_bytes;
   size_t length = large ? server->large_bytes : strlen (text);
-  bool unframed
-      = large
-        && server->unframed_count + 1
-               <= server->unframed_part * (double)server->run_count;
+  bool unframed = large
+                  && server->unframed_count + 1
+                         <= server->unframed_part * (double)server->run_count;
   server->unframed_count += unframed;
   int len = snprintf (answer, sizeof answer,
                       "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n"
                       "Response-Seal: seal-%s\r\nServer-Load: 1,0,%d\r\n",
                       id, id, server->slots);
-  len += unframed
-             ? snprintf (answer + len, sizeof answer - (size_t)len,
-                         "Connection: close\r\n\r\n")
-             : snprintf (answer + len, sizeof answer - (size_t)len,
-                         "Content-Length: %zu\r\n\r\n", length);
+  len += unframed ? snprintf (answer + len, sizeof answer - (size_t)len,
+                              "Connection: close\r\n\r\n")
+                  : snprintf (answer + len, sizeof answer - (size_t)len,
+                              "Content-Length: %zu\r\n\r\n", length);
   if (!send_all (fd, answer, (size_t)len))
     return false;
   if (!large && !send_all (fd, text, length))
     return false;
   for (size_t sent = 0; large && sent < length;)
     {
-      size_t part = length - sent < sizeof filler ? length - sent
-                                                  : sizeof filler;
+      size_t part
+          = length - sent < sizeof filler ? length - sent : sizeof filler;
       if (!send_all (fd, filler, part))
         return false;
       sent += part;
@@ -611,8 +623,7 @@
 {
   server_conn_t *served = user;
   char head[8192];
-  while (!served->server->gone
-         && read_head (&served->conn, head, sizeof head)
+  while (!served->server->gone && read_head (&served->conn, head, sizeof head)
          && serve_request (served, head))
     ;
   close (served->conn.fd);
--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -43,6 +43,8 @@
 void rig_signal_node (int node, int number);
 /* Wait until the process of NODE has ended.  */
 void rig_await_end (int node);
+/* The resident memory of its process, in KB.  */
+long rig_memory_kb (int node);
 bool rig_is_ready (int node);
 /* Wait until NODE is ready; exits with 2 if it is not within 20 s.  */
 void rig_await_ready (int node);
@@ -92,7 +94,7 @@
   size_t large_bytes;
   /* The part of its answers that have no length; large ones only.  */
   double unframed_part;
-  int backlog;         /* Of its listener; 0: 128.  */
+  int backlog; /* Of its listener; 0: 128.  */
   /* Its state.  */
   volatile bool leaving, gone, stands_still;
   int listener;
