--- a/review/standins-3/case-cap.c
+++ b/review/standins-2/case-cap-start.c
@@ -1,6 +1,6 @@
 /* Nodes that start while the platform's store is down know few others, and
    give out more of a usage cap than there is.  */
-#include "case.h"
+#include "harness.h"
 
 #include <pthread.h>
 #include <signal.h>
--- a/review/standins-3/case-idle.c
+++ b/review/standins-2/case-idle.c
@@ -1,6 +1,6 @@
 /* A configuration that lowers the idle timeout cuts answers that callers are
    reading.  */
-#include "case.h"
+#include "harness.h"
 
 #include <pthread.h>
 #include <stdio.h>
--- a/review/standins-3/case-stop.c
+++ b/review/standins-2/case-stop.c
@@ -1,5 +1,5 @@
 /* A node that is stopped by SIGTERM cuts an answer while its caller pauses.  */
-#include "case.h"
+#include "harness.h"
 
 #include <pthread.h>
 #include <signal.h>
--- a/review/standins-3/case.c
+++ b/review/standins-2/harness.c
@@ -1,5 +1,7 @@
+#ifndef _GNU_SOURCE
 #define _GNU_SOURCE
-#include "case.h"
+#endif
+#include "harness.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -102,7 +104,9 @@
         kill (processes[i], SIGCONT);
         waitpid (processes[i], NULL, 0);
       }
-  if (work_folder[0])
+  if (work_folder[0] && getenv ("KEEP"))
+    fprintf (stderr, "%s is kept\n", work_folder);
+  else if (work_folder[0])
     {
       char command[512];
       snprintf (command, sizeof command, "rm -rf '%s'", work_folder);
@@ -432,7 +436,7 @@
   char port[32];
   table_port = free_port ();
   snprintf (port, sizeof port, "--port=%d", table_port);
-  char *argv[] = { "target/review-3/standin-rows", port, NULL };
+  char *argv[] = { "target/build/standin-rows", port, NULL };
   table_pid = start_process ("table", argv);
   for (int i = 0; i < 100; i++)
     {
--- a/review/standins-3/case.h
+++ b/review/standins-2/harness.h
@@ -1,7 +1,7 @@
-/* What the cases share: processes, rows of the table, settings of
-   nodes, a backend server and callers.  Plain HTTP/1.1 over loopback.  */
-#ifndef REVIEW_CASE_H
-#define REVIEW_CASE_H
+/* What case 8 and some variants share: processes, rows of the table, settings
+   of nodes, a backend server and callers.  Plain HTTP/1.1 over loopback.  */
+#ifndef REVIEW_HARNESS_H
+#define REVIEW_HARNESS_H
 
 #include <stdarg.h>
 #include <stdbool.h>
