--- a/include/cardamom/client.h
+++ b/include/cardamom/client.h
@@ -104,6 +104,9 @@
                               const cs_http1_client_handler_t *handler,
                               void *user);
 
+/* How many bytes of the present answer have arrived so far.  */
+size_t cs_http1_client_received (const cs_http1_client_t *client);
+
 /* Whether CLIENT's connection is open.  */
 bool cs_http1_client_is_connected (const cs_http1_client_t *client);
 
--- a/include/cardamom/counters.h
+++ b/include/cardamom/counters.h
@@ -67,6 +67,8 @@
      "Configuration frames at or below the version in force.")                \
   X (STORE_READS, "cardamom_store_reads_total",                               \
      "Requests that read from the platform.")                                 \
+  X (STORE_BYTES_IN, "cardamom_store_bytes_in_total",                         \
+     "Bytes of answers of the platform, also of those cut short.")            \
   X (STORE_WRITES, "cardamom_store_writes_total",                             \
      "Requests that write to the platform.")                                  \
   X (STORE_ERRORS, "cardamom_store_errors_total",                             \
--- a/include/cardamom/event.h
+++ b/include/cardamom/event.h
@@ -16,6 +16,8 @@
   X (CONFIG, "config", 20, "A configuration version is in force.")            \
   X (CONFIG_BAD, "config-refused", 5, "A row was kept out.")                  \
   X (STORE, "store", 10, "The platform's table was lost or regained.")        \
+  X (STORE_CALL, "store-call", 10,                                            \
+     "A read of the platform's table failed, or brought rows.")               \
   X (READER, "reader", 10, "Who reads the table for this node.")              \
   X (MEMBER, "member", 40, "A node was learnt of or has changed.")            \
   X (PEER, "peer", 40, "A connection to a node was gained or lost.")          \
--- a/source/http1/client.c
+++ b/source/http1/client.c
@@ -442,6 +442,12 @@
   open_connection (client);
 }
 
+size_t
+cs_http1_client_received (const cs_http1_client_t *client)
+{
+  return client->answer.head->len + client->answer.body->len;
+}
+
 bool
 cs_http1_client_is_connected (const cs_http1_client_t *client)
 {
