--- a/tests/standins/standin-rows.c
+++ b/tests/standins/standin-rows.c
@@ -35,6 +35,7 @@
 static uv_loop_t loop;
 static cs_ctx_t *ctx;
 static GPtrArray *rows, *long_polls;
+static GPtrArray *changes; /* row_t *: each version of each row, in order.  */
 static json_int_t newest_version; /* How many transactions were applied.  */
 
 static void
@@ -89,16 +90,16 @@
   return json;
 }
 
-/* The answer with the rows of TABLE that changed after AFTER_VERSION,
-   including those that were removed if INCLUDE_REMOVED.  */
+/* The answer with those of ALL, rows or changes, that are of TABLE and later
+   than AFTER_VERSION, including those that were removed if INCLUDE_REMOVED. */
 static json_t *
-rows_to_json (const char *table, json_int_t after_version,
-              bool include_removed)
+rows_to_json (const GPtrArray *all, const char *table,
+              json_int_t after_version, bool include_removed)
 {
   json_t *list = json_array ();
-  for (guint i = 0; i < rows->len; i++)
+  for (guint i = 0; i < all->len; i++)
     {
-      const row_t *row = rows->pdata[i];
+      const row_t *row = all->pdata[i];
       if (strcmp (row->table, table) == 0 && row->version > after_version
           && (include_removed || row->value))
         json_array_append_new (list, row_to_json (row));
@@ -120,9 +121,9 @@
 end_long_poll (long_poll_t *long_poll)
 {
   if (long_poll->exchange)
-    answer_json (
-        long_poll->exchange, 200,
-        rows_to_json (long_poll->table, long_poll->after_version, true));
+    answer_json (long_poll->exchange, 200,
+                 rows_to_json (changes, long_poll->table,
+                               long_poll->after_version, true));
   g_ptr_array_remove_fast (long_polls, long_poll);
   uv_close ((uv_handle_t *)&long_poll->timer, free_long_poll);
 }
@@ -161,8 +162,8 @@
   exchange->user = long_poll;
   uv_timer_init (&loop, &long_poll->timer);
   g_ptr_array_add (long_polls, long_poll);
-  json_t *changed_rows
-      = rows_to_json (long_poll->table, long_poll->after_version, true);
+  json_t *changed_rows = rows_to_json (changes, long_poll->table,
+                                       long_poll->after_version, true);
   if (json_array_size (json_object_get (changed_rows, "rows")))
     end_long_poll (long_poll);
   else
@@ -198,6 +199,12 @@
   g_free (row->value);
   row->value = g_strdup (value);
   row->version = newest_version;
+  row_t *change = g_new0 (row_t, 1);
+  *change = (row_t){ .table = row->table,
+                     .key = row->key,
+                     .value = g_strdup (value),
+                     .version = newest_version };
+  g_ptr_array_add (changes, change);
 }
 
 /* Apply a transaction if all expected versions hold, else answer 412 with the
@@ -251,7 +258,7 @@
   else if (cs_str_has_prefix (target, CS_STR ("/api/rows-get")))
     {
       char *table = query_parameter (target, "table");
-      answer_json (exchange, 200, rows_to_json (table, 0, false));
+      answer_json (exchange, 200, rows_to_json (rows, table, 0, false));
       g_free (table);
     }
   else
@@ -336,6 +343,7 @@
   uv_loop_init (&loop);
   ctx = cs_ctx_new (NULL, cs_clock_boottime (), 1);
   rows = g_ptr_array_new ();
+  changes = g_ptr_array_new ();
   long_polls = g_ptr_array_new ();
   for (int i = 1; i < argc; i++)
     if (g_str_has_prefix (argv[i], "--port="))
