--- a/include/cardamom/status.h
+++ b/include/cardamom/status.h
@@ -14,6 +14,7 @@
   CS_UNAVAILABLE,    /* The operation did not take effect; retry later.  */
   CS_UNKNOWN,        /* The operation may or may not have taken effect.  */
   CS_LIMIT_EXCEEDED, /* A limit (size, rate, budget) was exceeded.  */
+  CS_TOO_LARGE,      /* The result is larger than the caller takes.  */
   CS_CORRUPT,        /* Data does not match its digest or its format.  */
   CS_INTERNAL        /* A defect in this program.  */
 } cs_status_t;
--- a/include/cardamom/table.h
+++ b/include/cardamom/table.h
@@ -58,6 +58,7 @@
    CS_UNAVAILABLE: the call had no effect.
    CS_UNKNOWN: a commit may have taken effect, or may still do so while its
    preconditions hold.
+   CS_TOO_LARGE: the answer is larger than the call takes.
    CS_LIMIT_EXCEEDED: the table refused the call because there are too many.
    CS_DENIED: the table refused access.  */
 typedef void (*cs_table_callback_t) (void *user, cs_status_t status,
@@ -72,9 +73,12 @@
   void (*read) (cs_table_t *table, cs_keyspace_t space,
                 cs_table_callback_t done, void *user);
   /* Read the rows of SPACE that changed after revision AFTER, as soon as there
-     is one; after WAIT without a change the result has no rows.  */
+     is one; after WAIT without a change the result has no rows.  The answer
+     holds each version of a row that has changed more than once; one of more
+     than MAX_BYTES is not received.  */
   void (*watch) (cs_table_t *table, cs_keyspace_t space, int64_t after,
-                 cs_usec_t wait, cs_table_callback_t done, void *user);
+                 cs_usec_t wait, size_t max_bytes, cs_table_callback_t done,
+                 void *user);
   /* Apply all WRITES atomically, if every one of PRECONDITIONS holds.  The
      arguments are copied.  */
   void (*commit) (cs_table_t *table,
--- a/source/kernel/status.c
+++ b/source/kernel/status.c
@@ -12,6 +12,7 @@
     [CS_UNAVAILABLE] = "unavailable",
     [CS_UNKNOWN] = "unknown",
     [CS_LIMIT_EXCEEDED] = "limit",
+    [CS_TOO_LARGE] = "too-large",
     [CS_CORRUPT] = "corrupt",
     [CS_INTERNAL] = "internal",
   };
--- a/source/mesh/table-reader.c
+++ b/source/mesh/table-reader.c
@@ -38,6 +38,10 @@
 #define RESTART_STAGGER (150 * CS_MSEC)
 #define RESTART_WAIT_MAX (2000 * CS_MSEC)
 
+/* A watch with one version of the largest row, and with some of small ones, is
+   received.  */
+#define WATCH_BYTES_MIN ((size_t)64 << 10)
+
 bool
 cs_table_reader_should_read (unsigned rank, cs_usec_t row_age,
                              cs_usec_t heartbeat_age)
@@ -63,6 +67,13 @@
          || waited >= (wait < RESTART_WAIT_MAX ? wait : RESTART_WAIT_MAX);
 }
 
+size_t
+cs_table_reader_watch_max (size_t all_rows_bytes)
+{
+  size_t max = all_rows_bytes + all_rows_bytes / 2;
+  return max > WATCH_BYTES_MIN ? max : WATCH_BYTES_MIN;
+}
+
 cs_usec_t
 cs_table_reader_retry_delay (unsigned rank, unsigned failures)
 {
--- a/source/node/admin.c
+++ b/source/node/admin.c
@@ -34,7 +34,7 @@
     [CS_OK] = 200,        [CS_BAD_INPUT] = 400,      [CS_CONFLICT] = 409,
     [CS_NOT_FOUND] = 404, [CS_DENIED] = 403,         [CS_UNAVAILABLE] = 503,
     [CS_UNKNOWN] = 504,   [CS_LIMIT_EXCEEDED] = 429, [CS_CORRUPT] = 500,
-    [CS_INTERNAL] = 500,
+    [CS_TOO_LARGE] = 500, [CS_INTERNAL] = 500,
   };
   admin_set_json_answer (answer, http_statuses[status],
                          json_pack ("{s:s,s:s}", "error",
--- a/source/sidecar/control.h
+++ b/source/sidecar/control.h
@@ -63,6 +63,8 @@
   GHashTable *operator_rows; /* key -> cs_table_row_t *.  */
   /* OPERATOR_ROWS has every change up to this revision; 0: not yet read.  */
   int64_t rows_revision;
+  /* The table has more changes than a watch brings: read all rows.  */
+  bool rows_overdue;
   cs_usec_t rows_fresh_at; /* When OPERATOR_ROWS was last up to date.  */
   cs_usec_t heartbeat_sent_at, rows_requested_at, table_retry_at;
   cs_usec_t own_read_at; /* Last successful read by this node.  */
--- a/source/sidecar/operator-rows.c
+++ b/source/sidecar/operator-rows.c
@@ -21,6 +21,9 @@
 #define HEAD_TIMEOUT_DEFAULT_MS 3000
 #define IDLE_TIMEOUT_DEFAULT_MS 15000
 
+/* Bytes of a row in an answer besides its key and its value.  */
+#define ROW_OVERHEAD 100
+
 /* A watch that has failed so often in a row is replaced by a read.  */
 #define WATCH_FAILURES_MAX 2
 
@@ -470,7 +473,8 @@
 void
 control_note_table (control_t *control, cs_status_t status)
 {
-  bool up = status == CS_OK || status == CS_CONFLICT || status == CS_NOT_FOUND;
+  bool up = status == CS_OK || status == CS_CONFLICT || status == CS_NOT_FOUND
+            || status == CS_TOO_LARGE;
   if (up != control->table_up)
     cs_event_log (CS_E_STORE, "state=%s status=%s seen=%" G_GINT64_FORMAT,
                   up ? "regained" : "lost", cs_status_name (status),
@@ -537,6 +541,12 @@
       control->rows_awaited_since = 0;
       return;
     }
+  if (status == CS_TOO_LARGE && !control->rows_overdue)
+    {
+      control->rows_overdue = true;
+      rows_tick (control, now);
+      return;
+    }
   if (status != CS_OK)
     {
       rows_back_off (control);
@@ -565,6 +575,7 @@
       apply_row (control, copy);
     }
   control->rows_revision = MAX (control->rows_revision, revision);
+  control->rows_overdue = false;
   control->rows_fresh_at = control->own_read_at = now;
   note_keys_fresh (control, control->rows_call_sent_at);
   control->table_failures = 0;
@@ -612,6 +623,23 @@
   handle_rows (user, status, rows, revision, true);
 }
 
+/* The size of the answer to a read of all operator rows, roughly.  */
+static size_t
+all_rows_bytes (const control_t *control)
+{
+  GHashTableIter iter;
+  gpointer value;
+  size_t total = 0;
+  g_hash_table_iter_init (&iter, control->operator_rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const cs_table_row_t *row = value;
+      if (row->value)
+        total += strlen (row->key) + row->value->len * 4 / 3 + ROW_OVERHEAD;
+    }
+  return total;
+}
+
 void
 rows_tick (control_t *control, cs_usec_t now)
 {
@@ -648,12 +676,15 @@
       control->rows_call_sent_at = now;
       /* A watch brings each change since the last one, which a node that has
          fallen behind may not get over its link in time.  */
-      if (control->table_failures >= WATCH_FAILURES_MAX)
+      if (control->rows_overdue
+          || control->table_failures >= WATCH_FAILURES_MAX)
         control->table->vtable->read (control->table, CS_KEYSPACE_OPERATOR,
                                       on_reread, control);
       else
         control->table->vtable->watch (
             control->table, CS_KEYSPACE_OPERATOR, control->rows_revision,
-            CS_TABLE_WATCH_TIMEOUT, on_changes, control);
+            CS_TABLE_WATCH_TIMEOUT,
+            cs_table_reader_watch_max (all_rows_bytes (control)), on_changes,
+            control);
     }
 }
--- a/source/tools/common.c
+++ b/source/tools/common.c
@@ -24,7 +24,8 @@
     [CS_CONFLICT] = EXIT_CONFLICT, [CS_NOT_FOUND] = EXIT_FAILED,
     [CS_DENIED] = EXIT_DENIED,     [CS_UNAVAILABLE] = EXIT_UNAVAILABLE,
     [CS_UNKNOWN] = EXIT_UNKNOWN,   [CS_LIMIT_EXCEEDED] = EXIT_UNAVAILABLE,
-    [CS_CORRUPT] = EXIT_FAILED,    [CS_INTERNAL] = EXIT_FAILED,
+    [CS_TOO_LARGE] = EXIT_FAILED,  [CS_CORRUPT] = EXIT_FAILED,
+    [CS_INTERNAL] = EXIT_FAILED,
   };
   const char *message = cs_error_message (ctl->ctx);
   size_t len = strlen (message);
--- a/tests/test-decide.c
+++ b/tests/test-decide.c
@@ -657,6 +657,11 @@
   /* It is down for half of the nodes: ranks 0 to 7 all try it in time, so that
      most likely one of them reads it.  */
   g_assert_true (cs_table_reader_should_read (7, 2050 * MS, 300 * MS));
+  /* Two versions of a large configuration are too much, one with what else
+     has changed is not; small rows are never read for that.  */
+  g_assert_cmpuint (cs_table_reader_watch_max (183000), <, 2 * 183000);
+  g_assert_cmpuint (cs_table_reader_watch_max (183000), >, 183000 + 9000);
+  g_assert_cmpuint (cs_table_reader_watch_max (0), >=, 20000);
   g_assert_cmpint (cs_table_reader_retry_delay (0, 1), ==, 150 * MS);
   g_assert_cmpint (cs_table_reader_retry_delay (0, 50), ==, 800 * MS);
   g_assert_cmpint (cs_table_reader_retry_delay (9, 50), ==, 2500 * MS);
