--- a/include/cardamom/client.h
+++ b/include/cardamom/client.h
@@ -29,19 +29,22 @@
 /* ERROR in words, for logs; static.  */
 const char *cs_http1_client_error_text (cs_http1_client_error_t error);
 
+typedef struct cs_http1_client cs_http1_client_t;
+
 /* The memory that several clients share for bodies of answers that are still
-   being received, in bytes.  */
+   being received, in bytes.  Short of it, small answers and the largest one
+   are read, so that this one ends or reaches its limit; the others wait.  */
 typedef struct
 {
   int64_t max_per_answer; /* Limit for one body.  */
-  int64_t max_total;      /* Limit for all of them together.  */
+  int64_t max_total;      /* Limit for all; beyond it the largest fails.  */
   int64_t in_use; /* In use by the answers of all clients that share it.  */
   /* Of the whole process; NULL: none.  Short of it, answers are read later. */
   cs_memory_budget_t *budget;
+  cs_http1_client_t *largest; /* Whose answer has most bytes.  */
+  int64_t largest_bytes;
 } cs_answer_memory_t;
 
-typedef struct cs_http1_client cs_http1_client_t;
-
 typedef struct
 {
   /* A whole answer was received; it is borrowed for the call.  */
--- a/source/http1/client.c
+++ b/source/http1/client.c
@@ -100,44 +100,20 @@
     }
 }
 
-/* Account for the bytes of the body so far; false if all clients together
-   exceed the limit.  */
-static bool
-count_body (cs_http1_client_t *client)
-{
-  if (!client->memory)
-    return true;
-  int64_t body = (int64_t)client->answer.body->len;
-  client->memory->in_use += body - client->counted_bytes;
-  if (client->memory->budget)
-    client->memory->budget->used += body - client->counted_bytes;
-  client->counted_bytes = body;
-  return client->memory->in_use <= client->memory->max_total;
-}
-
-/* Whether there is memory to read on: what has been read counts already.  One
-   answer is always read, so that it ends.  */
-static bool
-may_read_on (const cs_http1_client_t *client)
-{
-  cs_memory_budget_t *budget = client->memory ? client->memory->budget : NULL;
-  if (!budget || client->counted_bytes <= CS_SMALL_BODY_MAX
-      || client->memory->in_use == client->counted_bytes)
-    return true;
-  if (!cs_memory_budget_take (budget, 0, false))
-    return false;
-  return true;
-}
-
 static void
 release_body (cs_http1_client_t *client)
 {
-  if (client->memory)
+  cs_answer_memory_t *memory = client->memory;
+  if (memory)
     {
-      client->memory->in_use -= client->counted_bytes;
-      if (client->memory->budget)
-        cs_memory_budget_release (client->memory->budget,
-                                  client->counted_bytes);
+      memory->in_use -= client->counted_bytes;
+      if (memory->budget)
+        cs_memory_budget_release (memory->budget, client->counted_bytes);
+      if (memory->largest == client)
+        {
+          memory->largest = NULL;
+          memory->largest_bytes = 0;
+        }
     }
   client->counted_bytes = 0;
 }
@@ -155,6 +131,51 @@
     client->handler.failed (client->user, error, partial);
 }
 
+/* Note that CLIENT's answer is the largest, if it is; returns whether.  */
+static bool
+update_largest (cs_http1_client_t *client)
+{
+  cs_answer_memory_t *memory = client->memory;
+  if (memory->largest != client
+      && client->counted_bytes <= memory->largest_bytes)
+    return false;
+  memory->largest = client;
+  memory->largest_bytes = client->counted_bytes;
+  return true;
+}
+
+/* Account for the bytes of the body so far.  If all answers together exceed
+   the limit, the largest fails; false if that is CLIENT's.  */
+static bool
+count_body (cs_http1_client_t *client)
+{
+  cs_answer_memory_t *memory = client->memory;
+  if (!memory)
+    return true;
+  int64_t body = (int64_t)client->answer.body->len;
+  memory->in_use += body - client->counted_bytes;
+  if (memory->budget)
+    memory->budget->used += body - client->counted_bytes;
+  client->counted_bytes = body;
+  bool largest = update_largest (client);
+  if (memory->in_use <= memory->max_total)
+    return true;
+  if (!largest)
+    fail (memory->largest, CS_HTTP1_ANSWER_TOO_LARGE);
+  return !largest;
+}
+
+/* Whether there is memory to read on: what has been read counts already.  The
+   largest answer is always read, so that it ends.  */
+static bool
+may_read_on (cs_http1_client_t *client)
+{
+  cs_memory_budget_t *budget = client->memory ? client->memory->budget : NULL;
+  return !budget || client->counted_bytes <= CS_SMALL_BODY_MAX
+         || update_largest (client)
+         || cs_memory_budget_take (budget, 0, false);
+}
+
 /* Set until when the server keeps the idle connection open, as its Keep-Alive
    field says.  */
 static void
