--- a/include/cardamom/table-reader.h
+++ b/include/cardamom/table-reader.h
@@ -44,10 +44,10 @@
                                           unsigned reachable_rank,
                                           cs_usec_t waited);
 
-/* The largest answer of a watch, in bytes, that a node receives whose rows take
-   ALL_ROWS_BYTES in the answer of a read.  A watch brings each version since
-   the last one, so that a node that has fallen behind gets more with each
-   attempt, while a read brings the newest versions only.  */
+/* The largest answer of a watch, in bytes, that a node receives whose rows
+   take ALL_ROWS_BYTES in the answer of a read.  A watch brings each version
+   since the last one, so that a node that has fallen behind gets more with
+   each attempt, while a read brings the newest versions only.  */
 size_t cs_table_reader_watch_max (size_t all_rows_bytes);
 
 /* The delay before the next call of the table after FAILURES consecutive calls
