--- a/include/cardamom/client.h
+++ b/include/cardamom/client.h
@@ -97,7 +97,11 @@
                                 const cs_http1_client_handler_t *handler,
                                 void *user);
 
-/* Read on if the answer was paused for want of memory, and there is some.  */
+/* Whether the answer is not read for want of memory.  */
+bool cs_http1_client_is_paused (const cs_http1_client_t *client);
+
+/* Read on if the answer was paused for want of memory, and there is some.  The
+   owner makes room.  FAILED may be called before this returns.  */
 void cs_http1_client_resume (cs_http1_client_t *client);
 
 /* Open the connection of CLIENT, which is new, without a request.  CONNECTED
--- a/include/cardamom/memory-budget.h
+++ b/include/cardamom/memory-budget.h
@@ -29,6 +29,11 @@
 bool cs_memory_budget_take (cs_memory_budget_t *budget, int64_t bytes,
                             bool small);
 
+/* Let others give way until a large body has room, or nothing more can.  What
+   gives way may end requests of callers: the caller holds none across this
+   call.  */
+void cs_memory_budget_make_room (cs_memory_budget_t *budget);
+
 /* BYTES are free again.  */
 void cs_memory_budget_release (cs_memory_budget_t *budget, int64_t bytes);
 
--- a/source/http1/client.c
+++ b/source/http1/client.c
@@ -173,7 +173,7 @@
   cs_memory_budget_t *budget = client->memory ? client->memory->budget : NULL;
   return !budget || client->counted_bytes <= CS_SMALL_BODY_MAX
          || update_largest (client)
-         || cs_memory_budget_take (budget, 0, false);
+         || cs_memory_budget_has_room (budget, 0, false);
 }
 
 /* Set until when the server keeps the idle connection open, as its Keep-Alive
@@ -429,6 +429,12 @@
   cs_http1_client_send_body (client, request, NULL, is_head, handler, user);
 }
 
+bool
+cs_http1_client_is_paused (const cs_http1_client_t *client)
+{
+  return client->paused;
+}
+
 void
 cs_http1_client_resume (cs_http1_client_t *client)
 {
--- a/source/kernel/memory-budget.c
+++ b/source/kernel/memory-budget.c
@@ -22,6 +22,12 @@
   return true;
 }
 
+void
+cs_memory_budget_make_room (cs_memory_budget_t *budget)
+{
+  cs_memory_budget_take (budget, 0, false);
+}
+
 void
 cs_memory_budget_release (cs_memory_budget_t *budget, int64_t bytes)
 {
--- a/source/run/dispatcher.c
+++ b/source/run/dispatcher.c
@@ -508,18 +508,36 @@
   uv_idle_start (&dispatcher->fill_handle, on_fill);
 }
 
+/* Make room if answers wait for it.  This may cancel requests, also those in
+   flight.  */
+static void
+make_room_for_answers (cs_dispatcher_t *dispatcher)
+{
+  bool paused = false;
+  for (const GList *link = dispatcher->in_flight.head; link && !paused;
+       link = link->next)
+    paused = cs_http1_client_is_paused (
+        ((const cs_dispatch_t *)link->data)->conn->client);
+  if (paused)
+    cs_memory_budget_make_room (dispatcher->answer_memory.budget);
+}
+
 void
 cs_dispatcher_tick (cs_dispatcher_t *dispatcher)
 {
   cs_usec_t now = dispatcher_now (dispatcher);
   GList *next;
+  make_room_for_answers (dispatcher);
   for (GList *link = dispatcher->in_flight.head; link; link = next)
     {
       cs_dispatch_t *dispatch = link->data;
       next = link->next;
-      cs_http1_client_resume (dispatch->conn->client);
       if (now <= dispatch->deadline + DEADLINE_GRACE)
-        continue;
+        {
+          /* DISPATCH may end in this call.  */
+          cs_http1_client_resume (dispatch->conn->client);
+          continue;
+        }
       dispatcher_conn_t *conn = dispatch->conn;
       g_queue_delete_link (&dispatcher->in_flight, link);
       dispatcher_drop_conn (conn);
--- a/tests/test-client.c
+++ b/tests/test-client.c
@@ -161,6 +161,27 @@
     }
 }
 
+/* A client of LOOP that has sent a request; *SERVER is its server's connection
+   at LISTENER.  */
+static cs_http1_client_t *
+send_request (uv_loop_t *loop, int listener, unsigned port, bool is_head,
+              cs_answer_memory_t *memory, events_t *events, int *server)
+{
+  struct sockaddr_in address = loopback_address (port);
+  cs_http1_client_t *client
+      = cs_http1_client_new (loop, cs_clock_system (), &address, 5 * CS_SEC);
+  if (memory)
+    cs_http1_client_share_memory (client, memory);
+  cs_http1_client_send (client,
+                        g_string_new ("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
+                        is_head, &handler, events);
+  *server = accept_one (listener);
+  while (!readable (*server, 0))
+    uv_run (loop, UV_RUN_ONCE);
+  g_free (receive_message (*server));
+  return client;
+}
+
 /* Send a request, answer it as cases[INDEX] says, PIECE bytes at a time, and
    compare what the client reports.  */
 static void
@@ -170,17 +191,10 @@
   unsigned port;
   events_t events = { .text = g_string_new (NULL) };
   int listener = listen_on_free_port (&port);
-  struct sockaddr_in address = loopback_address (port);
+  int server;
   uv_loop_init (&loop);
-  cs_http1_client_t *client
-      = cs_http1_client_new (&loop, cs_clock_system (), &address, 5 * CS_SEC);
-  cs_http1_client_send (client,
-                        g_string_new ("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
-                        cases[index].is_head, &handler, &events);
-  int server = accept_one (listener);
-  while (!readable (server, 0))
-    uv_run (&loop, UV_RUN_ONCE);
-  g_free (receive_message (server));
+  cs_http1_client_t *client = send_request (
+      &loop, listener, port, cases[index].is_head, NULL, &events, &server);
   send_pieces (&loop, server, cases[index].bytes, piece);
   pump (&loop, 20);
   if (cases[index].end == RESETS)
@@ -209,6 +223,75 @@
   play_case (index, 1);
 }
 
+#define SHARED_BODY_BYTES 400000
+
+static bool
+count_call (void *user)
+{
+  ++*(int *)user;
+  return false;
+}
+
+/* Two answers exceed the memory.  While a client is read, it makes nothing
+   give way, which might end the very request that it is read for; both answers
+   come whole, the larger one first.  */
+static void
+test_short_of_memory (void)
+{
+  uv_loop_t loop;
+  unsigned port;
+  int servers[2], calls = 0;
+  size_t first_parts[2] = { 300000, 200000 };
+  cs_http1_client_t *clients[2];
+  events_t events[2]
+      = { { .text = g_string_new (NULL) }, { .text = g_string_new (NULL) } };
+  cs_memory_budget_t budget
+      = { .limit = 480000, .make_room = count_call, .user = &calls };
+  cs_answer_memory_t memory
+      = { .max_per_answer = 1 << 20, .max_total = 2 << 20, .budget = &budget };
+  char *body = g_strnfill (SHARED_BODY_BYTES, 'b');
+  char *head
+      = g_strdup_printf (OWN "Content-Length: %d\r\n\r\n", SHARED_BODY_BYTES);
+  char *expected = g_strdup_printf ("200 %s;", body);
+  int listener = listen_on_free_port (&port);
+  uv_loop_init (&loop);
+  for (int i = 0; i < 2; i++)
+    {
+      clients[i] = send_request (&loop, listener, port, false, &memory,
+                                 &events[i], &servers[i]);
+      send_pieces (&loop, servers[i], head, strlen (head));
+      send_pieces (&loop, servers[i],
+                   body + SHARED_BODY_BYTES - first_parts[i], first_parts[i]);
+      pump (&loop, 20);
+    }
+  for (int i = 0; i < 2; i++)
+    {
+      send_pieces (&loop, servers[i], body + first_parts[i],
+                   SHARED_BODY_BYTES);
+      for (int ms = 0; !events[i].ended && ms < SOCKET_TIMEOUT_MS; ms += 5)
+        {
+          cs_http1_client_resume (clients[0]);
+          cs_http1_client_resume (clients[1]);
+          pump (&loop, 5);
+        }
+      g_assert_cmpstr (events[i].text->str, ==, expected);
+    }
+  g_assert_cmpint (calls, ==, 0);
+  g_assert_cmpint (budget.used, ==, 0);
+  for (int i = 0; i < 2; i++)
+    {
+      cs_http1_client_drop (clients[i]);
+      close (servers[i]);
+      g_string_free (events[i].text, TRUE);
+    }
+  uv_run (&loop, UV_RUN_DEFAULT);
+  g_assert_cmpint (uv_loop_close (&loop), ==, 0);
+  close (listener);
+  g_free (body);
+  g_free (head);
+  g_free (expected);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -219,5 +302,6 @@
       g_test_add_data_func (path, GSIZE_TO_POINTER (i), test_case);
       g_free (path);
     }
+  g_test_add_func ("/client/short-of-memory", test_short_of_memory);
   return g_test_run ();
 }
