--- a/Makefile
+++ b/Makefile
@@ -130,6 +130,7 @@
 # The sidecar: event loop and platform adapter, without the blocking path.
 SIDECAR_SRC = source/sidecar/main.c source/sidecar/control.c \
   source/sidecar/endpoints.c source/sidecar/operator-rows.c \
+  source/sidecar/rows-exchange.c source/sidecar/rows-reader.c \
   source/sidecar/startup.c source/sidecar/moves.c source/sidecar/resume.c \
   source/sidecar/evidence.c source/sidecar/move-owner.c \
   source/sidecar/crash-rows.c \
--- a/source/sidecar/control.h
+++ b/source/sidecar/control.h
@@ -132,30 +132,33 @@
                                      const char *why);
 
 /* operator-rows.c */
-void rows_tick (control_t *control, cs_usec_t now);
+/* Find out whether requests with a key may be served, and log a change.  */
+void rows_check_keys (control_t *control, cs_usec_t now);
+
+/* rows-exchange.c */
 /* Handle CS_FRAME_ROW and CS_FRAME_ROWS_FRESHNESS, the heartbeat of a node
    that reads the table.  FROM is the node that sent the frame; a malformed
    frame sets IN->failed.  */
 void rows_handle_row (control_t *control, const char *from,
                       cs_unpack_cursor_t *in);
-/* Handle CS_FRAME_ROWS_COMPLETE: remove the rows that are no more.  */
-void rows_handle_complete (control_t *control, cs_unpack_cursor_t *in);
 void rows_handle_freshness (control_t *control, const char *from,
                             cs_unpack_cursor_t *in);
-/* Find out whether requests with a key may be served, and log a change.  */
-void rows_check_keys (control_t *control, cs_usec_t now);
+/* Handle CS_FRAME_ROWS_COMPLETE: remove the rows that are no more.  */
+void rows_handle_complete (control_t *control, cs_unpack_cursor_t *in);
 /* Send all operator rows to NODE, which has requested them.  */
 void rows_send_all (control_t *control, const char *node);
+/* Request the operator rows from NODE, unless the last request was sent less
+   than a minimum interval ago.  */
+void rows_request (control_t *control, const char *node);
+
+/* rows-reader.c */
+void rows_tick (control_t *control, cs_usec_t now);
 /* The rank of this node, by name, among the reachable nodes of its region that
    are not stopping; with INCLUDE_UNREACHABLE, among all known ones.  Rank 0
    reads the table.  */
 unsigned rows_reader_rank (const control_t *control, bool include_unreachable);
 /* Set TABLE_UP from the STATUS of a call of the table, and log a change.  */
 void control_note_table (control_t *control, cs_status_t status);
-
-/* Request the operator rows from NODE, unless the last request was sent less
-   than a minimum interval ago.  */
-void rows_request (control_t *control, const char *node);
 /* Delay the next call of the table after one that failed.  */
 void rows_back_off (control_t *control);
 /* A cs_table_callback_t for a read of CS_KEYSPACE_OPERATOR.  */
--- /dev/null
+++ b/source/sidecar/rows-exchange.c
@@ -0,0 +1,313 @@
+/* Operator rows between nodes: deltas, heartbeats, and requests for what is
+   missing.  */
+#include <string.h>
+
+#include "cardamom/delta.h"
+#include "rows-internal.h"
+
+/* Shortest time between two requests for rows to other nodes.  */
+#define REQUEST_INTERVAL (150 * CS_MSEC)
+/* A node whose own last read is older counts as cut off from the table.  */
+#define OWN_READ_AGE_MAX (1500 * CS_MSEC)
+/* A heartbeat is ignored when it reports that its sender's rows were last up
+   to date longer ago.  */
+#define REPORTED_ROWS_AGE_MAX (3600 * CS_SEC)
+
+const rows_audience_t rows_own_region, rows_whole_mesh = { .mesh = true };
+
+/* The reachable node of each other region that reads the table there: region
+   -> cs_node_info_t *, borrowed from the members.  */
+static GHashTable *
+other_readers (const control_t *control)
+{
+  GHashTableIter iter;
+  gpointer value;
+  GHashTable *readers = g_hash_table_new (g_str_hash, g_str_equal);
+  g_hash_table_iter_init (&iter, control->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const member_info_t *info = value;
+      const cs_node_info_t *member = &info->member;
+      const cs_node_info_t *first
+          = g_hash_table_lookup (readers, member->region);
+      if (info->reachable && !member->stopping
+          && strcmp (member->region, control->settings.region) != 0
+          && (!first || cs_node_reads_before (member, first)))
+        g_hash_table_replace (readers, (gpointer)member->region,
+                              (gpointer)member);
+    }
+  return readers;
+}
+
+static void
+send_to_mesh (control_t *control, cs_str_t payload)
+{
+  GHashTableIter iter;
+  gpointer value;
+  GHashTable *readers = other_readers (control);
+  cs_traffic_send_control (control->traffic, NULL, control->settings.region,
+                           payload);
+  g_hash_table_iter_init (&iter, readers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    cs_traffic_send_control (control->traffic,
+                             ((const cs_node_info_t *)value)->name, NULL,
+                             payload);
+  g_hash_table_unref (readers);
+}
+
+static void
+send_payload (control_t *control, rows_audience_t audience, cs_str_t payload)
+{
+  if (audience.mesh)
+    send_to_mesh (control, payload);
+  else
+    cs_traffic_send_control (control->traffic, audience.node,
+                             control->settings.region, payload);
+}
+
+void
+rows_send (control_t *control, const cs_table_row_t *row,
+           const cs_table_row_t *base, rows_audience_t audience)
+{
+  cs_pack_t pack;
+  bool has_base = base && base->value && row->value;
+  GString *delta
+      = row->value ? cs_delta_make (has_base ? cs_str_of_gstring (base->value)
+                                             : CS_STR (""),
+                                    cs_str_of_gstring (row->value))
+                   : NULL;
+  if (row->value && !delta)
+    {
+      cs_event_log (CS_E_CONFIG_BAD,
+                    "row=%s why=\"too large to send to other nodes\"",
+                    row->key);
+      return;
+    }
+  cs_pack_init (&pack);
+  cs_pack_array (&pack, 6);
+  cs_pack_int64 (&pack, CS_FRAME_ROW);
+  cs_pack_text (&pack, row->key);
+  cs_pack_int64 (&pack, row->revision);
+  cs_pack_int64 (&pack, row->value != NULL);
+  cs_pack_int64 (&pack, has_base ? base->revision : 0);
+  cs_pack_bytes (&pack, delta ? cs_str_of_gstring (delta) : CS_STR (""));
+  send_payload (control, audience, cs_pack_payload (&pack));
+  cs_pack_clear (&pack);
+  if (delta)
+    g_string_free (delta, TRUE);
+}
+
+/* The sum of the revisions of all operator rows that exist, by which two nodes
+   compare the rows that they hold.  */
+static int64_t
+rows_digest (const control_t *control)
+{
+  GHashTableIter iter;
+  gpointer row;
+  int64_t digest = 0;
+  g_hash_table_iter_init (&iter, control->operator_rows);
+  while (g_hash_table_iter_next (&iter, NULL, &row))
+    if (((const cs_table_row_t *)row)->value)
+      digest += ((const cs_table_row_t *)row)->revision;
+  return digest;
+}
+
+void
+rows_send_heartbeat (control_t *control, rows_audience_t audience,
+                     cs_usec_t now)
+{
+  cs_pack_t pack;
+  cs_pack_init (&pack);
+  cs_pack_array (&pack, 7);
+  cs_pack_int64 (&pack, CS_FRAME_ROWS_FRESHNESS);
+  cs_pack_int64 (&pack, control->rows_revision);
+  cs_pack_int64 (&pack, rows_digest (control));
+  cs_pack_int64 (&pack, now - control->rows_fresh_at);
+  cs_pack_int64 (&pack, now - control->own_read_at < OWN_READ_AGE_MAX);
+  cs_pack_int64 (&pack, now - atomic_load (&control->keys_fresh_at));
+  cs_pack_int64 (&pack, now);
+  send_payload (control, audience, cs_pack_payload (&pack));
+  cs_pack_clear (&pack);
+}
+
+/* Tell NODE the names of all rows of this node, which it has been sent.  */
+static void
+send_row_names (control_t *control, const char *node)
+{
+  GHashTableIter iter;
+  gpointer value;
+  cs_pack_t pack;
+  unsigned count = 0;
+  g_hash_table_iter_init (&iter, control->operator_rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += ((const cs_table_row_t *)value)->value != NULL;
+  cs_pack_init (&pack);
+  cs_pack_array (&pack, 2 + count);
+  cs_pack_int64 (&pack, CS_FRAME_ROWS_COMPLETE);
+  cs_pack_int64 (&pack, control->rows_revision);
+  g_hash_table_iter_init (&iter, control->operator_rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const cs_table_row_t *)value)->value)
+      cs_pack_text (&pack, ((const cs_table_row_t *)value)->key);
+  cs_traffic_send_control (control->traffic, node, NULL,
+                           cs_pack_payload (&pack));
+  cs_pack_clear (&pack);
+}
+
+void
+rows_handle_complete (control_t *control, cs_unpack_cursor_t *in)
+{
+  int64_t revision = cs_unpack_int64 (in);
+  GHashTable *names
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  while (in->remaining && !in->failed)
+    g_hash_table_add (names, cs_unpack_text (in));
+  if (!in->failed)
+    rows_remove_missing (control, names, revision);
+  g_hash_table_unref (names);
+}
+
+void
+rows_send_all (control_t *control, const char *node)
+{
+  GHashTableIter iter;
+  gpointer row;
+  if (!control->rows_revision)
+    return;
+  g_hash_table_iter_init (&iter, control->operator_rows);
+  while (g_hash_table_iter_next (&iter, NULL, &row))
+    rows_send (control, row, NULL, (rows_audience_t){ .node = node });
+  send_row_names (control, node);
+  rows_send_heartbeat (control, (rows_audience_t){ .node = node },
+                       control_now (control));
+}
+
+void
+rows_request (control_t *control, const char *node)
+{
+  cs_pack_t pack;
+  cs_usec_t now = control_now (control);
+  if (now - control->rows_requested_at < REQUEST_INTERVAL)
+    return;
+  control->rows_requested_at = now;
+  cs_pack_init (&pack);
+  cs_pack_array (&pack, 1);
+  cs_pack_int64 (&pack, CS_FRAME_ROWS_REQUEST);
+  cs_traffic_send_control (control->traffic, node, NULL,
+                           cs_pack_payload (&pack));
+  cs_pack_clear (&pack);
+}
+
+/* Apply DELTA to the row KEY at revision BASE (0: to an empty value).  NULL
+   when this node does not hold that revision, or DELTA is malformed.  */
+static GString *
+value_from_delta (control_t *control, const char *key, int64_t base,
+                  cs_str_t delta)
+{
+  const cs_table_row_t *stored
+      = g_hash_table_lookup (control->operator_rows, key);
+  GString *value;
+  if (base && (!stored || !stored->value || stored->revision != base))
+    return NULL;
+  cs_str_t before = base ? cs_str_of_gstring (stored->value) : CS_STR ("");
+  return cs_delta_apply (control->ctx, before, delta, &value) == CS_OK ? value
+                                                                       : NULL;
+}
+
+/* Whether the node NAME is in another region.  */
+static bool
+is_elsewhere (const control_t *control, const char *name)
+{
+  const member_info_t *info = g_hash_table_lookup (control->members, name);
+  return info && strcmp (info->member.region, control->settings.region) != 0;
+}
+
+void
+rows_handle_row (control_t *control, const char *from, cs_unpack_cursor_t *in)
+{
+  cs_table_row_t *row = g_new0 (cs_table_row_t, 1);
+  row->keyspace = CS_KEYSPACE_OPERATOR;
+  row->key = cs_unpack_text (in);
+  row->revision = cs_unpack_int64 (in);
+  bool exists = cs_unpack_int64 (in) != 0;
+  int64_t base = cs_unpack_int64 (in);
+  cs_str_t delta = cs_unpack_str (in);
+  const cs_table_row_t *stored
+      = g_hash_table_lookup (control->operator_rows, row->key);
+  bool is_newer = !in->failed && (!stored || stored->revision < row->revision);
+  if (is_newer && exists)
+    row->value = value_from_delta (control, row->key, base, delta);
+  if (is_newer && (row->value || !exists))
+    {
+      if (is_elsewhere (control, from))
+        rows_send (control, row, stored, rows_own_region);
+      rows_apply (control, row);
+      return;
+    }
+  if (is_newer)
+    rows_request (control, from);
+  cs_table_row_free (row);
+}
+
+/* How much longer than the fastest one a heartbeat took that the process of
+   SENDER sent at SENT_AT, by its clock.  */
+static cs_usec_t
+heartbeat_delay (control_t *control, const cs_node_info_t *sender,
+                 cs_usec_t sent_at)
+{
+  heartbeat_path_t *known
+      = g_hash_table_lookup (control->heartbeat_paths, sender->name);
+  if (!known)
+    {
+      known = g_new0 (heartbeat_path_t, 1);
+      g_hash_table_insert (control->heartbeat_paths, g_strdup (sender->name),
+                           known);
+    }
+  if (known->boot_ms != sender->boot_ms)
+    *known = (heartbeat_path_t){ .boot_ms = sender->boot_ms };
+  return cs_transit_path_delay (&known->path, sent_at, control_now (control));
+}
+
+void
+rows_handle_freshness (control_t *control, const char *from,
+                       cs_unpack_cursor_t *in)
+{
+  int64_t revision = cs_unpack_int64 (in);
+  int64_t digest = cs_unpack_int64 (in);
+  cs_usec_t age = cs_unpack_int64 (in);
+  bool reads_table = cs_unpack_int64 (in) != 0;
+  /* Earlier releases do not send them.  */
+  bool names_keys = in->remaining >= 2;
+  cs_usec_t keys_age = names_keys ? cs_unpack_int64 (in) : 0;
+  cs_usec_t sent_at = names_keys ? cs_unpack_int64 (in) : 0;
+  if (in->failed || age < 0 || age > REPORTED_ROWS_AGE_MAX)
+    return;
+  const member_info_t *reader = g_hash_table_lookup (control->members, from);
+  cs_node_info_t self = rows_own_info (control);
+  bool elsewhere = is_elsewhere (control, from);
+  if (!elsewhere)
+    control->heartbeat_received_at = control_now (control);
+  if (reads_table && reader && !elsewhere
+      && cs_node_reads_before (&reader->member, &self))
+    control->acting_reader = false;
+  if ((!control->rows_revision || revision > control->rows_revision)
+      && digest != rows_digest (control))
+    {
+      /* FROM sent a row to the region before its connection to this node was
+         open, so that the row is missing here.  */
+      rows_request (control, from);
+      return;
+    }
+  if (!control->rows_revision && !control->snapshot)
+    return;
+  bool has_advanced = revision > control->rows_revision;
+  control->rows_revision = MAX (control->rows_revision, revision);
+  control->rows_fresh_at
+      = MAX (control->rows_fresh_at, control_now (control) - age);
+  if (names_keys && reader)
+    rows_note_keys_fresh (
+        control, control_now (control) - MAX (keys_age, 0)
+                     - heartbeat_delay (control, &reader->member, sent_at));
+  if (has_advanced && elsewhere)
+    rows_send_heartbeat (control, rows_own_region, control_now (control));
+}
--- /dev/null
+++ b/source/sidecar/rows-internal.h
@@ -0,0 +1,44 @@
+/* The operator rows: what the files that hold, exchange and read them share.
+ */
+#ifndef SIDECAR_ROWS_INTERNAL_H
+#define SIDECAR_ROWS_INTERNAL_H
+
+#include "control.h"
+
+/* Who is sent a row or a heartbeat: NODE, or with NODE NULL all nodes of the
+   region, or with MESH also the reader of each other region, which passes it
+   on there.  */
+typedef struct
+{
+  const char *node;
+  bool mesh;
+} rows_audience_t;
+
+extern const rows_audience_t rows_own_region, rows_whole_mesh;
+
+/* operator-rows.c */
+/* Store ROW and apply it, unless it is no newer than the stored one.  Takes
+   ownership of ROW.  */
+void rows_apply (control_t *control, cs_table_row_t *row);
+/* Remove the rows that are no newer than REVISION and are not IN_TABLE, a set
+   of the keys of all rows at that revision: the change that removed them was
+   missed.  */
+void rows_remove_missing (control_t *control, GHashTable *in_table,
+                          int64_t revision);
+/* OPERATOR_ROWS hold all that was acknowledged before FRESH_AT.  */
+void rows_note_keys_fresh (control_t *control, cs_usec_t fresh_at);
+
+/* rows-exchange.c */
+/* Send ROW as a delta from BASE, the row's previous value; with BASE NULL the
+   delta is from an empty value.  */
+void rows_send (control_t *control, const cs_table_row_t *row,
+                const cs_table_row_t *base, rows_audience_t audience);
+/* Report how up to date the rows of this node are.  */
+void rows_send_heartbeat (control_t *control, rows_audience_t audience,
+                          cs_usec_t now);
+
+/* rows-reader.c */
+/* What of this node decides whether it is asked to read the table.  */
+cs_node_info_t rows_own_info (const control_t *control);
+
+#endif
