--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 ALL_SRC = $(LIB_SRC) $(SIDECAR_OWN) $(NODE_SRC) $(CTL_SRC) $(STANDIN_SRC) \
   $(TEST_SRC) $(BENCH_SRC) $(SOAK_SRC)
 HEADERS = $(wildcard include/cardamom/*.h source/*/*.h platform/*.h tests/*.h \
-  tests/soak/*.h)
+  tests/soak/*.h tests/standins/*.h)
 
 obj = $(patsubst %.c,$(OUT)/%.o,$(1))
 LIB = $(OUT)/libcardamom.a
--- a/tests/standins/standin-endless.c
+++ b/tests/standins/standin-endless.c
@@ -17,12 +17,10 @@
    with "/slow" as well, 1 KB each 50 ms.  Any other one gets a short answer,
    or one of 200 KB if its target contains "/large".  */
 #include <glib.h>
-#include <signal.h>
 #include <stdbool.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
-#include <uv.h>
+
+#include "listener.h"
 
 #define SLOW_BYTES 1024
 #define SLOW_INTERVAL_MS 50
@@ -184,22 +182,10 @@
 int
 main (int argc, char **argv)
 {
-  struct sockaddr_in address;
-  uv_tcp_t listener;
   if (argc != 2)
     {
       fprintf (stderr, "usage: standin-endless PORT\n");
       return 2;
     }
-  signal (SIGPIPE, SIG_IGN);
-  uv_loop_init (&loop);
-  uv_ip4_addr ("127.0.0.1", atoi (argv[1]), &address);
-  uv_tcp_init (&loop, &listener);
-  if (uv_tcp_bind (&listener, (const struct sockaddr *)&address, 0) != 0
-      || uv_listen ((uv_stream_t *)&listener, 64, on_connection) != 0)
-    {
-      fprintf (stderr, "standin-endless: cannot listen on port %s\n", argv[1]);
-      return 1;
-    }
-  return uv_run (&loop, UV_RUN_DEFAULT);
+  return listener_run (&loop, argv[0], argv[1], on_connection);
 }
--- a/tests/standins/standin-link.c
+++ b/tests/standins/standin-link.c
@@ -2,13 +2,11 @@
    loopback, on each of which answers pass at a limited rate.
 
      standin-link PORT TO BYTES_PER_S  */
-#include <signal.h>
-#include <stdio.h>
-#include <stdlib.h>
-#include <uv.h>
 
 #include <glib.h>
 
+#include "listener.h"
+
 /* Answers pass in pieces, one each interval.  */
 #define INTERVAL_MS 20
 #define PIECE_MAX 65536
@@ -143,24 +141,12 @@
 int
 main (int argc, char **argv)
 {
-  struct sockaddr_in address;
-  uv_tcp_t listener;
   if (argc != 4)
     {
       fprintf (stderr, "usage: standin-link PORT TO BYTES_PER_S\n");
       return 2;
     }
-  signal (SIGPIPE, SIG_IGN);
-  uv_loop_init (&loop);
-  uv_ip4_addr ("127.0.0.1", atoi (argv[1]), &address);
   uv_ip4_addr ("127.0.0.1", atoi (argv[2]), &target);
   answer_piece = (size_t)atoi (argv[3]) * INTERVAL_MS / 1000;
-  uv_tcp_init (&loop, &listener);
-  if (uv_tcp_bind (&listener, (const struct sockaddr *)&address, 0) != 0
-      || uv_listen ((uv_stream_t *)&listener, 64, on_connection) != 0)
-    {
-      fprintf (stderr, "standin-link: cannot listen on port %s\n", argv[1]);
-      return 1;
-    }
-  return uv_run (&loop, UV_RUN_DEFAULT);
+  return listener_run (&loop, argv[0], argv[1], on_connection);
 }
