--- a/tests/sidecar-storm.t
+++ b/tests/sidecar-storm.t
@@ -7,7 +7,7 @@
 . "$(dirname "$0")/tap.sh"
 dir=$(mktemp -d)
 pids=()
-base=26400
+base=29400
 . "$(dirname "$0")/sidecar.sh"
 cleanup () { for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null; done; wait 2>/dev/null; rm -rf "$dir"; }
 trap cleanup EXIT
