--- a/include/cardamom/client.h
+++ b/include/cardamom/client.h
@@ -33,7 +33,8 @@
 
 /* The memory that several clients share for bodies of answers that are still
    being received, in bytes.  Short of it, small answers and the largest one
-   are read, so that this one ends or reaches its limit; the others wait.  */
+   are read, so that this one ends or reaches its limit; the others wait.  The
+   largest may fail, with its client's FAILED, while another one is read.  */
 typedef struct
 {
   int64_t max_per_answer; /* Limit for one body.  */
