--- a/source/sidecar/rows-reader.c
+++ b/source/sidecar/rows-reader.c
@@ -94,8 +94,8 @@
   row->value = redacted;
 }
 
-/* Handle the result of a read of all rows or, with FORWARD, of a watch, whose
-   rows are sent to the region.  */
+/* Handle the result of a call that reads operator rows.  With FORWARD, new
+   ones are sent to the mesh.  */
 static void
 handle_rows (control_t *control, cs_status_t status, GPtrArray *rows,
              int64_t revision, bool forward)
