--- a/include/cardamom/counters.h
+++ b/include/cardamom/counters.h
@@ -65,6 +65,8 @@
      "Configuration versions refused by this node.")                          \
   X (CONFIG_STALE, "cardamom_config_stale_total",                             \
      "Configuration frames at or below the version in force.")                \
+  X (ROWS_OLD, "cardamom_rows_old_total",                                     \
+     "Rows kept out because the node holds a newer one.")                     \
   X (STORE_READS, "cardamom_store_reads_total",                               \
      "Requests that read from the platform.")                                 \
   X (STORE_BYTES_IN, "cardamom_store_bytes_in_total",                         \
--- a/include/cardamom/event.h
+++ b/include/cardamom/event.h
@@ -16,6 +16,8 @@
   X (CONFIG, "config", 20, "A configuration version is in force.")            \
   X (CONFIG_BAD, "config-refused", 5, "A row was kept out.")                  \
   X (STORE, "store", 10, "The platform's table was lost or regained.")        \
+  X (ROW_OLD, "row-old", 5,                                                   \
+     "A row was kept out, for the node holds a newer one.")                   \
   X (STORE_CALL, "store-call", 10,                                            \
      "A read of the platform's table failed, or brought rows.")               \
   X (READER, "reader", 10, "Who reads the table for this node.")              \
@@ -24,6 +26,8 @@
   X (SERVER, "server", 20, "The backend server beside the node changed.")     \
   X (REPORT, "report", 5, "A status report was kept out.")                    \
   X (REFUSED, "refused", 10, "A request ended unserved, and has not run.")    \
+  X (NO_ROUTE, "no-route", 5,                                                 \
+     "The configuration in force has no route for a request.")                \
   X (FAILED, "failed", 10, "A request ended in failure.")                     \
   X (REPEATED, "repeated", 10, "A request was sent once more.")               \
   X (UNANSWERED, "unanswered", 40,                                            \
--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -39,6 +39,8 @@
 #define RETRY_AFTER_MIN (40 * CS_MSEC)
 #define RETRY_AFTER_MAX (2 * CS_SEC)
 #define RETRY_AFTER_PER_PRIORITY (30 * CS_MSEC) /* Per priority number.  */
+/* Bytes of a field of a request that one log line holds.  */
+#define LOGGED_TEXT_MAX ((size_t)200)
 
 static void
 drop_failed_answer (failed_answer_t *answer)
@@ -140,14 +142,14 @@
   cs_usec_t held = traffic_now (call->traffic) - call->arrived_at;
   unsigned status = refusal_status (call);
   cs_counter_add (CS_C_CALLS_NOT_RUN, 1);
-  cs_event_log (CS_E_REFUSED,
-                "id=%.*s route=%s service=%s workspace=%s reason=%s tried=%u "
-                "held_ms=%.1f retry_after_ms=%.0f",
-                (int)call->attempt_id.len, call->attempt_id.data,
-                call->route->path, call->service,
-                call->workspace ? call->workspace->name : "-",
-                cs_refusal_reason_name (call->refusal_reason),
-                call->tried_count, (double)held / 1e3, (double)after / 1e3);
+  cs_event_log (
+      CS_E_REFUSED,
+      "id=%.*s route=%s service=%s workspace=%s reason=%s tried=%u "
+      "held_ms=%.1f retry_after_ms=%.0f config=%" G_GINT64_FORMAT,
+      (int)call->attempt_id.len, call->attempt_id.data, call->route->path,
+      call->service, call->workspace ? call->workspace->name : "-",
+      cs_refusal_reason_name (call->refusal_reason), call->tried_count,
+      (double)held / 1e3, (double)after / 1e3, call->snapshot->version);
   refuse_exchange (call->exchange, status, status == 401 ? 0 : after);
   free_call (call);
 }
@@ -182,14 +184,15 @@
     }
   call->may_have_run = true;
   cs_counter_add (CS_C_CALLS_UNKNOWN, 1);
-  cs_event_log (
-      CS_E_FAILED,
-      "id=%.*s route=%s service=%s status=%u why=\"%s\" node=%s "
-      "arrivals=%u held_ms=%.1f",
-      (int)call->attempt_id.len, call->attempt_id.data, call->route->path,
-      call->service, status, why, call->peer ? call->peer->info.name : "-",
-      call->server_attempts,
-      (double)(traffic_now (call->traffic) - call->arrived_at) / 1e3);
+  cs_event_log (CS_E_FAILED,
+                "id=%.*s route=%s service=%s status=%u why=\"%s\" node=%s "
+                "arrivals=%u held_ms=%.1f config=%" G_GINT64_FORMAT,
+                (int)call->attempt_id.len, call->attempt_id.data,
+                call->route->path, call->service, status, why,
+                call->peer ? call->peer->info.name : "-",
+                call->server_attempts,
+                (double)(traffic_now (call->traffic) - call->arrived_at) / 1e3,
+                call->snapshot->version);
   refuse_exchange (call->exchange, status, 0);
   free_call (call);
 }
@@ -705,6 +708,24 @@
     dispatch_call (call);
 }
 
+/* Answer a request that SNAPSHOT has no route for.  */
+static void
+refuse_without_route (cs_exchange_t *exchange, const cs_snapshot_t *snapshot)
+{
+  const cs_http1_message_t *request = &exchange->request;
+  cs_str_t id = cs_http1_message_field (request, cs_header_names->attempt_id);
+  cs_str_t host = cs_http1_message_field (request, "host");
+  cs_counter_add (CS_C_NO_ROUTE, 1);
+  cs_event_log (CS_E_NO_ROUTE,
+                "id=%.*s host=\"%.*s\" path=\"%.*s\" "
+                "config=%" G_GINT64_FORMAT,
+                (int)MIN (id.len, LOGGED_TEXT_MAX), id.data,
+                (int)MIN (host.len, LOGGED_TEXT_MAX), host.data,
+                (int)MIN (request->request_target.len, LOGGED_TEXT_MAX),
+                request->request_target.data, snapshot->version);
+  refuse_exchange (exchange, 404, 0);
+}
+
 void
 calls_request_received (void *user, cs_exchange_t *exchange)
 {
@@ -720,8 +741,7 @@
   const cs_route_t *route = call_find_route (snapshot, request);
   if (!route)
     {
-      cs_counter_add (CS_C_NO_ROUTE, 1);
-      refuse_exchange (exchange, 404, 0);
+      refuse_without_route (exchange, snapshot);
       cs_snapshot_drop (traffic->ctx, snapshot);
       return;
     }
--- a/source/sidecar/operator-rows.c
+++ b/source/sidecar/operator-rows.c
@@ -100,6 +100,15 @@
                             (char **)g_ptr_array_free (dcs, FALSE));
 }
 
+static void
+note_old_row (const cs_table_row_t *stored, const cs_table_row_t *row)
+{
+  cs_counter_add (CS_C_ROWS_OLD, 1);
+  cs_event_log (CS_E_ROW_OLD,
+                "row=%s revision=%" G_GINT64_FORMAT " held=%" G_GINT64_FORMAT,
+                row->key, row->revision, stored->revision);
+}
+
 void
 rows_apply (control_t *control, cs_table_row_t *row)
 {
@@ -107,6 +116,8 @@
       = g_hash_table_lookup (control->operator_rows, row->key);
   if (stored && stored->revision >= row->revision)
     {
+      if (stored->revision > row->revision)
+        note_old_row (stored, row);
       cs_table_row_free (row);
       return;
     }
