Reproduce CONFIG: the table comes back from an older copy

What callers saw: a route of a confirmed configuration was answered 404, for good, at nodes of both regions. The stand-in table learns the drill: it is away for a moment, comes back as it was some transactions before, gives its versions out again, answers 410 to a watch from a version that it doesn't have and names its era in each answer.

--- a/tests/standins/standin-rows.c
+++ b/tests/standins/standin-rows.c
@@ -2,9 +2,13 @@
    rows, with its transactions, reads and long polls for changes, and backend
    servers.
 
-     standin-rows --port=P [--servers=P1:NAME,P2:NAME]
+     standin-rows --port=P [--servers=P1:NAME,P2:NAME] [--no-era]
 
-   The table of rows is served on port P and checks no permissions.  Each
+   The table of rows is served on port P and checks no permissions.  Its
+   answers name an era unless --no-era is given.  GET /standin/drill?back=N&
+   away_ms=M has it refuse all calls for M ms and come back, in the next era,
+   as it was N transactions before.  GET /standin/calls answers with the number
+   of calls of the table since the last such request.  Each
    server answers 200 with its NAME, GET /count with the number of requests it
    ran, and GET /health with NAME as its instance, the first letter replaced by
    "i".  */
@@ -37,13 +41,22 @@
 static GPtrArray *rows, *long_polls;
 static GPtrArray *changes; /* row_t *: each version of each row, in order.  */
 static json_int_t newest_version; /* How many transactions were applied.  */
+static bool names_era = true;
+static int era = 1;
+static bool away; /* All calls are refused.  */
+static unsigned calls;
 
 static void
 answer_json (cs_exchange_t *exchange, unsigned status, json_t *body)
 {
   char *text = json_dumps (body, JSON_COMPACT);
-  cs_exchange_answer (exchange, status, "Content-Type: application/json\r\n",
-                      cs_str_of (text), false);
+  char *era_field
+      = names_era ? g_strdup_printf ("Store-Era: %d\r\n", era) : NULL;
+  char *fields
+      = g_strconcat ("Content-Type: application/json\r\n", era_field, NULL);
+  cs_exchange_answer (exchange, status, fields, cs_str_of (text), false);
+  g_free (fields);
+  g_free (era_field);
   free (text);
   json_decref (body);
 }
@@ -120,7 +133,9 @@
 static void
 end_long_poll (long_poll_t *long_poll)
 {
-  if (long_poll->exchange)
+  if (long_poll->exchange && away)
+    answer_json (long_poll->exchange, 503, json_object ());
+  else if (long_poll->exchange)
     answer_json (long_poll->exchange, 200,
                  rows_to_json (changes, long_poll->table,
                                long_poll->after_version, true));
@@ -146,6 +161,65 @@
     }
 }
 
+static void
+on_return (uv_timer_t *timer)
+{
+  away = false;
+  era++;
+  uv_close ((uv_handle_t *)timer, (uv_close_cb)g_free);
+}
+
+/* Undo all transactions after VERSION.  */
+static void
+go_back_to (json_int_t version)
+{
+  newest_version = version;
+  while (changes->len
+         && ((row_t *)changes->pdata[changes->len - 1])->version > version)
+    g_ptr_array_set_size (changes, (gint)changes->len - 1);
+  for (guint i = 0; i < rows->len; i++)
+    {
+      row_t *row = rows->pdata[i];
+      g_clear_pointer (&row->value, g_free);
+      row->version = 0;
+    }
+  for (guint i = 0; i < changes->len; i++)
+    {
+      const row_t *change = changes->pdata[i];
+      row_t *row = find_row (change->table, change->key);
+      g_free (row->value);
+      row->value = g_strdup (change->value);
+      row->version = change->version;
+    }
+}
+
+static void
+handle_drill (cs_exchange_t *exchange)
+{
+  cs_str_t target = exchange->request.request_target;
+  char *back = query_parameter (target, "back"),
+       *away_ms = query_parameter (target, "away_ms");
+  uv_timer_t *timer = g_new0 (uv_timer_t, 1);
+  away = true;
+  while (long_polls->len)
+    end_long_poll (long_polls->pdata[0]);
+  go_back_to (MAX (newest_version - atoll (back), 0));
+  uv_timer_init (&loop, timer);
+  uv_timer_start (timer, on_return, (uint64_t)atoi (away_ms), 0);
+  cs_exchange_answer (exchange, 200, NULL, CS_STR (""), false);
+  g_free (back);
+  g_free (away_ms);
+}
+
+static void
+handle_call_count (cs_exchange_t *exchange)
+{
+  char *text = g_strdup_printf ("%u\n", calls);
+  cs_exchange_answer (exchange, 200, NULL, cs_str_of (text), false);
+  g_free (text);
+  calls = 0;
+}
+
 /* Answer with the changes after the requested version, at once if there are
    some, else when there are or when the requested time has passed.  */
 static void
@@ -154,6 +228,13 @@
   cs_str_t target = exchange->request.request_target;
   char *after_version = query_parameter (target, "after"),
        *wait_ms = query_parameter (target, "waitMs");
+  if (atoll (after_version) > newest_version)
+    {
+      answer_json (exchange, 410, json_object ());
+      g_free (after_version);
+      g_free (wait_ms);
+      return;
+    }
   long_poll_t *long_poll = g_new0 (long_poll_t, 1);
   long_poll->exchange = exchange;
   long_poll->table = query_parameter (target, "table");
@@ -251,7 +332,14 @@
 {
   cs_str_t target = exchange->request.request_target;
   (void)user;
-  if (cs_str_has_prefix (target, CS_STR ("/api/rows-tx")))
+  calls += cs_str_has_prefix (target, CS_STR ("/api/"));
+  if (cs_str_has_prefix (target, CS_STR ("/standin/drill")))
+    handle_drill (exchange);
+  else if (cs_str_has_prefix (target, CS_STR ("/standin/calls")))
+    handle_call_count (exchange);
+  else if (away)
+    answer_json (exchange, 503, json_object ());
+  else if (cs_str_has_prefix (target, CS_STR ("/api/rows-tx")))
     handle_transaction (exchange);
   else if (cs_str_has_prefix (target, CS_STR ("/api/rows-feed")))
     handle_feed (exchange);
@@ -348,6 +436,8 @@
   for (int i = 1; i < argc; i++)
     if (g_str_has_prefix (argv[i], "--port="))
       start_server (argv[i] + strlen ("--port="), &table_handler, NULL);
+    else if (strcmp (argv[i], "--no-era") == 0)
+      names_era = false;
     else if (g_str_has_prefix (argv[i], "--servers="))
       for (char **server_argument
            = g_strsplit (argv[i] + strlen ("--servers="), ",", -1);
