The stand-in's drill goes back to a named state

Nodes write rows of their own after a drill, so that a number of transactions to go back no longer names what the test means. GET /standin/version and /standin/drill?to=N replace back=N.

--- a/tests/sidecar-drill.t
+++ b/tests/sidecar-drill.t
@@ -47,7 +47,10 @@
   fi
 }
 evacuated_at () { curl -s "http://127.0.0.1:$(port "$1" 5)/metrics" | grep -q "^cardamom_evacuated_data_centres $2\$"; }
-drill () { curl -s -o /dev/null "http://$table/standin/drill?back=$1&away_ms=$2"; }
+# mark: remember the present state of the table; drill AWAY_MS: it is away and
+# comes back as it was then.
+mark () { marked=$(curl -s "http://$table/standin/version"); }
+drill () { curl -s -o /dev/null "http://$table/standin/drill?to=$marked&away_ms=$1"; }
 # back: wait until the table is there again.
 back () { until_ok curl -s -f "http://$table/api/rows-get?table=op&part="; }
 # status NODE VERSION: of a request on the route that VERSION added.
@@ -85,15 +88,18 @@
 put_config 1
 for n in 1 2 3 4; do start_in_region $n 1; done
 for n in 1 2 3 4; do until_ok is_ready $n; done
-for v in 2 3 4 5; do put_config $v; done
+put_config 2
+mark
+for v in 3 4 5; do put_config $v; done
 ok "five configurations are in force" in_force "1 2 3 4" 5
 
 watch_for_404 5
-drill 3 700
+drill 700
 sleep 0.2
 start_in_region 5 0
 back
 sleep 1
+mark
 put_config 5
 put_config 6
 ok "after the table came back older: a new configuration is in force" in_force "1 2 3 4" 6
@@ -103,17 +109,18 @@
 ok "nor does one that started then" serves 5 5
 ok "and it has the new one" in_force 5 6
 
-drill 4 300
+drill 300
 back
-drill 1 300
+drill 300
 back
 sleep 1
 put_config 6
+mark
 put_config 7
 ok "after two more in a row: a new configuration is in force" in_force "1 2 3 4 5" 7
 
 for n in 1 2 3 4; do kill -KILL "${node_pids[$n]}"; wait "${node_pids[$n]}" 2>/dev/null; done
-drill 2 100
+drill 100
 back
 for n in 1 2 3 4; do start_in_region $n 0; done
 for n in 1 2 3 4; do until_ok is_ready $n; done
@@ -122,16 +129,18 @@
 ok "also in another region" until_ok serves 3 7
 
 put_config 7
+mark
 evacuate x
 ok "an evacuation is known" until_ok evacuated_at 3 1
-drill 1 200
+drill 200
 back
 sleep 1
 ok "one that the copy lacks holds until it may have been written again" evacuated_at 3 1
+mark
 evacuate x
 sleep 2
 ok "and on, if it was" evacuated_at 3 1
-drill 1 200
+drill 200
 back
 ok "it ends if it was not" until_ok evacuated_at 3 0
 ok "at all nodes" until_ok evacuated_at 2 0
--- a/tests/standins/standin-rows.c
+++ b/tests/standins/standin-rows.c
@@ -5,13 +5,13 @@
      standin-rows --port=P [--servers=P1:NAME,P2:NAME] [--no-era]
 
    The table of rows is served on port P and checks no permissions.  Its
-   answers name an era unless --no-era is given.  GET /standin/drill?back=N&
-   away_ms=M has it refuse all calls for M ms and come back, in the next era,
-   as it was N transactions before.  GET /standin/calls answers with the number
-   of calls of the table since the last such request.  Each
-   server answers 200 with its NAME, GET /count with the number of requests it
-   ran, and GET /health with NAME as its instance, the first letter replaced by
-   "i".  */
+   answers name an era unless --no-era is given.  GET /standin/version answers
+   with the number of transactions, and GET /standin/drill?to=N&away_ms=M has
+   it refuse all calls for M ms and come back, in the next era, as it was after
+   the Nth.  GET /standin/calls answers with the number of calls of the table
+   since the last such request.  Each server answers 200 with its NAME, GET
+   /count with the number of requests it ran, and GET /health with NAME as its
+   instance, the first letter replaced by "i".  */
 #include <jansson.h>
 #include <signal.h>
 #include <stdlib.h>
@@ -197,26 +197,32 @@
 handle_drill (cs_exchange_t *exchange)
 {
   cs_str_t target = exchange->request.request_target;
-  char *back = query_parameter (target, "back"),
+  char *to = query_parameter (target, "to"),
        *away_ms = query_parameter (target, "away_ms");
   uv_timer_t *timer = g_new0 (uv_timer_t, 1);
   away = true;
   while (long_polls->len)
     end_long_poll (long_polls->pdata[0]);
-  go_back_to (MAX (newest_version - atoll (back), 0));
+  go_back_to (MIN (newest_version, atoll (to)));
   uv_timer_init (&loop, timer);
   uv_timer_start (timer, on_return, (uint64_t)atoi (away_ms), 0);
   cs_exchange_answer (exchange, 200, NULL, CS_STR (""), false);
-  g_free (back);
+  g_free (to);
   g_free (away_ms);
 }
 
 static void
-handle_call_count (cs_exchange_t *exchange)
+answer_number (cs_exchange_t *exchange, json_int_t number)
 {
-  char *text = g_strdup_printf ("%u\n", calls);
+  char *text = g_strdup_printf ("%" JSON_INTEGER_FORMAT "\n", number);
   cs_exchange_answer (exchange, 200, NULL, cs_str_of (text), false);
   g_free (text);
+}
+
+static void
+handle_call_count (cs_exchange_t *exchange)
+{
+  answer_number (exchange, calls);
   calls = 0;
 }
 
@@ -335,6 +341,8 @@
   calls += cs_str_has_prefix (target, CS_STR ("/api/"));
   if (cs_str_has_prefix (target, CS_STR ("/standin/drill")))
     handle_drill (exchange);
+  else if (cs_str_has_prefix (target, CS_STR ("/standin/version")))
+    answer_number (exchange, newest_version);
   else if (cs_str_has_prefix (target, CS_STR ("/standin/calls")))
     handle_call_count (exchange);
   else if (away)
