CONFIG: a revision is a pair of the table's era and its version

What callers saw: a confirmed configuration that was not in force, a route that had been added answered 404, at nodes of both regions and for good.

Cause: rows were ordered by the table's version alone. A table that comes back from an older copy gives its versions out again; a configuration that the operator writes then under a version that nodes already hold was taken for an old one. A watch from a version that the copy doesn't have was refused, and the read that followed was neither believed nor forwarded. The class of the fault: an order by a number that its source may give out again.

Now a revision is a pair of era and version, compared in one place (cs_revision_compare), wherever rows are ordered, watched, resumed, compared between nodes or used as the base of a delta; frames carry both in the number that they had. Documents are ordered by their own version first, so that no node goes back to the copy's configuration and one that an operator writes after the drill is taken whatever its revision is. An answer of an earlier era changes nothing; pages of two eras are read again; a watch that is refused or of another era is replaced by a read whose rows are forwarded. Nodes compare a hash of keys and revisions beside the sum of revisions, which can be equal for different rows, and reconcile if it differs for a second at equal revisions. A document that is older than the held one is answered with the held one by the first nodes of the region.

--- a/Makefile
+++ b/Makefile
@@ -133,12 +133,13 @@
   source/sidecar/rows-exchange.c source/sidecar/rows-reader.c \
   source/sidecar/startup.c source/sidecar/moves.c source/sidecar/resume.c \
   source/sidecar/evidence.c source/sidecar/move-owner.c \
-  source/sidecar/crash-rows.c \
+  source/sidecar/crash-rows.c source/sidecar/table-era.c \
   source/sidecar/settings.c $(EVENT_SRC) $(wildcard platform/*.c) \
   source/kernel/str.c source/kernel/context.c source/kernel/clock.c \
   source/kernel/counters.c source/kernel/pack.c source/kernel/registry.c \
   source/kernel/memory-budget.c source/kernel/memory-claim.c \
   source/kernel/status.c source/kernel/event.c source/kernel/delta.c \
+  source/kernel/revision.c \
   source/member/records.c source/idempotency/quarantine.c \
   source/config/snapshot.c $(wildcard source/workspace/*.c) \
   source/config/document.c source/config/docs.c source/move/owner.c \
--- a/include/cardamom/counters.h
+++ b/include/cardamom/counters.h
@@ -67,6 +67,12 @@
      "Configuration frames at or below the version in force.")                \
   X (ROWS_OLD, "cardamom_rows_old_total",                                     \
      "Rows kept out because the node holds a newer one.")                     \
+  X (STORE_RESTORED, "cardamom_store_restored_total",                         \
+     "Times that the platform's table came back from an older copy.")         \
+  X (STORE_LATE, "cardamom_store_late_total",                                 \
+     "Answers dropped because they were of an earlier era of the table.")     \
+  X (STORE_ERA_BAD, "cardamom_store_era_bad_total",                           \
+     "Answers whose era was not a number.")                                   \
   X (STORE_READS, "cardamom_store_reads_total",                               \
      "Requests that read from the platform.")                                 \
   X (STORE_BYTES_IN, "cardamom_store_bytes_in_total",                         \
@@ -101,6 +107,8 @@
      "Large answers of other nodes' servers that waited for memory.")         \
   X (G_CONFIG_VERSION, "cardamom_config_version",                             \
      "Configuration version in force (gauge).")                               \
+  X (G_TABLE_ERA, "cardamom_table_era",                                       \
+     "Era of the platform's table as far as known (gauge).")                  \
   X (G_EVACUATED, "cardamom_evacuated_data_centres",                          \
      "Data centres that are evacuated as far as known (gauge).")              \
   X (G_KEYS_CLOSED, "cardamom_keys_closed",                                   \
--- a/source/sidecar/control.h
+++ b/source/sidecar/control.h
@@ -61,11 +61,24 @@
   GHashTable *members;  /* name -> member_info_t *.  */
   /* Rows of CS_KEYSPACE_OPERATOR, and who reads them.  */
   GHashTable *operator_rows; /* key -> cs_table_row_t *.  */
-  /* OPERATOR_ROWS has every change up to this revision; 0: not yet read.  */
-  int64_t rows_revision;
-  int64_t rows_watched_after; /* The revision that the last watch began at.  */
-  /* The table has more changes than a watch brings: read all rows.  */
+  /* OPERATOR_ROWS has every change up to this revision; { 0 }: not yet read.
+   */
+  cs_revision_t rows_revision;
+  /* The revision that the last watch began at.  */
+  cs_revision_t rows_watched_after;
+  /* A watch doesn't bring all that the table has: read all rows.  */
   bool rows_overdue;
+  unsigned watches_refused; /* Since the last one that was answered.  */
+  /* The era of the table, as its answers and other nodes tell it.  */
+  int64_t table_era;
+  bool era_known;
+  /* Until then, rows from before TABLE_ERA that the table lacks may be written
+     again.  */
+  cs_usec_t rows_settle_at;
+  bool settle_read_due; /* Read all rows after that.  */
+  /* Another node has had other rows at the same revision since then; 0: none.
+     After RECONCILE_DELAY its rows are requested.  */
+  cs_usec_t rows_differ_since, reconcile_delay;
   cs_usec_t rows_fresh_at; /* When OPERATOR_ROWS was last up to date.  */
   cs_usec_t heartbeat_sent_at, rows_requested_at, table_retry_at;
   cs_usec_t own_read_at; /* Last successful read by this node.  */
@@ -81,8 +94,7 @@
   /* When the last heartbeat was received that reported rows no older than
      REPORTED_ROWS_AGE_MAX.  */
   cs_usec_t heartbeat_received_at;
-  /* When the startup reached STARTUP_READ_OPERATOR_ROWS.  0 after a watch that
-     ended with CS_NOT_FOUND: the rows are then read again without a wait.  */
+  /* When the startup reached STARTUP_READ_OPERATOR_ROWS.  */
   cs_usec_t rows_awaited_since;
   /* CLOCK_BOOTTIME less CLOCK_MONOTONIC: the time the host was suspended.  */
   cs_usec_t suspended_total;
@@ -157,13 +169,25 @@
    are not stopping; with INCLUDE_UNREACHABLE, among all known ones.  Rank 0
    reads the table.  */
 unsigned rows_reader_rank (const control_t *control, bool include_unreachable);
-/* Set TABLE_UP from the STATUS of a call of the table, and log a change.  */
-void control_note_table (control_t *control, cs_status_t status);
 /* Delay the next call of the table after one that failed.  */
 void rows_back_off (control_t *control);
 /* A cs_table_callback_t for a read of CS_KEYSPACE_OPERATOR.  */
 void rows_on_read (void *user, cs_status_t status, GPtrArray *rows,
-                   int64_t revision);
+                   cs_revision_t revision);
+
+/* table-era.c */
+/* Note that the table is in ERA, and log and count a rise.  */
+void control_note_era (control_t *control, int64_t era);
+/* Check the answer to a call of the table before it is used.  Returns STATUS,
+   or CS_UNKNOWN if the answer is of an earlier era.  Sets the era of ROWS and
+   of *REVISION to the one known if the answer names none.  */
+cs_status_t control_check_answer (control_t *control, cs_status_t status,
+                                  GPtrArray *rows, cs_revision_t *revision);
+/* Whether the operator has had the time to write again what the table has lost
+   with the last rise of its era.  */
+bool control_era_is_settled (const control_t *control);
+/* Set TABLE_UP from the STATUS of a call of the table, and log a change.  */
+void control_note_table (control_t *control, cs_status_t status);
 
 /* startup.c */
 enum
--- a/source/sidecar/crash-rows.c
+++ b/source/sidecar/crash-rows.c
@@ -23,10 +23,11 @@
 }
 
 static void
-on_written (void *user, cs_status_t status, GPtrArray *rows, int64_t revision)
+on_written (void *user, cs_status_t status, GPtrArray *rows,
+            cs_revision_t revision)
 {
   control_t *control = user;
-  (void)rows, (void)revision;
+  status = control_check_answer (control, status, rows, &revision);
   control->crash_row_writing = false;
   if (status == CS_OK)
     cs_record_free (g_queue_pop_head (&control->crash_rows));
@@ -58,10 +59,11 @@
 }
 
 static void
-on_erased (void *user, cs_status_t status, GPtrArray *rows, int64_t revision)
+on_erased (void *user, cs_status_t status, GPtrArray *rows,
+           cs_revision_t revision)
 {
-  (void)rows, (void)revision;
-  control_note_table (user, status);
+  control_note_table (user,
+                      control_check_answer (user, status, rows, &revision));
 }
 
 /* Remove ROW, whose record has expired, unless another node has done so.  */
--- a/source/sidecar/moves-internal.h
+++ b/source/sidecar/moves-internal.h
@@ -10,7 +10,7 @@
    heartbeats hold it.  */
 typedef struct
 {
-  int64_t request_revision; /* Revision of the operator's row.  */
+  cs_revision_t request_revision; /* Of the operator's row.  */
   int64_t epoch; /* Number of the ownership: grows with each new owner.  */
   int64_t step;  /* Grows with each write by the same owner.  */
   char owner[CS_NAME_SIZE]; /* The node that decides and writes its steps.  */
@@ -40,15 +40,15 @@
   control_t *control;
   char service[CS_NAME_SIZE];
   cs_move_request_t request;
-  int64_t request_revision; /* 0: none was requested.  */
+  cs_revision_t request_revision; /* { 0 }: none was requested.  */
   /* When this node first received the request, on the monotonic clock and as
      wall time.  */
   cs_usec_t requested_at;
   int64_t requested_wall_ms;
   move_record_t state;
-  int64_t row_revision; /* Of the stored row with STATE; 0: no row.  */
+  cs_revision_t row_revision; /* Of the stored row with STATE; { 0 }: none. */
   /* The status row that operators read, as last written here.  */
-  int64_t published_request_revision;
+  cs_revision_t published_request_revision;
   cs_move_state_t published_phase;
   bool has_state;           /* STATE is set.  */
   cs_usec_t owner_heard_at; /* Last heartbeat of an owner that can write.  */
--- a/source/sidecar/moves.c
+++ b/source/sidecar/moves.c
@@ -49,7 +49,7 @@
   cs_pack_array (pack, MOVE_FIELDS);
   cs_pack_int64 (pack, CS_FRAME_MOVE_STATE);
   cs_pack_text (pack, service);
-  cs_pack_int64 (pack, state->request_revision);
+  cs_pack_int64 (pack, cs_revision_to_number (state->request_revision));
   cs_pack_int64 (pack, state->epoch);
   cs_pack_int64 (pack, state->step);
   cs_pack_text (pack, state->owner);
@@ -72,7 +72,7 @@
 {
   *state = (move_record_t){ 0 };
   cs_name_unpack (in, service);
-  state->request_revision = cs_unpack_int64 (in);
+  state->request_revision = cs_revision_from_number (cs_unpack_int64 (in));
   state->epoch = cs_unpack_int64 (in);
   state->step = cs_unpack_int64 (in);
   cs_name_unpack (in, state->owner);
@@ -101,8 +101,9 @@
 static bool
 state_is_newer (const move_record_t *a, const move_record_t *b)
 {
-  if (a->request_revision != b->request_revision)
-    return a->request_revision > b->request_revision;
+  int order = cs_revision_compare (a->request_revision, b->request_revision);
+  if (order != 0)
+    return order > 0;
   if (a->epoch != b->epoch)
     return a->epoch > b->epoch;
   return a->step > b->step;
@@ -112,8 +113,9 @@
 move_apply (tracked_move_t *move)
 {
   const move_record_t *state = &move->state;
-  cs_version_split_t split = { .move_revision = state->request_revision,
-                               .candidate_permille = state->share_permille };
+  cs_version_split_t split
+      = { .move_revision = cs_revision_to_number (state->request_revision),
+          .candidate_permille = state->share_permille };
   g_strlcpy (split.service, move->service, sizeof split.service);
   g_strlcpy (split.baseline,
              state->phase == CS_MOVE_DONE ? state->candidate : state->baseline,
@@ -160,12 +162,13 @@
       != CS_OK)
     {
       cs_event_log (CS_E_CONFIG_BAD,
-                    "row=%s revision=%" G_GINT64_FORMAT " why=\"%s\"",
-                    row->key, row->revision, cs_error_message (control->ctx));
+                    "row=%s revision=" CS_REVISION_FORMAT " why=\"%s\"",
+                    row->key, CS_REVISION_ARGS (row->revision),
+                    cs_error_message (control->ctx));
       return;
     }
   tracked_move_t *move = find_or_add_move (control, request.service);
-  if (row->revision <= move->request_revision)
+  if (cs_revision_compare (row->revision, move->request_revision) <= 0)
     return;
   move->request = request;
   move->request_revision = row->revision;
@@ -196,7 +199,7 @@
   if (!in.failed)
     {
       tracked_move_t *move = find_or_add_move (control, service);
-      move->row_revision = MAX (move->row_revision, row->revision);
+      move->row_revision = cs_revision_max (move->row_revision, row->revision);
       adopt_if_newer (move, &state);
     }
   cs_unpack_clear (&unpack);
@@ -249,7 +252,7 @@
 }
 
 static void on_written (void *user, cs_status_t status, GPtrArray *rows,
-                        int64_t revision);
+                        cs_revision_t revision);
 
 void
 move_write_state (tracked_move_t *move, const move_record_t *state)
@@ -274,9 +277,10 @@
       .value = cs_pack_payload (&pack) },
     { .keyspace = CS_KEYSPACE_STATUS, .key = key, .value = cs_str_of (text) }
   };
-  bool status_changed
-      = move->published_request_revision != state->request_revision
-        || move->published_phase != state->phase;
+  bool status_changed = cs_revision_compare (move->published_request_revision,
+                                             state->request_revision)
+                            != 0
+                        || move->published_phase != state->phase;
   control->table->vtable->commit (control->table, &precondition, 1, writes,
                                   status_changed ? 2 : 1, on_written, move);
   cs_pack_clear (&pack);
@@ -341,17 +345,19 @@
 }
 
 static void
-on_written (void *user, cs_status_t status, GPtrArray *rows, int64_t revision)
+on_written (void *user, cs_status_t status, GPtrArray *rows,
+            cs_revision_t revision)
 {
   tracked_move_t *move = user;
   control_t *control = move->control;
   move->write_pending = false;
+  status = control_check_answer (control, status, rows, &revision);
   control_note_table (control, status);
   if (status == CS_CONFLICT)
     {
       /* Another node has written, or an earlier write of this node took effect
          although its answer was lost.  */
-      move->row_revision = 0;
+      move->row_revision = (cs_revision_t){ 0 };
       for (guint i = 0; i < rows->len; i++)
         moves_handle_row (control, rows->pdata[i]);
       move->next_write_at = control_now (control) + WRITE_RETRY_DELAY;
@@ -374,8 +380,9 @@
     }
   bool claimed = !move->has_state
                  || move->state.epoch != move->pending_state.epoch
-                 || move->state.request_revision
-                        != move->pending_state.request_revision;
+                 || cs_revision_compare (move->state.request_revision,
+                                         move->pending_state.request_revision)
+                        != 0;
   move->write_duration = control_now (control) - move->write_started_at;
   move->row_revision = revision;
   move->published_request_revision = move->pending_state.request_revision;
@@ -414,12 +421,21 @@
   return rank;
 }
 
+/* Whether the state of MOVE is that of the operator's last request.  */
+static bool
+follows_request (const tracked_move_t *move)
+{
+  return move->has_state
+         && cs_revision_compare (move->state.request_revision,
+                                 move->request_revision)
+                == 0;
+}
+
 static void
 claim_ownership (tracked_move_t *move)
 {
   control_t *control = move->control;
-  bool continues = move->has_state
-                   && move->state.request_revision == move->request_revision;
+  bool continues = follows_request (move);
   move_record_t claimed
       = { .request_revision = move->request_revision,
           .epoch = move->state.epoch + 1,
@@ -464,11 +480,12 @@
 static void
 tick_move (tracked_move_t *move, cs_usec_t now)
 {
-  bool unfinished
-      = move->request_revision
-        && !(move->has_state
-             && move->state.request_revision >= move->request_revision
-             && move->state.phase != CS_MOVE_RUNNING);
+  bool unfinished = cs_revision_is_set (move->request_revision)
+                    && !(move->has_state
+                         && cs_revision_compare (move->state.request_revision,
+                                                 move->request_revision)
+                                >= 0
+                         && move->state.phase != CS_MOVE_RUNNING);
   bool owns = move->owned && move->evaluation;
   if ((!unfinished && !owns) || move->control->stopping)
     return;
@@ -477,8 +494,7 @@
       move_owner_tick (move, now);
       return;
     }
-  bool begun = move->has_state
-               && move->state.request_revision == move->request_revision;
+  bool begun = follows_request (move);
   cs_usec_t since = begun ? MAX (move->owner_heard_at, move->requested_at)
                           : move->requested_at;
   if (!move->write_pending && now >= move->next_write_at
--- a/source/sidecar/operator-rows.c
+++ b/source/sidecar/operator-rows.c
@@ -2,6 +2,7 @@
    holds, and what follows from a change.  */
 #include <string.h>
 
+#include "cardamom/row-order.h"
 #include "rows-internal.h"
 
 /* Limits on callers where the configuration gives none.  */
@@ -51,27 +52,21 @@
                 g_hash_table_size (snapshot->services));
 }
 
-static void
-apply_config (control_t *control, const cs_table_row_t *row)
+/* Decode ROW, a configuration; NULL if it is malformed.  */
+static cs_snapshot_t *
+decode_config (control_t *control, const cs_table_row_t *row)
 {
   cs_snapshot_t *snapshot;
   if (control->adapter->decode_config (
           control->ctx, cs_str_of_gstring (row->value), &snapshot)
-      != CS_OK)
-    {
-      cs_counter_add (CS_C_CONFIG_REFUSED, 1);
-      cs_event_log (CS_E_CONFIG_BAD,
-                    "row=%s revision=%" G_GINT64_FORMAT " why=\"%s\"",
-                    row->key, row->revision, cs_error_message (control->ctx));
-      return;
-    }
-  if (control->snapshot && snapshot->version <= control->snapshot->version)
-    {
-      cs_counter_add (CS_C_CONFIG_STALE, 1);
-      cs_snapshot_drop (control->ctx, snapshot);
-      return;
-    }
-  publish (control, snapshot);
+      == CS_OK)
+    return snapshot;
+  cs_counter_add (CS_C_CONFIG_REFUSED, 1);
+  cs_event_log (CS_E_CONFIG_BAD,
+                "row=%s revision=" CS_REVISION_FORMAT " why=\"%s\"", row->key,
+                CS_REVISION_ARGS (row->revision),
+                cs_error_message (control->ctx));
+  return NULL;
 }
 
 /* Tell the traffic thread which data centres are evacuated.  ROW, which is
@@ -92,69 +87,128 @@
     }
   cs_gauge_set (CS_C_G_EVACUATED, dcs->len);
   cs_event_log (CS_E_EVACUATION,
-                "dc=%s state=%s revision=%" G_GINT64_FORMAT " evacuated=%u",
+                "dc=%s state=%s revision=" CS_REVISION_FORMAT " evacuated=%u",
                 control->adapter->evacuated_dc (row->key),
-                row->value ? "begun" : "ended", row->revision, dcs->len);
+                row->value ? "begun" : "ended",
+                CS_REVISION_ARGS (row->revision), dcs->len);
   g_ptr_array_add (dcs, NULL);
   cs_traffic_set_evacuated (control->traffic,
                             (char **)g_ptr_array_free (dcs, FALSE));
 }
 
 static void
-note_old_row (const cs_table_row_t *stored, const cs_table_row_t *row)
+note_old_row (const cs_table_row_t *held, const cs_table_row_t *row)
 {
   cs_counter_add (CS_C_ROWS_OLD, 1);
   cs_event_log (CS_E_ROW_OLD,
-                "row=%s revision=%" G_GINT64_FORMAT " held=%" G_GINT64_FORMAT,
-                row->key, row->revision, stored->revision);
+                "row=%s revision=" CS_REVISION_FORMAT
+                " held=" CS_REVISION_FORMAT,
+                row->key, CS_REVISION_ARGS (row->revision),
+                CS_REVISION_ARGS (held->revision));
 }
 
-void
-rows_apply (control_t *control, cs_table_row_t *row)
+bool
+rows_are_equal (const cs_table_row_t *a, const cs_table_row_t *b)
 {
-  const cs_table_row_t *stored
-      = g_hash_table_lookup (control->operator_rows, row->key);
-  if (stored && stored->revision >= row->revision)
-    {
-      if (stored->revision > row->revision)
-        note_old_row (stored, row);
-      cs_table_row_free (row);
-      return;
-    }
-  bool existed = stored && stored->value;
-  g_hash_table_replace (control->operator_rows, row->key, row);
-  cs_operator_row_kind_t kind = control->adapter->classify_row (row->key);
-  if (kind == CS_OPERATOR_ROW_EVACUATION && existed != (row->value != NULL))
-    apply_evacuation (control, row);
-  if (!row->value)
-    return;
-  switch (kind)
+  return a->value && b->value ? g_string_equal (a->value, b->value)
+                              : a->value == b->value;
+}
+
+/* Whether ROW, which is CONFIG if that isn't NULL, takes the place of HELD,
+   the row of the same key.  */
+static bool
+supersedes (const control_t *control, const cs_table_row_t *held,
+            const cs_table_row_t *row, const cs_snapshot_t *config)
+{
+  bool is_document
+      = control->adapter->classify_row (row->key) == CS_OPERATOR_ROW_CONFIG;
+  cs_row_order_t held_order = { .revision = held->revision },
+                 row_order = { .revision = row->revision };
+  if (is_document && control->snapshot)
+    held_order.document_version = control->snapshot->version;
+  if (config)
+    row_order.document_version = config->version;
+  return cs_row_supersedes (&held_order, &row_order);
+}
+
+/* ROW is stored; EXISTED tells whether there was one before.  */
+static void
+apply_row (control_t *control, const cs_table_row_t *row, bool existed)
+{
+  switch (control->adapter->classify_row (row->key))
     {
-    case CS_OPERATOR_ROW_CONFIG:
-      apply_config (control, row);
-      break;
     case CS_OPERATOR_ROW_MOVE:
-      moves_handle_request (control, row);
+      if (row->value)
+        moves_handle_request (control, row);
       break;
     case CS_OPERATOR_ROW_EVACUATION:
+      if (existed != (row->value != NULL))
+        apply_evacuation (control, row);
+      break;
+    case CS_OPERATOR_ROW_CONFIG:
     case CS_OPERATOR_ROW_OTHER:
       break;
     }
 }
 
+bool
+rows_accept (control_t *control, cs_table_row_t *row,
+             const rows_audience_t *audience)
+{
+  const cs_table_row_t *held
+      = g_hash_table_lookup (control->operator_rows, row->key);
+  bool is_config
+      = row->value
+        && control->adapter->classify_row (row->key) == CS_OPERATOR_ROW_CONFIG;
+  bool is_same
+      = held && cs_revision_compare (held->revision, row->revision) == 0;
+  cs_snapshot_t *config
+      = is_config && !is_same ? decode_config (control, row) : NULL;
+  bool is_malformed = is_config && !is_same && !config;
+  bool is_old = held && !is_same && !is_malformed
+                && !supersedes (control, held, row, config);
+  if (is_same || is_old || is_malformed)
+    {
+      if (is_old)
+        note_old_row (held, row);
+      if (is_malformed && audience)
+        rows_send (control, row, held, *audience); /* All nodes log it.  */
+      cs_counter_add (CS_C_CONFIG_STALE, is_old && config);
+      cs_snapshot_drop (control->ctx, config);
+      cs_table_row_free (row);
+      return false;
+    }
+  if (audience)
+    rows_send (control, row, held, *audience);
+  bool existed = held && held->value;
+  bool is_written_again = held && rows_are_equal (held, row);
+  g_hash_table_replace (control->operator_rows, row->key, row);
+  if (is_written_again)
+    cs_snapshot_drop (control->ctx, config);
+  else if (config)
+    publish (control, config);
+  apply_row (control, row, existed);
+  return true;
+}
+
 void
 rows_remove_missing (control_t *control, GHashTable *in_table,
-                     int64_t revision)
+                     cs_revision_t revision, const rows_audience_t *audience)
 {
   GHashTableIter iter;
   gpointer value;
   GPtrArray *missing = g_ptr_array_new ();
+  bool settled = control_era_is_settled (control);
   g_hash_table_iter_init (&iter, control->operator_rows);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const cs_table_row_t *row = value;
-      if (row->value && row->revision <= revision
-          && !g_hash_table_contains (in_table, row->key))
+      bool is_document = control->adapter->classify_row (row->key)
+                         == CS_OPERATOR_ROW_CONFIG;
+      cs_row_order_t order
+          = { .revision = row->revision, .document_version = is_document };
+      if (row->value && !g_hash_table_contains (in_table, row->key)
+          && cs_row_is_gone (&order, revision, settled))
         g_ptr_array_add (missing, value);
     }
   for (guint i = 0; i < missing->len; i++)
@@ -163,8 +217,8 @@
       cs_table_row_t *removed = g_new0 (cs_table_row_t, 1);
       *removed = (cs_table_row_t){ .keyspace = CS_KEYSPACE_OPERATOR,
                                    .key = g_strdup (row->key),
-                                   .revision = row->revision + 1 };
-      rows_apply (control, removed);
+                                   .revision = revision };
+      rows_accept (control, removed, audience);
     }
   g_ptr_array_unref (missing);
 }
--- a/source/sidecar/rows-exchange.c
+++ b/source/sidecar/rows-exchange.c
@@ -1,6 +1,7 @@
 /* Operator rows between nodes: deltas, heartbeats, and requests for what is
    missing.  */
 #include <string.h>
+#include <xxhash.h>
 
 #include "cardamom/delta.h"
 #include "rows-internal.h"
@@ -12,6 +13,13 @@
 /* A heartbeat is ignored when it reports that its sender's rows were last up
    to date longer ago.  */
 #define REPORTED_ROWS_AGE_MAX (3600 * CS_SEC)
+/* Time after which a node requests the rows of another one that has others at
+   the same revision.  It doubles while they stay different.  */
+#define RECONCILE_DELAY_MIN (1 * CS_SEC)
+#define RECONCILE_DELAY_MAX (64 * CS_SEC)
+/* How many nodes of a region, after its reader, correct one that has sent an
+   older document.  */
+#define CORRECTING_RANK_MAX 2
 
 const rows_audience_t rows_own_region, rows_whole_mesh = { .mesh = true };
 
@@ -87,9 +95,9 @@
   cs_pack_array (&pack, 6);
   cs_pack_int64 (&pack, CS_FRAME_ROW);
   cs_pack_text (&pack, row->key);
-  cs_pack_int64 (&pack, row->revision);
+  cs_pack_int64 (&pack, cs_revision_to_number (row->revision));
   cs_pack_int64 (&pack, row->value != NULL);
-  cs_pack_int64 (&pack, has_base ? base->revision : 0);
+  cs_pack_int64 (&pack, has_base ? cs_revision_to_number (base->revision) : 0);
   cs_pack_bytes (&pack, delta ? cs_str_of_gstring (delta) : CS_STR (""));
   send_payload (control, audience, cs_pack_payload (&pack));
   cs_pack_clear (&pack);
@@ -97,18 +105,32 @@
     g_string_free (delta, TRUE);
 }
 
-/* The sum of the revisions of all operator rows that exist, by which two nodes
-   compare the rows that they hold.  */
-static int64_t
+/* What two nodes compare of the rows that they hold.  */
+typedef struct
+{
+  int64_t sum;   /* Of the revisions; all that earlier releases send.  */
+  uint64_t hash; /* Of the keys and revisions, in any order.  */
+} rows_digest_t;
+
+static rows_digest_t
 rows_digest (const control_t *control)
 {
   GHashTableIter iter;
-  gpointer row;
-  int64_t digest = 0;
+  gpointer value;
+  rows_digest_t digest = { 0 };
+  uint64_t sum = 0;
   g_hash_table_iter_init (&iter, control->operator_rows);
-  while (g_hash_table_iter_next (&iter, NULL, &row))
-    if (((const cs_table_row_t *)row)->value)
-      digest += ((const cs_table_row_t *)row)->revision;
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const cs_table_row_t *row = value;
+      if (!row->value)
+        continue;
+      uint64_t revision = (uint64_t)cs_revision_to_number (row->revision);
+      sum += revision;
+      digest.hash
+          ^= XXH3_64bits_withSeed (row->key, strlen (row->key), revision);
+    }
+  digest.sum = (int64_t)sum;
   return digest;
 }
 
@@ -118,14 +140,16 @@
 {
   cs_pack_t pack;
   cs_pack_init (&pack);
-  cs_pack_array (&pack, 7);
+  rows_digest_t digest = rows_digest (control);
+  cs_pack_array (&pack, 8);
   cs_pack_int64 (&pack, CS_FRAME_ROWS_FRESHNESS);
-  cs_pack_int64 (&pack, control->rows_revision);
-  cs_pack_int64 (&pack, rows_digest (control));
+  cs_pack_int64 (&pack, cs_revision_to_number (control->rows_revision));
+  cs_pack_int64 (&pack, digest.sum);
   cs_pack_int64 (&pack, now - control->rows_fresh_at);
   cs_pack_int64 (&pack, now - control->own_read_at < OWN_READ_AGE_MAX);
   cs_pack_int64 (&pack, now - atomic_load (&control->keys_fresh_at));
   cs_pack_int64 (&pack, now);
+  cs_pack_int64 (&pack, (int64_t)digest.hash);
   send_payload (control, audience, cs_pack_payload (&pack));
   cs_pack_clear (&pack);
 }
@@ -144,7 +168,7 @@
   cs_pack_init (&pack);
   cs_pack_array (&pack, 2 + count);
   cs_pack_int64 (&pack, CS_FRAME_ROWS_COMPLETE);
-  cs_pack_int64 (&pack, control->rows_revision);
+  cs_pack_int64 (&pack, cs_revision_to_number (control->rows_revision));
   g_hash_table_iter_init (&iter, control->operator_rows);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (((const cs_table_row_t *)value)->value)
@@ -157,13 +181,13 @@
 void
 rows_handle_complete (control_t *control, cs_unpack_cursor_t *in)
 {
-  int64_t revision = cs_unpack_int64 (in);
+  cs_revision_t revision = cs_revision_from_number (cs_unpack_int64 (in));
   GHashTable *names
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   while (in->remaining && !in->failed)
     g_hash_table_add (names, cs_unpack_text (in));
   if (!in->failed)
-    rows_remove_missing (control, names, revision);
+    rows_remove_missing (control, names, revision, NULL);
   g_hash_table_unref (names);
 }
 
@@ -172,7 +196,7 @@
 {
   GHashTableIter iter;
   gpointer row;
-  if (!control->rows_revision)
+  if (!cs_revision_is_set (control->rows_revision))
     return;
   g_hash_table_iter_init (&iter, control->operator_rows);
   while (g_hash_table_iter_next (&iter, NULL, &row))
@@ -198,18 +222,21 @@
   cs_pack_clear (&pack);
 }
 
-/* Apply DELTA to the row KEY at revision BASE (0: to an empty value).  NULL
+/* Apply DELTA to the row KEY at revision BASE (none: to an empty value).  NULL
    when this node does not hold that revision, or DELTA is malformed.  */
 static GString *
-value_from_delta (control_t *control, const char *key, int64_t base,
+value_from_delta (control_t *control, const char *key, cs_revision_t base,
                   cs_str_t delta)
 {
   const cs_table_row_t *stored
       = g_hash_table_lookup (control->operator_rows, key);
   GString *value;
-  if (base && (!stored || !stored->value || stored->revision != base))
+  bool has_base = cs_revision_is_set (base);
+  if (has_base
+      && (!stored || !stored->value
+          || cs_revision_compare (stored->revision, base) != 0))
     return NULL;
-  cs_str_t before = base ? cs_str_of_gstring (stored->value) : CS_STR ("");
+  cs_str_t before = has_base ? cs_str_of_gstring (stored->value) : CS_STR ("");
   return cs_delta_apply (control->ctx, before, delta, &value) == CS_OK ? value
                                                                        : NULL;
 }
@@ -222,31 +249,54 @@
   return info && strcmp (info->member.region, control->settings.region) != 0;
 }
 
+/* Send the row KEY that this node holds to NODE, which has sent an older
+   document.  The first nodes of the region do, for all the others hold it
+   too.  */
+static void
+send_held_row (control_t *control, const char *key, const char *node)
+{
+  const cs_table_row_t *held
+      = g_hash_table_lookup (control->operator_rows, key);
+  if (held && held->value
+      && rows_reader_rank (control, false) <= CORRECTING_RANK_MAX)
+    rows_send (control, held, NULL, (rows_audience_t){ .node = node });
+}
+
 void
 rows_handle_row (control_t *control, const char *from, cs_unpack_cursor_t *in)
 {
   cs_table_row_t *row = g_new0 (cs_table_row_t, 1);
   row->keyspace = CS_KEYSPACE_OPERATOR;
   row->key = cs_unpack_text (in);
-  row->revision = cs_unpack_int64 (in);
+  row->revision = cs_revision_from_number (cs_unpack_int64 (in));
   bool exists = cs_unpack_int64 (in) != 0;
-  int64_t base = cs_unpack_int64 (in);
+  cs_revision_t base = cs_revision_from_number (cs_unpack_int64 (in));
   cs_str_t delta = cs_unpack_str (in);
-  const cs_table_row_t *stored
+  if (in->failed)
+    {
+      cs_table_row_free (row);
+      return;
+    }
+  const cs_table_row_t *held
       = g_hash_table_lookup (control->operator_rows, row->key);
-  bool is_newer = !in->failed && (!stored || stored->revision < row->revision);
-  if (is_newer && exists)
+  int order = held ? cs_revision_compare (row->revision, held->revision) : 1;
+  bool is_document
+      = control->adapter->classify_row (row->key) == CS_OPERATOR_ROW_CONFIG;
+  if (exists && (order > 0 || (order < 0 && is_document)))
     row->value = value_from_delta (control, row->key, base, delta);
-  if (is_newer && (row->value || !exists))
+  if (exists ? !row->value : order <= 0)
     {
-      if (is_elsewhere (control, from))
-        rows_send (control, row, stored, rows_own_region);
-      rows_apply (control, row);
+      if (order > 0)
+        rows_request (control, from);
+      cs_table_row_free (row);
       return;
     }
-  if (is_newer)
-    rows_request (control, from);
-  cs_table_row_free (row);
+  char *key = g_strdup (row->key);
+  if (!rows_accept (control, row,
+                    is_elsewhere (control, from) ? &rows_own_region : NULL)
+      && order > 0 && is_document)
+    send_held_row (control, key, from);
+  g_free (key);
 }
 
 /* How much longer than the fastest one a heartbeat took that the process of
@@ -268,46 +318,72 @@
   return cs_transit_path_delay (&known->path, sent_at, control_now (control));
 }
 
+/* Note whether another node has the SAME rows as this one at the same
+   revision.  Returns true when it hasn't had them for so long that its rows
+   are to be requested; the next time is later.  */
+static bool
+needs_reconciling (control_t *control, bool same, cs_usec_t now)
+{
+  if (same || !control->rows_differ_since)
+    {
+      control->rows_differ_since = same ? 0 : now;
+      control->reconcile_delay = RECONCILE_DELAY_MIN;
+      return false;
+    }
+  if (now - control->rows_differ_since < control->reconcile_delay)
+    return false;
+  control->rows_differ_since = now;
+  control->reconcile_delay
+      = MIN (2 * control->reconcile_delay, RECONCILE_DELAY_MAX);
+  return true;
+}
+
 void
 rows_handle_freshness (control_t *control, const char *from,
                        cs_unpack_cursor_t *in)
 {
-  int64_t revision = cs_unpack_int64 (in);
-  int64_t digest = cs_unpack_int64 (in);
+  cs_usec_t now = control_now (control);
+  cs_revision_t revision = cs_revision_from_number (cs_unpack_int64 (in));
+  int64_t sum = cs_unpack_int64 (in);
   cs_usec_t age = cs_unpack_int64 (in);
   bool reads_table = cs_unpack_int64 (in) != 0;
   /* Earlier releases do not send them.  */
   bool names_keys = in->remaining >= 2;
   cs_usec_t keys_age = names_keys ? cs_unpack_int64 (in) : 0;
   cs_usec_t sent_at = names_keys ? cs_unpack_int64 (in) : 0;
+  bool has_hash = in->remaining >= 1;
+  uint64_t hash = has_hash ? (uint64_t)cs_unpack_int64 (in) : 0;
   if (in->failed || age < 0 || age > REPORTED_ROWS_AGE_MAX)
     return;
   const member_info_t *reader = g_hash_table_lookup (control->members, from);
   cs_node_info_t self = rows_own_info (control);
   bool elsewhere = is_elsewhere (control, from);
+  control_note_era (control, revision.era);
   if (!elsewhere)
-    control->heartbeat_received_at = control_now (control);
+    control->heartbeat_received_at = now;
   if (reads_table && reader && !elsewhere
       && cs_node_reads_before (&reader->member, &self))
     control->acting_reader = false;
-  if ((!control->rows_revision || revision > control->rows_revision)
-      && digest != rows_digest (control))
+  rows_digest_t own = rows_digest (control);
+  bool same = has_hash ? hash == own.hash : sum == own.sum;
+  int order = cs_revision_compare (revision, control->rows_revision);
+  if (!same && (!cs_revision_is_set (control->rows_revision) || order > 0))
     {
       /* FROM sent a row to the region before its connection to this node was
          open, so that the row is missing here.  */
       rows_request (control, from);
       return;
     }
-  if (!control->rows_revision && !control->snapshot)
+  if (!cs_revision_is_set (control->rows_revision) && !control->snapshot)
     return;
-  bool has_advanced = revision > control->rows_revision;
-  control->rows_revision = MAX (control->rows_revision, revision);
-  control->rows_fresh_at
-      = MAX (control->rows_fresh_at, control_now (control) - age);
+  if (order == 0 && needs_reconciling (control, same, now))
+    rows_request (control, from);
+  control->rows_revision = cs_revision_max (control->rows_revision, revision);
+  control->rows_fresh_at = MAX (control->rows_fresh_at, now - age);
   if (names_keys && reader)
     rows_note_keys_fresh (
-        control, control_now (control) - MAX (keys_age, 0)
+        control, now - MAX (keys_age, 0)
                      - heartbeat_delay (control, &reader->member, sent_at));
-  if (has_advanced && elsewhere)
-    rows_send_heartbeat (control, rows_own_region, control_now (control));
+  if (order > 0 && elsewhere)
+    rows_send_heartbeat (control, rows_own_region, now);
 }
--- a/source/sidecar/rows-internal.h
+++ b/source/sidecar/rows-internal.h
@@ -17,14 +17,19 @@
 extern const rows_audience_t rows_own_region, rows_whole_mesh;
 
 /* operator-rows.c */
-/* Store ROW and apply it, unless it is no newer than the stored one.  Takes
-   ownership of ROW.  */
-void rows_apply (control_t *control, cs_table_row_t *row);
-/* Remove the rows that are no newer than REVISION and are not IN_TABLE, a set
-   of the keys of all rows at that revision: the change that removed them was
-   missed.  */
+/* Store ROW, apply it and send it to AUDIENCE if that isn't NULL, unless the
+   stored one counts (row-order.h) or ROW is malformed.  Takes ownership of
+   ROW.  Returns whether it was stored.  */
+bool rows_accept (control_t *control, cs_table_row_t *row,
+                  const rows_audience_t *audience);
+/* Remove the rows that are gone (row-order.h) by IN_TABLE, a set of the keys
+   of all rows at REVISION, and tell AUDIENCE if that isn't NULL.  */
 void rows_remove_missing (control_t *control, GHashTable *in_table,
-                          int64_t revision);
+                          cs_revision_t revision,
+                          const rows_audience_t *audience);
+/* Whether A and B, rows of one key, hold the same value or are both removed.
+ */
+bool rows_are_equal (const cs_table_row_t *a, const cs_table_row_t *b);
 /* OPERATOR_ROWS hold all that was acknowledged before FRESH_AT.  */
 void rows_note_keys_fresh (control_t *control, cs_usec_t fresh_at);
 
--- a/source/sidecar/rows-reader.c
+++ b/source/sidecar/rows-reader.c
@@ -3,6 +3,7 @@
 #include <sodium.h>
 #include <string.h>
 
+#include "cardamom/row-order.h"
 #include "rows-internal.h"
 
 /* Bytes of a row in an answer besides its key and its value.  */
@@ -38,18 +39,6 @@
   return rank;
 }
 
-void
-control_note_table (control_t *control, cs_status_t status)
-{
-  bool up = status == CS_OK || status == CS_CONFLICT || status == CS_NOT_FOUND
-            || status == CS_TOO_LARGE;
-  if (up != control->table_up)
-    cs_event_log (CS_E_STORE, "state=%s status=%s seen=%" G_GINT64_FORMAT,
-                  up ? "regained" : "lost", cs_status_name (status),
-                  control->rows_revision);
-  control->table_up = up;
-}
-
 /* Whether an entry of ROWS after index I holds the same key.  */
 static bool
 is_superseded (const GPtrArray *rows, guint i)
@@ -94,35 +83,44 @@
   row->value = redacted;
 }
 
-/* Handle the result of a call that reads operator rows.  With FORWARD, new
-   ones are sent to the mesh.  */
+/* The calls that read operator rows.  */
+typedef enum
+{
+  FIRST_READ, /* By a node that has none yet, on behalf of itself.  */
+  REREAD,
+  WATCH
+} rows_call_t;
+
+/* The table doesn't bring the changes since what this node holds.  */
 static void
-handle_rows (control_t *control, cs_status_t status, GPtrArray *rows,
-             int64_t revision, bool forward)
+read_again (control_t *control)
 {
-  cs_usec_t now = control_now (control);
-  control->table_call_pending = false;
-  control_note_table (control, status);
-  if (status == CS_NOT_FOUND)
-    {
-      control->rows_revision = 0; /* Read the whole keyspace again.  */
-      control->rows_awaited_since = 0;
-      return;
-    }
-  if (status == CS_TOO_LARGE && !control->rows_overdue)
-    {
-      /* Others may have brought the rows since the watch was sent.  */
-      control->rows_overdue
-          = control->rows_revision == control->rows_watched_after;
-      rows_tick (control, now);
-      return;
-    }
-  if (status != CS_OK)
-    {
-      rows_back_off (control);
-      return;
-    }
-  bool changed = false, first_read = !control->rows_revision;
+  control->rows_overdue = true;
+  if (++control->watches_refused > 1)
+    rows_back_off (control);
+  else
+    rows_tick (control, control_now (control));
+}
+
+/* Whether ROW, which CALL has brought, is left to the read that follows once
+   the operator has had the time to write the later one again.  */
+static bool
+may_be_older (const control_t *control, rows_call_t call,
+              const cs_table_row_t *row)
+{
+  const cs_table_row_t *held
+      = g_hash_table_lookup (control->operator_rows, row->key);
+  return call != WATCH && held && !control_era_is_settled (control)
+         && control->adapter->classify_row (row->key) != CS_OPERATOR_ROW_CONFIG
+         && cs_row_may_be_older (held->revision, row->revision)
+         && !rows_are_equal (held, row);
+}
+
+/* Accept the newest version of each of ROWS.  Returns whether one was new. */
+static bool
+accept_rows (control_t *control, rows_call_t call, GPtrArray *rows)
+{
+  bool changed = false;
   for (guint i = 0; i < rows->len; i++)
     {
       cs_table_row_t *row = rows->pdata[i];
@@ -135,16 +133,47 @@
                                 .revision = row->revision };
       row->value = NULL;
       redact_row (control, copy);
-      const cs_table_row_t *stored
-          = g_hash_table_lookup (control->operator_rows, copy->key);
-      if (forward && (!stored || stored->revision < copy->revision))
-        {
-          rows_send (control, copy, stored, rows_whole_mesh);
-          changed = true;
-        }
-      rows_apply (control, copy);
+      if (may_be_older (control, call, copy))
+        cs_table_row_free (copy);
+      else
+        changed |= rows_accept (control, copy,
+                                call == FIRST_READ ? NULL : &rows_whole_mesh);
+    }
+  return changed;
+}
+
+/* A read of all rows has brought ROWS: remove those that are no more.  */
+static void
+remove_unread_rows (control_t *control, rows_call_t call, GPtrArray *rows,
+                    cs_revision_t revision)
+{
+  GHashTable *names = g_hash_table_new (g_str_hash, g_str_equal);
+  for (guint i = 0; i < rows->len; i++)
+    g_hash_table_add (names, ((cs_table_row_t *)rows->pdata[i])->key);
+  rows_remove_missing (control, names, revision,
+                       call == FIRST_READ ? NULL : &rows_whole_mesh);
+  g_hash_table_unref (names);
+}
+
+/* CALL has brought ROWS, which is what the table has at REVISION, or what has
+   changed there.  */
+static void
+handle_rows (control_t *control, rows_call_t call, GPtrArray *rows,
+             cs_revision_t revision)
+{
+  cs_usec_t now = control_now (control);
+  bool first_read = !cs_revision_is_set (control->rows_revision);
+  if (call != WATCH)
+    {
+      remove_unread_rows (control, call, rows, revision);
+      control->settle_read_due &= !control_era_is_settled (control);
     }
-  control->rows_revision = MAX (control->rows_revision, revision);
+  bool changed = accept_rows (control, call, rows);
+  control->rows_revision
+      = call == WATCH ? cs_revision_max (control->rows_revision, revision)
+                      : revision;
+  if (call == WATCH)
+    control->watches_refused = 0;
   control->rows_overdue = false;
   control->rows_fresh_at = control->own_read_at = now;
   rows_note_keys_fresh (control, control->rows_call_sent_at);
@@ -157,40 +186,61 @@
   rows_tick (control, now);
 }
 
-/* A read of all rows has succeeded if STATUS is CS_OK: remove those that are
-   no more.  */
+/* Handle the result of CALL.  */
 static void
-remove_unread_rows (control_t *control, cs_status_t status, GPtrArray *rows,
-                    int64_t revision)
+finish_rows_call (control_t *control, rows_call_t call, cs_status_t status,
+                  GPtrArray *rows, cs_revision_t revision)
 {
-  if (status != CS_OK)
-    return;
-  GHashTable *names = g_hash_table_new (g_str_hash, g_str_equal);
-  for (guint i = 0; i < rows->len; i++)
-    g_hash_table_add (names, ((cs_table_row_t *)rows->pdata[i])->key);
-  rows_remove_missing (control, names, revision);
-  g_hash_table_unref (names);
+  control->table_call_pending = false;
+  status = control_check_answer (control, status, rows, &revision);
+  control_note_table (control, status);
+  if (call == WATCH && status == CS_OK
+      && !cs_revision_continues (control->rows_watched_after, revision))
+    status = CS_NOT_FOUND;
+  switch (status)
+    {
+    case CS_OK:
+      handle_rows (control, call, rows, revision);
+      break;
+    case CS_NOT_FOUND:
+      read_again (control);
+      break;
+    case CS_TOO_LARGE:
+      if (!control->rows_overdue)
+        {
+          /* Others may have brought the rows since the watch was sent.  */
+          control->rows_overdue
+              = cs_revision_compare (control->rows_revision,
+                                     control->rows_watched_after)
+                == 0;
+          rows_tick (control, control_now (control));
+          break;
+        }
+      /* Fall through.  */
+    default:
+      rows_back_off (control);
+    }
 }
 
 void
 rows_on_read (void *user, cs_status_t status, GPtrArray *rows,
-              int64_t revision)
+              cs_revision_t revision)
 {
-  remove_unread_rows (user, status, rows, revision);
-  handle_rows (user, status, rows, revision, false);
+  finish_rows_call (user, FIRST_READ, status, rows, revision);
 }
 
 static void
-on_reread (void *user, cs_status_t status, GPtrArray *rows, int64_t revision)
+on_reread (void *user, cs_status_t status, GPtrArray *rows,
+           cs_revision_t revision)
 {
-  remove_unread_rows (user, status, rows, revision);
-  handle_rows (user, status, rows, revision, true);
+  finish_rows_call (user, REREAD, status, rows, revision);
 }
 
 static void
-on_changes (void *user, cs_status_t status, GPtrArray *rows, int64_t revision)
+on_changes (void *user, cs_status_t status, GPtrArray *rows,
+            cs_revision_t revision)
 {
-  handle_rows (user, status, rows, revision, true);
+  finish_rows_call (user, WATCH, status, rows, revision);
 }
 
 /* The size of the answer to a read of all operator rows, roughly.  */
@@ -210,6 +260,18 @@
   return total;
 }
 
+/* Whether all rows are to be read, rather than what has changed.  */
+static bool
+needs_whole_read (const control_t *control)
+{
+  return control->rows_overdue
+         /* A watch brings each change since the last one, which a node that
+            has fallen behind may not get over its link in time.  */
+         || control->table_failures >= WATCH_FAILURES_MAX
+         || control->rows_revision.era != control->table_era
+         || (control->settle_read_due && control_era_is_settled (control));
+}
+
 void
 rows_tick (control_t *control, cs_usec_t now)
 {
@@ -226,7 +288,7 @@
               ? control->table_failures
               : control->table_call_pending))
     startup_request_rows (control);
-  if (is_reader && control->rows_revision
+  if (is_reader && cs_revision_is_set (control->rows_revision)
       && now - control->heartbeat_sent_at
              >= CS_TABLE_READER_HEARTBEAT_INTERVAL)
     {
@@ -237,17 +299,14 @@
   if (control->table_call_pending || now < control->table_retry_at)
     return;
   if (control->startup_step < STARTUP_READ_OPERATOR_ROWS
-      || !control->rows_revision)
+      || !cs_revision_is_set (control->rows_revision))
     startup_run_step (control, rank, now);
   else if (is_reader)
     {
       control->acting_reader = rank > 0;
       control->table_call_pending = true;
       control->rows_call_sent_at = now;
-      /* A watch brings each change since the last one, which a node that has
-         fallen behind may not get over its link in time.  */
-      if (control->rows_overdue
-          || control->table_failures >= WATCH_FAILURES_MAX)
+      if (needs_whole_read (control))
         control->table->vtable->read (control->table, CS_KEYSPACE_OPERATOR,
                                       on_reread, control);
       else
--- a/source/sidecar/startup.c
+++ b/source/sidecar/startup.c
@@ -26,10 +26,10 @@
 
 static void
 on_registered (void *user, cs_status_t status, GPtrArray *rows,
-               int64_t revision)
+               cs_revision_t revision)
 {
   control_t *control = user;
-  (void)rows, (void)revision;
+  status = control_check_answer (control, status, rows, &revision);
   if (status == CS_OK)
     {
       control->registered = true;
@@ -73,10 +73,10 @@
 
 static void
 on_node_written (void *user, cs_status_t status, GPtrArray *rows,
-                 int64_t revision)
+                 cs_revision_t revision)
 {
   control_t *control = user;
-  (void)rows, (void)revision;
+  status = control_check_answer (control, status, rows, &revision);
   control->node_row_writing = false;
   control->node_row_retry_at = control_now (control) + NODE_ROW_WRITE_INTERVAL;
   if (status == CS_OK)
@@ -120,10 +120,10 @@
 
 static void
 on_mesh_read (void *user, cs_status_t status, GPtrArray *rows,
-              int64_t revision)
+              cs_revision_t revision)
 {
   control_t *control = user;
-  (void)revision;
+  status = control_check_answer (control, status, rows, &revision);
   for (guint i = 0; status == CS_OK && i < rows->len; i++)
     {
       const cs_table_row_t *row = rows->pdata[i];
--- /dev/null
+++ b/source/sidecar/table-era.c
@@ -0,0 +1,71 @@
+/* The era of the platform's table, which rises when the table comes back from
+   an older copy, and whether the table is there.  */
+#include "cardamom/row-order.h"
+#include "control.h"
+
+void
+control_note_era (control_t *control, int64_t era)
+{
+  cs_usec_t now = control_now (control);
+  bool restored = control->era_known && era > control->table_era;
+  if (control->era_known && !restored)
+    return;
+  control->era_known = true;
+  control->table_era = era;
+  cs_gauge_set (CS_C_G_TABLE_ERA, (uint64_t)era);
+  if (!restored)
+    return;
+  cs_counter_add (CS_C_STORE_RESTORED, 1);
+  cs_event_log (CS_E_STORE,
+                "state=restored era=%" G_GINT64_FORMAT
+                " seen=" CS_REVISION_FORMAT,
+                era, CS_REVISION_ARGS (control->rows_revision));
+  control->rows_settle_at = now + CS_ERA_SETTLE_TIME;
+  control->settle_read_due = true;
+}
+
+cs_status_t
+control_check_answer (control_t *control, cs_status_t status, GPtrArray *rows,
+                      cs_revision_t *revision)
+{
+  if (!revision->era)
+    {
+      /* A table without eras, or no answer.  */
+      revision->era = control->table_era;
+      for (guint i = 0; i < rows->len; i++)
+        ((cs_table_row_t *)rows->pdata[i])->revision.era = control->table_era;
+      return status;
+    }
+  if (control->era_known && revision->era < control->table_era)
+    {
+      cs_counter_add (CS_C_STORE_LATE, 1);
+      cs_event_log (CS_E_STORE,
+                    "state=answer-dropped status=%s era=%" G_GINT64_FORMAT
+                    " known=%" G_GINT64_FORMAT,
+                    cs_status_name (status), revision->era,
+                    control->table_era);
+      return CS_UNKNOWN;
+    }
+  control_note_era (control, revision->era);
+  return status;
+}
+
+bool
+control_era_is_settled (const control_t *control)
+{
+  return control_now (control) >= control->rows_settle_at;
+}
+
+void
+control_note_table (control_t *control, cs_status_t status)
+{
+  bool up = status == CS_OK || status == CS_CONFLICT || status == CS_NOT_FOUND
+            || status == CS_TOO_LARGE;
+  if (up != control->table_up)
+    cs_event_log (
+        CS_E_STORE,
+        "state=%s status=%s era=%" G_GINT64_FORMAT " seen=" CS_REVISION_FORMAT,
+        up ? "regained" : "lost", cs_status_name (status), control->table_era,
+        CS_REVISION_ARGS (control->rows_revision));
+  control->table_up = up;
+}
--- a/tests/test-adapter.c
+++ b/tests/test-adapter.c
@@ -357,7 +357,7 @@
   const char *next_page; /* Answer to a read from a key on; NULL: none.  */
   cs_status_t result;
   guint row_count;
-  int64_t revision;
+  cs_revision_t revision;
   int completed_calls;
 } fake_table_t;
 
@@ -383,7 +383,7 @@
 
 static void
 on_table_result (void *user, cs_status_t status, GPtrArray *rows,
-                 int64_t revision)
+                 cs_revision_t revision)
 {
   fake_table_t *fake = user;
   fake->result = status;
@@ -501,7 +501,7 @@
   wait_for_result (fake);
   g_assert_cmpint (fake->result, ==, CS_OK);
   g_assert_cmpuint (fake->row_count, ==, 4);
-  g_assert_cmpint (fake->revision, ==, 9);
+  g_assert_cmpint (fake->revision.version, ==, 9);
 }
 
 /* When the connection is refused, nothing was sent, so a commit cannot have
