--- a/tests/sidecar-crash.t
+++ b/tests/sidecar-crash.t
@@ -2,7 +2,8 @@
 # Four sidecars, each beside a server that is started again when it ends.
 # Guards against: a request that ends every server that runs it, and comes
 # again at any node, being sent to one server after the other, also after all
-# nodes have been killed; and sound requests being refused along with it.
+# nodes have been killed and after the platform's table came back from an older
+# copy; and sound requests being refused along with it.
 . "$(dirname "$0")/tap.sh"
 dir=$(mktemp -d)
 base=24400
@@ -58,6 +59,7 @@
 config='{"version":"00000001","services":{"desk":{"healthPath":"/health"}},"routes":{"r":{"host":"h","prefix":"/d/","kind":"safe","timeout":"3s","service":"desk","maxAttempts":3},"w":{"host":"h","prefix":"/w/","kind":"unsafe","timeout":"3s","service":"desk","maxAttempts":3}},"limits":{}}'
 curl -s -o /dev/null "http://$table/api/rows-tx" -d \
   "{\"puts\":[{\"table\":\"op\",\"part\":\"\",\"key\":\"config\",\"value\":\"$(printf '%s' "$config" | base64 -w0)\"}]}"
+marked=$(curl -s "http://$table/standin/version")
 for n in $nodes; do write_settings $n 1; start_node $n; done
 for n in $nodes; do supervise $n & pids+=($!); done
 ok "four nodes with their servers are up" until_ok mesh_is_up
@@ -99,6 +101,13 @@
 ok "sound requests are served beside them" [ $((served * 100)) -ge $((sound * 95)) ]
 ok "each of them, once all servers are back" until_ok all_serve
 
+records () { curl -s -f "http://$table/api/rows-get?table=mesh&part=" | grep -o '"quarantine/[^"]*"' | sort; }
+stored=$(records)
+echo "# $(wc -l <<<"$stored") records"
+curl -s -o /dev/null "http://$table/standin/drill?to=$marked&away_ms=300"
+stores_again () { [ -n "$stored" ] && [ "$(records)" = "$stored" ]; }
+ok "the table came back without the records: they are written again" until_ok stores_again
+
 for n in $nodes; do kill -KILL "${node_pids[$n]}"; wait "${node_pids[$n]}" 2>/dev/null; mv "$dir/n$n.log" "$dir/before$n.log"; write_settings $n 0; done
 for n in $nodes; do start_node $n; done
 ok "after the end of all nodes" until_ok mesh_is_up
--- /dev/null
+++ b/tests/sidecar-drill-moves.t
@@ -0,0 +1,77 @@
+#!/usr/bin/env bash
+# The platform's table comes back from a copy that lacks what nodes wrote.
+# Guards against: a node's row, or the verdict on a move, that stays lost; a
+# move that begins anew because the operator writes its request again; and one
+# that runs being begun anew or taken over by another node.
+. "$(dirname "$0")/tap.sh"
+dir=$(mktemp -d)
+pids=()
+base=30900
+. "$(dirname "$0")/sidecar.sh"
+cleanup () { for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null; done; wait 2>/dev/null; rm -rf "$dir"; }
+trap cleanup EXIT
+
+put_row () { # KEY JSON: as the operator.
+  curl -s -o /dev/null "http://$table/api/rows-tx" -d \
+    "{\"puts\":[{\"table\":\"op\",\"part\":\"\",\"key\":\"$1\",\"value\":\"$(printf '%s' "$2" | base64 -w0)\"}]}"
+}
+order () { put_row rollout/desk "{\"service\":\"desk\",\"to\":\"$1\",\"over\":\"$2\"}"; }
+rows () { curl -s -f "http://$table/api/rows-get?table=$1&part="; }
+has_row () { rows "$1" | grep -q "\"key\":\"$2\""; }
+status_is () {
+  rows status | grep -o '"key":"rollout/desk"[^}]*"value":"[^"]*"' |
+    sed 's/.*"value":"\([^"]*\)"/\1/' | base64 -d | grep -q "\"state\":\"$1\""
+}
+mark () { marked=$(curl -s "http://$table/standin/version"); }
+drill () { curl -s -o /dev/null "http://$table/standin/drill?to=$marked&away_ms=300"; until_ok rows op; }
+rows_are_back () { for n in 1 2 3; do has_row mesh "node/n$n" || return 1; done; }
+# moves_begun [VERSION]: how often nodes have begun a move, to VERSION.
+moves_begun () { cat "$dir"/n*.log | grep -cE "event=move .*step=running .*to=$1"; }
+has_begun () { [ "$(moves_begun "${2-}")" = "$1" ]; }
+# owner VERSION: the logs of the nodes that began the move to it.
+owner () { grep -lE "event=move .*step=running .*to=$1" "$dir"/n*.log; }
+
+"$MESH_OUT/standin-rows" --port=$base &
+pids+=($!)
+until_ok rows op
+put_row config '{"version":"00000001","services":{"desk":{"healthPath":"/health"}},"routes":{"r":{"host":"h","prefix":"/d/","kind":"safe","timeout":"1s","service":"desk","maxAttempts":2}},"limits":{}}'
+mark
+for n in 1 2 3; do write_settings $n 1; start_node $n; done
+for n in 1 2 3; do until_ok is_ready $n; done
+# Nothing runs the version, so that it is rolled back by its deadline.
+order v2 2s
+ok "a version that nothing runs is rolled back" until_ok status_is rolled_back
+
+drill
+curl -s "http://$table/standin/calls" >/dev/null
+order v2 2s
+sleep 1
+calls=$(curl -s "http://$table/standin/calls")
+ok "after the table came back older: few calls of three nodes in a second ($calls)" [ "$calls" -le 30 ]
+ok "the verdict is written again" until_ok status_is rolled_back
+ok "and the move's row" until_ok has_row mesh move/desk
+ok "and the rows of all nodes" until_ok rows_are_back
+kill -KILL "${node_pids[2]}"
+wait "${node_pids[2]}" 2>/dev/null
+write_settings 2 0
+start_node 2
+until_ok is_ready 2
+sleep 2
+is "the request that is written again begins no move, at living nodes or a new one" 1 "$(moves_begun)"
+ok "nor changes the verdict" status_is rolled_back
+
+order v2 2s
+ok "the same version can be ordered again later" until_ok has_begun 2
+ok "and is rolled back" until_ok status_is rolled_back
+
+mark
+order v3 20s
+ok "a move runs" until_ok status_is running
+until_ok has_begun 1 v3
+owner=$(owner v3)
+drill
+order v3 20s
+ok "its state is written again" until_ok status_is running
+sleep 2
+is "by the same owner, which has not begun anew" "$owner 1" "$(owner v3) $(moves_begun v3)"
+done_testing
