Write again what the table lost when it came back from an older copy

What operators saw: no verdict on a move that had been concluded, a move that began anew because its request was written again, nodes that a starting process did not know, and quarantined requests that ended servers again after a restart of all nodes.

Now a rise of the table's era has each node write its own row again, the owner of each move (or the first node in its place) its state and the operators' status row, and the first node of each region the quarantine records, spread over a second. A precondition never names a revision of an earlier era. A request for a move keeps its identity when the operator writes it again, also for a process that starts then and finds the move's state from before; the request before it, as the copy holds it, begins nothing.

The packed form of a move and the handling of requests have files of their own.

--- a/include/cardamom/traffic.h
+++ b/include/cardamom/traffic.h
@@ -85,6 +85,10 @@
 void cs_traffic_add_crash_record (cs_traffic_t *traffic,
                                   const cs_record_t *record);
 
+/* Report all records of requests in quarantine once more, as with
+   crash_record_lasting.  */
+void cs_traffic_repeat_crash_records (cs_traffic_t *traffic);
+
 /* How a service's requests are split between its versions.  */
 typedef struct
 {
--- a/source/call/crash-frames.c
+++ b/source/call/crash-frames.c
@@ -99,3 +99,20 @@
   cs_mailbox_post (&traffic->mailbox, apply_crash_record, traffic,
                    cs_record_copy (record));
 }
+
+static void
+repeat_crash_records (void *user, void *arg)
+{
+  cs_traffic_t *traffic = user;
+  GPtrArray *records = cs_crash_history_quarantined (traffic->crash_history);
+  (void)arg;
+  for (guint i = 0; i < records->len; i++)
+    store (traffic, records->pdata[i]);
+  g_ptr_array_unref (records);
+}
+
+void
+cs_traffic_repeat_crash_records (cs_traffic_t *traffic)
+{
+  cs_mailbox_post (&traffic->mailbox, repeat_crash_records, traffic, NULL);
+}
--- a/source/sidecar/control.h
+++ b/source/sidecar/control.h
@@ -108,6 +108,7 @@
   uint64_t node_row_stored_generation;
   uint64_t node_row_pending_generation;
   cs_usec_t node_row_retry_at; /* No write of the row before this time.  */
+  bool node_row_lost; /* The table came back from a copy that may lack it.  */
   bool node_row_writing;
   cs_node_info_t previous_self; /* The row that the previous process wrote.  */
   bool resume_pending;          /* Its backend server is yet to be checked.  */
@@ -183,6 +184,9 @@
    of *REVISION to the one known if the answer names none.  */
 cs_status_t control_check_answer (control_t *control, cs_status_t status,
                                   GPtrArray *rows, cs_revision_t *revision);
+/* How long after a rise of the table's era the row NAME is written again, so
+   that not all nodes write at once.  */
+cs_usec_t control_rewrite_delay (const char *name);
 /* Whether the operator has had the time to write again what the table has lost
    with the last rise of its era.  */
 bool control_era_is_settled (const control_t *control);
@@ -198,7 +202,7 @@
 };
 
 /* Write the node's row in CS_KEYSPACE_MESH when the state of the backend
-   server has changed.  */
+   server has changed, or the table has lost it.  */
 void startup_sync_node_row (control_t *control, cs_usec_t now);
 /* Request the operator rows from a random reachable node of the region; false
    when there is none.  */
@@ -212,6 +216,8 @@
 /* Handle a row of CS_KEYSPACE_MESH with the prefix KEY_CRASH_PREFIX.  */
 void crash_rows_handle_row (control_t *control, const cs_table_row_t *row);
 void crash_rows_tick (control_t *control, cs_usec_t now);
+/* The table came back from an older copy: write the records again.  */
+void crash_rows_note_era (control_t *control);
 
 /* resume.c */
 /* Remember MEMBER, this node's row from before the restart, so that
@@ -233,6 +239,8 @@
                          cs_unpack_cursor_t *in);
 void moves_handle_evidence (control_t *control, const char *from,
                             cs_unpack_cursor_t *in);
+/* The table came back from an older copy: write the states of moves again.  */
+void moves_note_era (control_t *control);
 void moves_tick (control_t *control, cs_usec_t now);
 
 /* endpoints.c */
--- a/source/sidecar/crash-rows.c
+++ b/source/sidecar/crash-rows.c
@@ -58,6 +58,13 @@
   g_free (key);
 }
 
+void
+crash_rows_note_era (control_t *control)
+{
+  if (rows_reader_rank (control, false) == 0)
+    cs_traffic_repeat_crash_records (control->traffic);
+}
+
 static void
 on_erased (void *user, cs_status_t status, GPtrArray *rows,
            cs_revision_t revision)
--- a/source/sidecar/moves-internal.h
+++ b/source/sidecar/moves-internal.h
@@ -40,7 +40,10 @@
   control_t *control;
   char service[CS_NAME_SIZE];
   cs_move_request_t request;
-  cs_revision_t request_revision; /* { 0 }: none was requested.  */
+  /* By which the request is known; { 0 }: none was made.  */
+  cs_revision_t request_revision;
+  cs_revision_t row_of_request;      /* The last row that held it.  */
+  cs_move_request_t earlier_request; /* The one before.  */
   /* When this node first received the request, on the monotonic clock and as
      wall time.  */
   cs_usec_t requested_at;
@@ -54,6 +57,8 @@
   cs_usec_t owner_heard_at; /* Last heartbeat of an owner that can write.  */
   bool owned;               /* This node is the owner.  */
   bool write_pending;
+  /* The table came back from an older copy: write STATE again.  */
+  bool rewrite_due, rewriting;
   move_record_t pending_state; /* Being written.  */
   cs_usec_t next_write_at;     /* No write before this time.  */
   /* Last successful write of a step; 0 when this node has become the owner by
@@ -72,7 +77,29 @@
   GString *rollback_reason;                 /* Empty: not rolled back.  */
 } tracked_move_t;
 
+/* move-record.c */
+/* Pack STATE of the move of SERVICE, with the frame type; CAN_WRITE tells
+   whether its owner can write to the table.  */
+void move_record_pack (cs_pack_t *pack, const char *service,
+                       const move_record_t *state, bool can_write);
+/* Unpack the fields after the frame type; malformed ones set IN->failed.
+   Returns whether the owner can write to the table.  */
+bool move_record_unpack (cs_unpack_cursor_t *in, char service[CS_NAME_SIZE],
+                         move_record_t *state);
+/* Whether A is a later state than B of a move of the same service.  */
+bool move_record_is_newer (const move_record_t *a, const move_record_t *b);
+
+/* move-orders.c */
+/* STATE is the first that this process has of MOVE: if it follows the request
+   that MOVE holds, which the operator has written again since, have MOVE hold
+   the request as STATE names it.  */
+void move_match_request (tracked_move_t *move, const move_record_t *state);
+
 /* moves.c */
+/* The move of SERVICE; created if there is none.  */
+tracked_move_t *move_find_or_add (control_t *control, const char *service);
+/* This node doesn't own MOVE any more.  */
+void move_release (tracked_move_t *move);
 int64_t move_wall_ms (const control_t *control);
 /* Have the traffic thread route by the state of MOVE.  */
 void move_apply (tracked_move_t *move);
--- a/source/sidecar/moves.c
+++ b/source/sidecar/moves.c
@@ -15,7 +15,6 @@
 #define FALSE_ALARM_PROBABILITY 0.0025
 /* Delay before the next write after a failed one or a conflict.  */
 #define WRITE_RETRY_DELAY (250 * CS_MSEC)
-#define MOVE_FIELDS 15 /* Of a packed move, with its frame type.  */
 /* A slow table answers a write within some hundred milliseconds.  After this
    time the owner most likely cannot reach the table.  */
 #define WRITE_DURATION_MAX (800 * CS_MSEC)
@@ -26,8 +25,8 @@
   return cs_now_wall (control->ctx) / CS_MSEC;
 }
 
-static tracked_move_t *
-find_or_add_move (control_t *control, const char *service)
+tracked_move_t *
+move_find_or_add (control_t *control, const char *service)
 {
   tracked_move_t *move = g_hash_table_lookup (control->moves, service);
   if (move)
@@ -42,73 +41,6 @@
   return move;
 }
 
-static void
-pack_state (cs_pack_t *pack, const char *service, const move_record_t *state,
-            bool can_write)
-{
-  cs_pack_array (pack, MOVE_FIELDS);
-  cs_pack_int64 (pack, CS_FRAME_MOVE_STATE);
-  cs_pack_text (pack, service);
-  cs_pack_int64 (pack, cs_revision_to_number (state->request_revision));
-  cs_pack_int64 (pack, state->epoch);
-  cs_pack_int64 (pack, state->step);
-  cs_pack_text (pack, state->owner);
-  cs_pack_text (pack, state->baseline);
-  cs_pack_text (pack, state->candidate);
-  cs_pack_int64 (pack, state->share_permille);
-  cs_pack_int64 (pack, state->phase);
-  cs_pack_int64 (pack, state->start_ms);
-  cs_pack_int64 (pack, state->deadline_ms);
-  cs_pack_int64 (pack, can_write);
-  cs_pack_int64 (pack, state->total_requests);
-  cs_pack_int64 (pack, state->candidate_requests);
-}
-
-/* Unpack the fields after the frame type.  Returns whether the owner can write
-   to the table.  */
-static bool
-unpack_state (cs_unpack_cursor_t *in, char service[CS_NAME_SIZE],
-              move_record_t *state)
-{
-  *state = (move_record_t){ 0 };
-  cs_name_unpack (in, service);
-  state->request_revision = cs_revision_from_number (cs_unpack_int64 (in));
-  state->epoch = cs_unpack_int64 (in);
-  state->step = cs_unpack_int64 (in);
-  cs_name_unpack (in, state->owner);
-  cs_name_unpack (in, state->baseline);
-  cs_name_unpack (in, state->candidate);
-  state->share_permille = cs_unpack_int64 (in);
-  int64_t phase = cs_unpack_int64 (in);
-  state->start_ms = cs_unpack_int64 (in);
-  state->deadline_ms = cs_unpack_int64 (in);
-  bool can_write = cs_unpack_int64 (in) != 0;
-  /* Rows and heartbeats of the previous release end before the counts.  */
-  if (in->remaining >= 2)
-    {
-      state->total_requests = cs_unpack_int64 (in);
-      state->candidate_requests = cs_unpack_int64 (in);
-    }
-  if (phase < CS_MOVE_RUNNING || phase > CS_MOVE_ROLLED_BACK
-      || state->share_permille < 0
-      || state->share_permille > CS_ALL_TRAFFIC_PERMILLE)
-    in->failed = true;
-  else
-    state->phase = (cs_move_state_t)phase;
-  return can_write;
-}
-
-static bool
-state_is_newer (const move_record_t *a, const move_record_t *b)
-{
-  int order = cs_revision_compare (a->request_revision, b->request_revision);
-  if (order != 0)
-    return order > 0;
-  if (a->epoch != b->epoch)
-    return a->epoch > b->epoch;
-  return a->step > b->step;
-}
-
 void
 move_apply (tracked_move_t *move)
 {
@@ -125,8 +57,8 @@
   cs_traffic_set_version_split (move->control->traffic, &split);
 }
 
-static void
-release_ownership (tracked_move_t *move)
+void
+move_release (tracked_move_t *move)
 {
   move->owned = false;
   if (move->evaluation)
@@ -138,9 +70,12 @@
 static void
 adopt_if_newer (tracked_move_t *move, const move_record_t *state)
 {
-  bool is_newer = !move->has_state || state_is_newer (state, &move->state);
+  bool is_newer
+      = !move->has_state || move_record_is_newer (state, &move->state);
   if (!is_newer)
     return;
+  if (!move->has_state)
+    move_match_request (move, state);
   move->state = *state;
   move->has_state = true;
   if (move->owned && strcmp (state->owner, move->control->settings.node) != 0)
@@ -148,39 +83,11 @@
       cs_event_log (CS_E_MOVE,
                     "service=%s step=lost owner=%s epoch=%" G_GINT64_FORMAT,
                     move->service, state->owner, state->epoch);
-      release_ownership (move);
+      move_release (move);
     }
   move_apply (move);
 }
 
-void
-moves_handle_request (control_t *control, const cs_table_row_t *row)
-{
-  cs_move_request_t request;
-  if (control->adapter->decode_move_request (
-          control->ctx, cs_str_of_gstring (row->value), &request)
-      != CS_OK)
-    {
-      cs_event_log (CS_E_CONFIG_BAD,
-                    "row=%s revision=" CS_REVISION_FORMAT " why=\"%s\"",
-                    row->key, CS_REVISION_ARGS (row->revision),
-                    cs_error_message (control->ctx));
-      return;
-    }
-  tracked_move_t *move = find_or_add_move (control, request.service);
-  if (cs_revision_compare (row->revision, move->request_revision) <= 0)
-    return;
-  move->request = request;
-  move->request_revision = row->revision;
-  move->requested_at = control_now (control);
-  move->requested_wall_ms = move_wall_ms (control);
-  if (move->owned)
-    release_ownership (move);
-  cs_event_log (CS_E_MOVE,
-                "service=%s step=ordered to=%s over_ms=%" G_GINT64_FORMAT,
-                move->service, request.to_version, request.duration / CS_MSEC);
-}
-
 void
 moves_handle_row (control_t *control, const cs_table_row_t *row)
 {
@@ -195,12 +102,15 @@
     return;
   /* The frame type.  */
   cs_unpack_int64 (&in);
-  unpack_state (&in, service, &state);
+  move_record_unpack (&in, service, &state);
   if (!in.failed)
     {
-      tracked_move_t *move = find_or_add_move (control, service);
+      tracked_move_t *move = move_find_or_add (control, service);
       move->row_revision = cs_revision_max (move->row_revision, row->revision);
       adopt_if_newer (move, &state);
+      if (row->revision.era == control->table_era
+          && !move_record_is_newer (&move->state, &state))
+        move->rewrite_due = false;
     }
   cs_unpack_clear (&unpack);
 }
@@ -211,13 +121,13 @@
 {
   char service[CS_NAME_SIZE] = "";
   move_record_t state;
-  bool can_write = unpack_state (in, service, &state);
+  bool can_write = move_record_unpack (in, service, &state);
   if (in->failed)
     return;
-  tracked_move_t *move = find_or_add_move (control, service);
+  tracked_move_t *move = move_find_or_add (control, service);
   adopt_if_newer (move, &state);
   if (strcmp (move->state.owner, from) != 0
-      || state_is_newer (&move->state, &state))
+      || move_record_is_newer (&move->state, &state))
     return;
   move->state.total_requests
       = MAX (move->state.total_requests, state.total_requests);
@@ -265,12 +175,16 @@
   move->write_pending = true;
   move->write_started_at = control_now (control);
   cs_pack_init (&pack);
-  pack_state (&pack, move->service, state, true);
+  move_record_pack (&pack, move->service, state, true);
   control->adapter->encode_move_status (move->service, state->candidate,
                                         state->phase, &key, &text);
-  cs_table_precondition_t precondition = { .keyspace = CS_KEYSPACE_MESH,
-                                           .key = row_key,
-                                           .revision = move->row_revision };
+  /* A revision of an earlier era may be that of another row by now.  */
+  cs_table_precondition_t precondition
+      = { .keyspace = CS_KEYSPACE_MESH,
+          .key = row_key,
+          .revision = move->row_revision.era == control->table_era
+                          ? move->row_revision
+                          : (cs_revision_t){ 0 } };
   cs_table_write_t writes[] = {
     { .keyspace = CS_KEYSPACE_MESH,
       .key = row_key,
@@ -299,7 +213,7 @@
               && control_now (move->control) - move->write_started_at
                      > WRITE_DURATION_MAX;
   bool can_write = !move->last_write_failed && !slow;
-  pack_state (&pack, move->service, &move->state, can_write);
+  move_record_pack (&pack, move->service, &move->state, can_write);
   cs_traffic_send_control (move->control->traffic, NULL, NULL,
                            cs_pack_payload (&pack));
   cs_pack_clear (&pack);
@@ -350,7 +264,8 @@
 {
   tracked_move_t *move = user;
   control_t *control = move->control;
-  move->write_pending = false;
+  bool rewritten = move->rewriting;
+  move->write_pending = move->rewriting = false;
   status = control_check_answer (control, status, rows, &revision);
   control_note_table (control, status);
   if (status == CS_CONFLICT)
@@ -361,6 +276,8 @@
       for (guint i = 0; i < rows->len; i++)
         moves_handle_row (control, rows->pdata[i]);
       move->next_write_at = control_now (control) + WRITE_RETRY_DELAY;
+      if (rewritten)
+        return;
       bool is_ours
           = move->has_state && move->state.epoch == move->pending_state.epoch
             && move->state.step == move->pending_state.step
@@ -369,7 +286,7 @@
         assume_ownership (move);
       else if (!is_ours && move->owned
                && move->state.epoch != move->pending_state.epoch)
-        release_ownership (move);
+        move_release (move);
       return;
     }
   if (status != CS_OK)
@@ -378,6 +295,7 @@
       move->next_write_at = control_now (control) + WRITE_RETRY_DELAY;
       return;
     }
+  move->rewrite_due &= revision.era != control->table_era;
   bool claimed = !move->has_state
                  || move->state.epoch != move->pending_state.epoch
                  || cs_revision_compare (move->state.request_revision,
@@ -388,7 +306,10 @@
   move->published_request_revision = move->pending_state.request_revision;
   move->published_phase = move->pending_state.phase;
   move->last_write_failed = false;
-  if (move->has_state && state_is_newer (&move->state, &move->pending_state))
+  if (rewritten)
+    return;
+  if (move->has_state
+      && move_record_is_newer (&move->state, &move->pending_state))
     return;
   move->state = move->pending_state;
   move->has_state = true;
@@ -399,7 +320,7 @@
   move->share_since = control_now (control);
   move_send_state (move);
   if (move->state.phase != CS_MOVE_RUNNING)
-    release_ownership (move);
+    move_release (move);
 }
 
 /* The rank of this node among those that may own moves of MOVE's service.  */
@@ -477,9 +398,50 @@
   return majority ? TICK_INTERVAL_SHORT : TICK_INTERVAL;
 }
 
+/* Whether this node writes the state of MOVE to the table again: its owner
+   does, or another node in its place.  */
+static bool
+is_rewriter (const tracked_move_t *move)
+{
+  const control_t *control = move->control;
+  const member_info_t *owner
+      = g_hash_table_lookup (control->members, move->state.owner);
+  return strcmp (move->state.owner, control->settings.node) == 0
+         || (!(owner && owner->reachable) && owner_rank (move) == 0);
+}
+
+static void
+rewrite_state (tracked_move_t *move, cs_usec_t now)
+{
+  if (!move->rewrite_due || move->write_pending || now < move->next_write_at
+      || !move->control->table_up || !is_rewriter (move))
+    return;
+  move->rewriting = true;
+  move_write_state (move, &move->state);
+}
+
+void
+moves_note_era (control_t *control)
+{
+  GHashTableIter iter;
+  gpointer value;
+  cs_usec_t now = control_now (control);
+  g_hash_table_iter_init (&iter, control->moves);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      tracked_move_t *move = value;
+      move->rewrite_due = move->has_state;
+      move->published_request_revision = (cs_revision_t){ 0 };
+      if (move->state.phase != CS_MOVE_RUNNING)
+        move->next_write_at = now + control_rewrite_delay (move->service);
+    }
+}
+
 static void
 tick_move (tracked_move_t *move, cs_usec_t now)
 {
+  if (!move->control->stopping)
+    rewrite_state (move, now);
   bool unfinished = cs_revision_is_set (move->request_revision)
                     && !(move->has_state
                          && cs_revision_compare (move->state.request_revision,
--- a/source/sidecar/startup.c
+++ b/source/sidecar/startup.c
@@ -79,8 +79,10 @@
   status = control_check_answer (control, status, rows, &revision);
   control->node_row_writing = false;
   control->node_row_retry_at = control_now (control) + NODE_ROW_WRITE_INTERVAL;
-  if (status == CS_OK)
-    control->node_row_stored_generation = control->node_row_pending_generation;
+  if (status != CS_OK)
+    return;
+  control->node_row_stored_generation = control->node_row_pending_generation;
+  control->node_row_lost = false;
 }
 
 void
@@ -88,7 +90,9 @@
 {
   if (control->node_row_writing || now < control->node_row_retry_at
       || !control->registered
-      || control->node_row_stored_generation == control->backend.generation)
+      || (!control->node_row_lost
+          && control->node_row_stored_generation
+                 == control->backend.generation))
     return;
   control->node_row_writing = true;
   control->node_row_pending_generation = control->backend.generation;
--- a/source/sidecar/table-era.c
+++ b/source/sidecar/table-era.c
@@ -3,6 +3,10 @@
 #include "cardamom/row-order.h"
 #include "control.h"
 
+/* Time over which the nodes write again what a rise of the era may have lost.
+ */
+#define REWRITE_SPREAD (1 * CS_SEC)
+
 void
 control_note_era (control_t *control, int64_t era)
 {
@@ -22,6 +26,17 @@
                 era, CS_REVISION_ARGS (control->rows_revision));
   control->rows_settle_at = now + CS_ERA_SETTLE_TIME;
   control->settle_read_due = true;
+  control->node_row_lost = true;
+  control->node_row_retry_at
+      = now + control_rewrite_delay (control->settings.node);
+  moves_note_era (control);
+  crash_rows_note_era (control);
+}
+
+cs_usec_t
+control_rewrite_delay (const char *name)
+{
+  return (cs_usec_t)(g_str_hash (name) % (guint)REWRITE_SPREAD);
 }
 
 cs_status_t
