--- a/tests/test-client.c
+++ b/tests/test-client.c
@@ -11,6 +11,8 @@
 #define OTHER_REFUSAL "HTTP/1.1 503 Busy\r\nId: other\r\n"
 #define LENGTH "Content-Length: 4\r\n\r\nbody"
 #define CHUNKS "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+#define EARLY "HTTP/1.1 413 Too Large\r\nId: own\r\n"
+#define MALFORMED "answer malformed, partial;"
 #define NO_LENGTH "\r\nbody"
 
 /* What the server does with the connection after its bytes.  */
@@ -18,15 +20,22 @@
 {
   STAYS_OPEN,
   CLOSES,
-  RESETS
+  RESETS,
+  RESETS_AT_ONCE, /* Before the client has read any of them.  */
+  CLOSES_AT_ONCE,
+  ENDS_ITS_SIDE /* Reads nothing more, and the connection stays.  */
 } end_t;
 
+/* More than the buffers of two sockets take.  */
+#define UPLOAD_BYTES (16 << 20)
+
 static const struct
 {
   const char *name, *bytes;
   end_t end;
   const char *expected; /* As in events_t.  */
   bool is_head;
+  size_t upload; /* Bytes of the request's body, which the server leaves.  */
 } cases[] = {
   { "length", OWN LENGTH, STAYS_OPEN, "200 body;" },
   { "chunks", OWN CHUNKS, STAYS_OPEN, "200 body;" },
@@ -76,6 +85,43 @@
     STAYS_OPEN, "answer to another request;", true },
   { "head-other-close", OTHER "\r\n" OWN "\r\n", CLOSES,
     "answer to another request;", true },
+  /* An end of the input that is none of the answer.  */
+  { "reset-at-once", OWN NO_LENGTH, RESETS_AT_ONCE,
+    "connection broken, partial;" },
+  { "reset-at-once-length", OWN LENGTH, RESETS_AT_ONCE, "200 body;" },
+  { "reset-at-once-chunks", OWN CHUNKS, RESETS_AT_ONCE, "200 body;" },
+  { "close-at-once", OWN NO_LENGTH, CLOSES_AT_ONCE, "200 body;" },
+  { "upload-reset", OWN NO_LENGTH, RESETS_AT_ONCE,
+    "connection broken, partial;", false, UPLOAD_BYTES },
+  { "upload-close", OWN NO_LENGTH, CLOSES, "connection broken, partial;",
+    false, UPLOAD_BYTES },
+  { "upload-close-at-once", OWN NO_LENGTH, CLOSES_AT_ONCE,
+    "connection broken, partial;", false, UPLOAD_BYTES },
+  { "upload-end", OWN NO_LENGTH, ENDS_ITS_SIDE, "answer truncated, partial;",
+    false, UPLOAD_BYTES },
+  { "upload-early-refusal", EARLY LENGTH, STAYS_OPEN, "413 body;", false,
+    UPLOAD_BYTES },
+  { "upload-early-refusal-chunks", EARLY CHUNKS, STAYS_OPEN, "413 body;",
+    false, UPLOAD_BYTES },
+  { "upload-early-refusal-reset", EARLY LENGTH, RESETS_AT_ONCE, "413 body;",
+    false, UPLOAD_BYTES },
+  { "upload-early-refusal-chunks-reset", EARLY CHUNKS, RESETS_AT_ONCE,
+    "413 body;", false, UPLOAD_BYTES },
+  /* Malformed, which is known without the rest.  */
+  { "status-000", "HTTP/1.1 000 No\r\n" LENGTH, STAYS_OPEN, MALFORMED },
+  { "status-099", "HTTP/1.1 099 No\r\n" LENGTH, STAYS_OPEN, MALFORMED },
+  { "status-20", "HTTP/1.1 20 No\r\n" LENGTH, STAYS_OPEN, MALFORMED },
+  { "status-0200", "HTTP/1.1 0200 No\r\n" LENGTH, STAYS_OPEN, MALFORMED },
+  { "status-600", "HTTP/1.1 600 No\r\nId: own\r\n" LENGTH, STAYS_OPEN,
+    MALFORMED },
+  { "status-999", "HTTP/1.1 999 No\r\nId: own\r\n" LENGTH, STAYS_OPEN,
+    MALFORMED },
+  { "status-2000", "HTTP/1.1 2000 No\r\n" LENGTH, STAYS_OPEN, MALFORMED },
+  { "status-signed", "HTTP/1.1 -20 No\r\n" LENGTH, STAYS_OPEN, MALFORMED },
+  { "status-alone", "HTTP/1.1 200\r\nId: own\r\n" LENGTH, STAYS_OPEN,
+    "200 body;" },
+  { "line-feeds", "HTTP/1.1 200 OK\nId: own\nContent-Length: 4\n\nbody",
+    STAYS_OPEN, MALFORMED },
 };
 
 /* What the client reports, in order: "STATUS BODY;" for an answer, the text of
@@ -161,20 +207,25 @@
     }
 }
 
-/* A client of LOOP that has sent a request; *SERVER is its server's connection
-   at LISTENER.  */
+/* A client of LOOP that has sent a request with a body of UPLOAD bytes, of
+   which the server has read the head; *SERVER is its server's connection at
+   LISTENER.  */
 static cs_http1_client_t *
 send_request (uv_loop_t *loop, int listener, unsigned port, bool is_head,
-              cs_answer_memory_t *memory, events_t *events, int *server)
+              size_t upload, cs_answer_memory_t *memory, events_t *events,
+              int *server)
 {
+  GString *head = g_string_new ("POST / HTTP/1.1\r\nHost: h\r\n");
+  GBytes *body = g_bytes_new_take (g_malloc0 (upload), upload);
+  g_string_append_printf (head, "content-length: %zu\r\n\r\n", upload);
   struct sockaddr_in address = loopback_address (port);
   cs_http1_client_t *client
       = cs_http1_client_new (loop, cs_clock_system (), &address, 5 * CS_SEC);
   if (memory)
     cs_http1_client_share_memory (client, memory);
-  cs_http1_client_send (client,
-                        g_string_new ("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
-                        is_head, &handler, events);
+  cs_http1_client_send_body (client, head, upload ? body : NULL, is_head,
+                             &handler, events);
+  g_bytes_unref (body);
   *server = accept_one (listener);
   while (!readable (*server, 0))
     uv_run (loop, UV_RUN_ONCE);
@@ -182,6 +233,17 @@
   return client;
 }
 
+static void
+end_connection (int server, end_t end)
+{
+  if (end == RESETS || end == RESETS_AT_ONCE)
+    reset_connection (server);
+  else if (end == CLOSES || end == CLOSES_AT_ONCE)
+    close (server);
+  else if (end == ENDS_ITS_SIDE)
+    shutdown (server, SHUT_WR);
+}
+
 /* Send a request, answer it as cases[INDEX] says, PIECE bytes at a time, and
    compare what the client reports.  */
 static void
@@ -193,14 +255,17 @@
   int listener = listen_on_free_port (&port);
   int server;
   uv_loop_init (&loop);
-  cs_http1_client_t *client = send_request (
-      &loop, listener, port, cases[index].is_head, NULL, &events, &server);
-  send_pieces (&loop, server, cases[index].bytes, piece);
-  pump (&loop, 20);
-  if (cases[index].end == RESETS)
-    reset_connection (server);
-  else if (cases[index].end == CLOSES)
-    close (server);
+  cs_http1_client_t *client
+      = send_request (&loop, listener, port, cases[index].is_head,
+                      cases[index].upload, NULL, &events, &server);
+  if (cases[index].end == RESETS_AT_ONCE || cases[index].end == CLOSES_AT_ONCE)
+    send_text (server, cases[index].bytes);
+  else
+    {
+      send_pieces (&loop, server, cases[index].bytes, piece);
+      pump (&loop, 20);
+    }
+  end_connection (server, cases[index].end);
   for (int ms = 0; cases[index].end != STAYS_OPEN && !events.ended
                    && ms < SOCKET_TIMEOUT_MS;
        ms += 5)
@@ -209,7 +274,7 @@
   cs_http1_client_drop (client);
   uv_run (&loop, UV_RUN_DEFAULT);
   g_assert_cmpint (uv_loop_close (&loop), ==, 0);
-  if (cases[index].end == STAYS_OPEN)
+  if (cases[index].end == STAYS_OPEN || cases[index].end == ENDS_ITS_SIDE)
     close (server);
   close (listener);
   g_string_free (events.text, TRUE);
@@ -258,7 +323,7 @@
   uv_loop_init (&loop);
   for (int i = 0; i < 2; i++)
     {
-      clients[i] = send_request (&loop, listener, port, false, &memory,
+      clients[i] = send_request (&loop, listener, port, false, 0, &memory,
                                  &events[i], &servers[i]);
       send_pieces (&loop, servers[i], head, strlen (head));
       send_pieces (&loop, servers[i],
--- a/tests/test-message.c
+++ b/tests/test-message.c
@@ -178,6 +178,50 @@
     }
 }
 
+/* Lines that are no fields are refused in the head of an answer or, as DATA
+   says, in the trailer of one in chunks, however the reads split them.  */
+static void
+test_malformed_fields (gconstpointer data)
+{
+  static const size_t steps[] = { 1, 3, 4096 };
+#define LINE(text)                                                            \
+  {                                                                           \
+    text, sizeof text - 1                                                     \
+  }
+  static const struct
+  {
+    const char *text;
+    size_t len;
+  } lines[] = {
+    LINE (": v\r\n"),       LINE ("A B: v\r\n"),     LINE ("A\tB: v\r\n"),
+    LINE ("A\001B: v\r\n"), LINE ("A\0B: v\r\n"),    LINE ("A\177B: v\r\n"),
+    LINE ("A\351B: v\r\n"), LINE ("A\"B: v\r\n"),    LINE ("A : v\r\n"),
+    LINE (" A: v\r\n"),     LINE ("A: v\r\n w\r\n"), LINE ("A: v\r\n\tw\r\n"),
+    LINE ("A: v\rw\r\n"),   LINE ("A: v\0w\r\n"),    LINE ("A: v\001w\r\n"),
+    LINE ("A: v\n"),        LINE ("A\r\n"),
+  };
+#undef LINE
+  for (size_t i = 0; i < G_N_ELEMENTS (lines); i++)
+    for (size_t j = 0; j < G_N_ELEMENTS (steps); j++)
+      {
+        bool trailer = data != NULL;
+        cs_http1_message_t message;
+        GString *text = g_string_new ("HTTP/1.1 200 OK\r\n");
+        g_string_append (text, trailer ? "Transfer-Encoding: chunked\r\n\r\n"
+                                         "2\r\nab\r\n0\r\nZ: 1\r\n"
+                                       : "Content-Length: 0\r\nZ: 1\r\n");
+        g_string_append_len (text, lines[i].text, (gssize)lines[i].len);
+        g_string_append (text, "\r\n");
+        cs_http1_message_init (&message, HTTP_RESPONSE, HEAD_MAX, BODY_MAX);
+        feed (&message, text->str, text->len, steps[j]);
+        g_test_message ("line %zu, %zu at a time", i, steps[j]);
+        g_assert_cmpint (message.error_status, ==, 400);
+        g_assert_false (message.complete);
+        cs_http1_message_clear (&message);
+        g_string_free (text, TRUE);
+      }
+}
+
 /* Random mutations of the requests above, from a fixed seed: each is accepted,
    refused, or incomplete.  A body never exceeds its limit, and no accepted
    request has both Content-Length and Transfer-Encoding.  */
@@ -230,6 +274,10 @@
   g_test_add_func ("/message/limits", test_limits);
   g_test_add_func ("/message/pipelined", test_pipelined);
   g_test_add_func ("/message/answers", test_answers);
+  g_test_add_data_func ("/message/malformed-fields", NULL,
+                        test_malformed_fields);
+  g_test_add_data_func ("/message/malformed-trailer", "trailer",
+                        test_malformed_fields);
   g_test_add_func ("/message/mutants", test_mutations);
   return g_test_run ();
 }
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -510,12 +510,14 @@
   close (caller);
 }
 
+/* More than the buffers of two sockets take.  */
+#define UPLOAD_BYTES (16 << 20)
 #define UNFRAMED_ANSWER_HEAD                                                  \
   "HTTP/1.1 200 OK\r\nCardamom-Attempt: a1\r\nCardamom-Seal: s\r\n\r\n"
 
-/* An answer whose body ends with the connection is passed on in the same way,
-   so that a truncated one does not look whole.  One that ends with a reset is
-   a failure.  */
+/* An answer whose body ends with the connection, in order, is whole (RFC 9112,
+   section 8): it is passed on with its length, so that what cuts it on the way
+   to the caller shows.  One that ends with a reset is a failure.  */
 static void
 test_unframed (void)
 {
@@ -525,10 +527,10 @@
   int server = accept_request (mesh, "/write/1");
   send_text (server, UNFRAMED_ANSWER_HEAD "part");
   close (server);
-  char *answer = receive_until_eof (caller);
+  char *answer = receive_message (caller);
   g_assert_true (g_str_has_prefix (answer, "HTTP/1.1 200"));
   g_assert_true (g_str_has_suffix (answer, "\r\n\r\npart"));
-  g_assert_null (strstr (answer, "Content-Length"));
+  g_assert_nonnull (strstr (answer, "\r\nContent-Length: 4\r\n"));
   g_free (answer);
   close (caller);
   caller = connect_to (mesh->caller_port);
@@ -542,6 +544,69 @@
   close (caller);
 }
 
+/* The server answers a long upload at once, without a length, and ends the
+   connection with the upload unread: the caller gets none of it.  */
+static void
+test_upload_cut (void)
+{
+  static const cs_http1_server_limits_t limits
+      = { .head_max = 16384,
+          .body_max = UPLOAD_BYTES,
+          .head_timeout = 3 * CS_SEC,
+          .idle_timeout = 30 * CS_SEC };
+  mesh_t *mesh = start_mesh (4);
+  char *body = g_strnfill (UPLOAD_BYTES, 'u');
+  cs_traffic_set_limits (mesh->caller_node, &limits);
+  for (int i = 0; i < 20; i++)
+    {
+      int caller = connect_to (mesh->caller_port);
+      send_request (caller, "PUT", "/write/1", "a1", body);
+      int server = accept_one (mesh->server_listener);
+      GString *got = g_string_new (NULL);
+      while (!strstr (got->str, "\r\n\r\n"))
+        g_assert_true (receive_some (server, got));
+      send_text (server, UNFRAMED_ANSWER_HEAD "part");
+      if (i % 2)
+        reset_connection (server);
+      else
+        close (server);
+      expect_answer (caller, "502", "");
+      g_string_free (got, TRUE);
+      close (caller);
+    }
+  g_free (body);
+}
+
+/* Answers that are none in the protocol end the request at once.  */
+static void
+test_malformed_answer (void)
+{
+  static const char *const answers[] = {
+    "HTTP/1.1 000 No\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 099 No\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 20 No\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 999 No\r\nCardamom-Attempt: a1\r\nCardamom-Seal: s\r\n"
+    "Content-Length: 0\r\n\r\n",
+    "HTTP/1.1 200 OK\nCardamom-Attempt: a1\nContent-Length: 0\n\n",
+    "HTTP/1.1 200 OK\r\nCardamom-Attempt: a1\r\nCardamom-Seal: s\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n0\r\nA B: c\r\n\r\n",
+  };
+  mesh_t *mesh = start_mesh (4);
+  for (size_t i = 0; i < G_N_ELEMENTS (answers); i++)
+    {
+      int caller = connect_to (mesh->caller_port);
+      send_request (caller, "PUT", "/write/1", "a1", "x");
+      int server = accept_request (mesh, "/write/1");
+      gint64 sent_at = g_get_monotonic_time ();
+      send_text (server, answers[i]);
+      expect_answer (caller, "502", "");
+      g_assert_cmpint (g_get_monotonic_time () - sent_at, <,
+                       5 * G_USEC_PER_SEC);
+      close (server);
+      close (caller);
+    }
+}
+
 /* Answers with the attempt id of another request, and surplus answers, are
    never passed on.  */
 static void
@@ -2211,6 +2276,8 @@
   g_test_add_func ("/path/pipelined", test_pipelined);
   g_test_add_func ("/path/early-answer", test_early_answer);
   g_test_add_func ("/path/unframed", test_unframed);
+  g_test_add_func ("/path/upload-cut", test_upload_cut);
+  g_test_add_func ("/path/malformed-answer", test_malformed_answer);
   g_test_add_func ("/path/foreign-answer", test_foreign_answer);
   g_test_add_func ("/path/earlier-refusal-written-again",
                    test_earlier_refusal_written_again);
