Log how a connection to a server ended under a request

Measured with a scratch copy of tests/test-client.c that prints the events, four plays of each case: in reset-at-once, upload-reset and upload-close-at-once the read is EOF while the socket still holds ECONNRESET and TCP is closed (7): no write has taken it. After an end in order TCP is in CLOSE-WAIT (8).

--- a/include/cardamom/event.h
+++ b/include/cardamom/event.h
@@ -32,6 +32,8 @@
   X (REPEATED, "repeated", 10, "A request was sent once more.")               \
   X (UNANSWERED, "unanswered", 40,                                            \
      "The server beside the node left a request without an answer.")          \
+  X (CONNECTION_END, "connection-end", 10,                                    \
+     "A connection to a server ended under a request.")                       \
   X (MISMATCHED, "mismatched", 10,                                            \
      "The server answered with another request's id; that is dropped.")       \
   X (CRASH, "crash", 40,                                                      \
--- a/source/http1/client.c
+++ b/source/http1/client.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "cardamom/client.h"
+#include "cardamom/connection-end.h"
 #include "cardamom/counters.h"
 
 /* Limits in bytes; that of the body is the default.  */
@@ -288,8 +289,13 @@
     {
       consume (client, buf->base, (size_t)n);
       read_on_or_pause (client);
+      return;
     }
-  else if (n == UV_EOF)
+  cs_connection_end_t end = cs_connection_end_of (&client->tcp, (int)n);
+  cs_connection_end_log (&end, &client->address,
+                         cs_http1_client_received (client),
+                         client->answer.close_delimited);
+  if (n == UV_EOF)
     consume_end (client);
   else
     fail (client, CS_HTTP1_CONNECTION_BROKEN);
