An answer ends with its connection only if that ended in order

Callers saw 200 and a part of the body where the server had reset the connection. libuv tells an end of file by itself when it sees the hang-up together with the last bytes (a read of less than its buffer), while the socket still holds the reset; the client took that for the end of an answer without a length. A write in progress isn't needed, it only makes the two be seen together more often.

The client now asks the socket: the end is in order only if it holds no error and TCP waits for our close (CLOSE-WAIT). A reset leaves TCP closed, whoever was told of it, so that an error that a write has taken counts too. An answer that ends with its connection before the request was written is cut, however the connection ended: a server that ends its side early and reads on is refused by that as well; it should tell a length. Answers with a length or in chunks pass as before, also before the upload has ended and when the reset is already there (upload-early-refusal-*, reset-at-once-length and -chunks).

--- a/include/cardamom/connection-end.h
+++ b/include/cardamom/connection-end.h
@@ -19,6 +19,10 @@
 cs_connection_end_t cs_connection_end_of (const uv_tcp_t *tcp,
                                           int read_status);
 
+/* Whether the other side has ended its sending in order, and nothing has
+   broken the connection since.  */
+bool cs_connection_end_is_orderly (const cs_connection_end_t *end);
+
 /* Log END of the connection to a server at ADDRESS, RECEIVED bytes into an
    answer that may be CLOSE_DELIMITED.  */
 void cs_connection_end_log (const cs_connection_end_t *end,
--- a/source/http1/client.c
+++ b/source/http1/client.c
@@ -244,11 +244,15 @@
     }
 }
 
-/* The server has closed its side of the connection.  */
+/* An answer that ends with its connection is whole only if that ended in
+   order, and not before the request was written: a server that gives up in
+   between may end in the same way.  */
 static void
-consume_end (cs_http1_client_t *client)
+consume_end (cs_http1_client_t *client, const cs_connection_end_t *end)
 {
-  if (!cs_http1_message_end_input (&client->answer))
+  if (!cs_connection_end_is_orderly (end))
+    fail (client, CS_HTTP1_CONNECTION_BROKEN);
+  else if (end->unwritten || !cs_http1_message_end_input (&client->answer))
     fail (client, CS_HTTP1_ANSWER_TRUNCATED);
   else if (client->matched)
     finish_answer (client, false);
@@ -295,10 +299,7 @@
   cs_connection_end_log (&end, &client->address,
                          cs_http1_client_received (client),
                          client->answer.close_delimited);
-  if (n == UV_EOF)
-    consume_end (client);
-  else
-    fail (client, CS_HTTP1_CONNECTION_BROKEN);
+  consume_end (client, &end);
 }
 
 static void
--- a/source/http1/connection-end.c
+++ b/source/http1/connection-end.c
@@ -22,6 +22,13 @@
   return end;
 }
 
+bool
+cs_connection_end_is_orderly (const cs_connection_end_t *end)
+{
+  return end->read_status == UV_EOF && !end->socket_error
+         && end->tcp_state == TCP_CLOSE_WAIT;
+}
+
 void
 cs_connection_end_log (const cs_connection_end_t *end,
                        const struct sockaddr_in *address, size_t received,
