Refuse answers with invalid statuses, trailers and line ends at once

Callers waited for the end of their time (504) where a server answered with the status 000, 099 or 20, which were read as interim answers, or ended its lines with a line feed alone; 600 and 999 were passed on, and a chunked answer whose trailer has a field name with a blank, a folded line or a line feed alone was passed on as complete, the trailer left out.

A status is three digits from 100 to 599 now, or the answer is malformed: 502 to the caller. A line feed alone is refused as it comes; the head was buffered up to a blank line that such a sender never ends. The bytes of a trailer section are checked as those of a head are; http-parser is stopped at the last chunk for that. The same holds for requests, where callers get 400.

--- a/include/cardamom/message.h
+++ b/include/cardamom/message.h
@@ -31,6 +31,8 @@
   bool skip_body; /* The answer is to HEAD; set before feeding.  */
   /* Close-delimited: the body ends with the connection.  */
   bool close_delimited;
+  bool in_trailer;   /* The last chunk has been read.  */
+  char trailer_byte; /* The last one of the trailer section.  */
   /* Of an answer: the memory that its body has in a budget; NULL: none.  */
   struct cs_claim *claim;
   /* 0, or the HTTP status that refuses the message: 400 (malformed), 413 (body
--- a/source/http1/message.c
+++ b/source/http1/message.c
@@ -42,10 +42,10 @@
 on_field_name (http_parser *parser, const char *at, size_t len)
 {
   cs_http1_message_t *message = parser->data;
-  if (message->head_complete)
-    return 0;
   if (memchr (at, ' ', len) || memchr (at, '\t', len))
     return refuse (message, 400, "white space in a header field name");
+  if (message->head_complete)
+    return 0;
   if (message->fields->len >= FIELDS_MAX)
     return refuse (message, 431, "too many header fields");
   cs_http1_field_t field = { .name = { .data = at, .len = len } };
@@ -114,6 +114,18 @@
   return message->skip_body ? 1 : 0;
 }
 
+/* The trailer section is fed by itself, so that its bytes are known.  */
+static int
+on_chunk_head (http_parser *parser)
+{
+  cs_http1_message_t *message = parser->data;
+  message->in_trailer = parser->content_length == 0;
+  message->trailer_byte = '\n';
+  if (message->in_trailer)
+    http_parser_pause (parser, 1);
+  return 0;
+}
+
 static int
 on_body (http_parser *parser, const char *at, size_t len)
 {
@@ -139,6 +151,7 @@
   .on_header_value = on_field_value,
   .on_headers_complete = on_headers_complete,
   .on_body = on_body,
+  .on_chunk_header = on_chunk_head,
   .on_message_complete = on_complete,
 };
 
@@ -189,7 +202,7 @@
   g_array_set_size (message->fields, 0);
   message->request_target = (cs_str_t){ 0 };
   message->head_complete = message->complete = message->skip_body
-      = message->close_delimited = false;
+      = message->close_delimited = message->in_trailer = false;
   message->error_status = 0;
   message->blank_bytes = 0;
   message->error_text = NULL;
@@ -226,6 +239,14 @@
         }
       g_string_append_len (message->head, data + used, (gssize)take);
       used += take;
+      /* At once, for the blank line might never come.  */
+      if (end
+          && (message->head->len < 2
+              || message->head->str[message->head->len - 2] != '\r'))
+        {
+          refuse (message, 400, "line feed without carriage return");
+          return len;
+        }
       *complete = end && message->head->len >= 4
                   && memcmp (message->head->str + message->head->len - 4,
                              "\r\n\r\n", 4)
@@ -234,18 +255,51 @@
   return used;
 }
 
+/* Refuse a status that is not of three digits, from 100 to 599.  Others are
+   invalid (RFC 9110, section 15); http-parser takes any up to 999, also as
+   interim ones, after which another answer would be awaited.  */
+static void
+check_status (cs_http1_message_t *message)
+{
+  static const char before[] = "HTTP/1.1 ";
+  const char *status = message->head->str + sizeof before - 1;
+  if (message->parser.type == HTTP_RESPONSE
+      && (message->head->len < sizeof before + 3 || status[-1] != ' '
+          || *status < '1' || *status > '5' || !g_ascii_isdigit (status[1])
+          || !g_ascii_isdigit (status[2])
+          || (status[3] != ' ' && status[3] != '\r')))
+    refuse (message, 400, "invalid status");
+}
+
 /* Refuse what http-parser accepts although RFC 9112 forbids it.  */
 static void
 check_head_bytes (cs_http1_message_t *message)
 {
   const char *text = message->head->str;
   for (gsize i = 0; i < message->head->len; i++)
-    if (text[i] == '\n' && (i == 0 || text[i - 1] != '\r'))
-      refuse (message, 400, "line feed without carriage return");
-    else if (text[i] == '\n' && (text[i + 1] == ' ' || text[i + 1] == '\t'))
+    if (text[i] == '\n' && (text[i + 1] == ' ' || text[i + 1] == '\t'))
       refuse (message, 400, "obsolete line folding");
     else if (text[i] == '\0')
       refuse (message, 400, "NUL in the header section");
+  check_status (message);
+}
+
+/* Refuse lines of the trailer section DATA that http-parser accepts although
+   RFC 9112 forbids them.  */
+static void
+check_trailer_bytes (cs_http1_message_t *message, const char *data, size_t len)
+{
+  for (size_t i = 0; i < len; i++)
+    {
+      char before = message->trailer_byte;
+      if (data[i] == '\n' && before != '\r')
+        refuse (message, 400, "line feed without carriage return");
+      else if (before == '\n' && (data[i] == ' ' || data[i] == '\t'))
+        refuse (message, 400, "obsolete line folding");
+      message->trailer_byte = data[i];
+    }
+  if (message->error_status)
+    message->complete = false;
 }
 
 /* Whether the request begins with a syntactically valid method, known or
@@ -262,15 +316,30 @@
 static size_t
 parse (cs_http1_message_t *message, const char *data, size_t len)
 {
+  bool in_trailer = message->in_trailer;
   size_t used = http_parser_execute (&message->parser, &settings, data, len);
   enum http_errno error = HTTP_PARSER_ERRNO (&message->parser);
   if (error == HPE_INVALID_METHOD && starts_with_method (message))
     refuse (message, 501, "unknown method");
   else if (error != HPE_OK && error != HPE_PAUSED)
     refuse (message, 400, http_errno_description (error));
+  if (in_trailer)
+    check_trailer_bytes (message, data, used);
   return used;
 }
 
+/* Parse what follows the head.  */
+static size_t
+parse_body (cs_http1_message_t *message, const char *data, size_t len)
+{
+  size_t used = parse (message, data, len);
+  if (!message->in_trailer || message->complete || message->error_status
+      || used == len)
+    return used;
+  http_parser_pause (&message->parser, 0);
+  return used + parse (message, data + used, len - used);
+}
+
 size_t
 cs_http1_message_feed (cs_http1_message_t *message, const char *data,
                        size_t len)
@@ -293,7 +362,7 @@
         return used;
     }
   if (!message->complete && used < len)
-    used += parse (message, data + used, len - used);
+    used += parse_body (message, data + used, len - used);
   return used;
 }
 
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -591,9 +591,9 @@
     "HTTP/1.1 200 OK\r\nCardamom-Attempt: a1\r\nCardamom-Seal: s\r\n"
     "Transfer-Encoding: chunked\r\n\r\n0\r\nA B: c\r\n\r\n",
   };
-  mesh_t *mesh = start_mesh (4);
   for (size_t i = 0; i < G_N_ELEMENTS (answers); i++)
     {
+      mesh_t *mesh = start_mesh (4);
       int caller = connect_to (mesh->caller_port);
       send_request (caller, "PUT", "/write/1", "a1", "x");
       int server = accept_request (mesh, "/write/1");
