Tell callers the length of an answer that its server ended by closing

The node holds the whole body before it answers, so it sends the length; what is cut between it and the caller shows. That its server may have ended early is decided where that connection ends; an orderly end is the end of the answer by RFC 9112, section 8. The connection of the caller isn't closed for it any more. The place in the frame between nodes stays, as 0.

--- a/include/cardamom/dispatcher.h
+++ b/include/cardamom/dispatcher.h
@@ -111,9 +111,6 @@
   cs_str_t fields; /* Header lines for the caller.  */
   cs_str_t body;
   GBytes *body_bytes; /* Holds BODY, for a reference; NULL: nothing does.  */
-  /* BODY is delimited by the close of the connection, so it may be
-     truncated.  */
-  bool close_delimited;
   /* Expected wait in the queue, when refused for load.  */
   cs_usec_t expected_wait;
   bool server_leaving; /* The answer says that the server leaves.  */
--- a/include/cardamom/server.h
+++ b/include/cardamom/server.h
@@ -26,8 +26,8 @@
      waits for those before it.  */
   int64_t counted, head_counted, answer_counted;
   bool close, answered, delivered;
-  /* Set by the handler before it answers: the body is close-delimited, since
-     it may be incomplete.  */
+  /* Set by the handler before it answers: the body is close-delimited.  The
+     product never does, for a cut body would look whole; stand-ins do.  */
   bool close_delimited;
   /* Set by the handler: AT_FRONT is called when all earlier requests of the
      connection have been answered.  */
--- a/source/call/call.h
+++ b/source/call/call.h
@@ -13,7 +13,6 @@
   unsigned status;
   char *fields;
   GBytes *body; /* NULL: empty.  */
-  bool close_delimited;
 } failed_answer_t;
 
 struct call
--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -162,10 +162,9 @@
 
 static void
 finish_answered (call_t *call, unsigned status, const char *fields,
-                 GBytes *body, bool close_delimited)
+                 GBytes *body)
 {
   cs_counter_add (CS_C_CALLS_DONE, 1);
-  call->exchange->close_delimited = close_delimited;
   cs_exchange_answer_bytes (call->exchange, status, fields, body, false);
   free_call (call);
 }
@@ -178,8 +177,7 @@
   const failed_answer_t *answer = call->failed_answer;
   if (answer)
     {
-      finish_answered (call, answer->status, answer->fields, answer->body,
-                       answer->close_delimited);
+      finish_answered (call, answer->status, answer->fields, answer->body);
       return;
     }
   call->may_have_run = true;
@@ -452,8 +450,7 @@
   *call->failed_answer
       = (failed_answer_t){ .status = outcome->status,
                            .fields = cs_str_dup (outcome->fields),
-                           .body = keep_body (outcome),
-                           .close_delimited = outcome->close_delimited };
+                           .body = keep_body (outcome) };
 }
 
 static void
@@ -477,8 +474,7 @@
     }
   char *fields = cs_str_dup (outcome->fields);
   GBytes *body = keep_body (outcome);
-  finish_answered (call, outcome->status, fields, body,
-                   outcome->close_delimited);
+  finish_answered (call, outcome->status, fields, body);
   if (body)
     g_bytes_unref (body);
   g_free (fields);
--- a/source/run/answers.c
+++ b/source/run/answers.c
@@ -112,7 +112,6 @@
       body = take_body (answer);
       outcome.body_bytes = body;
       outcome.body = cs_str_of_bytes (body);
-      outcome.close_delimited = answer->close_delimited;
       dispatcher_record_failure_rate (dispatcher, status >= 500);
       dispatcher_record_run (dispatcher, dispatch, status >= 500,
                              service_time);
--- a/source/stream/frames.c
+++ b/source/stream/frames.c
@@ -275,7 +275,8 @@
   cs_pack_int64 (pack, outcome->kind);
   cs_pack_int64 (pack, outcome->reason);
   cs_pack_int64 (pack, outcome->reached_server);
-  cs_pack_int64 (pack, outcome->close_delimited);
+  /* Once: whether the server framed the body by its close.  */
+  cs_pack_int64 (pack, 0);
   cs_pack_int64 (pack, outcome->status);
   cs_pack_int64 (pack, outcome->expected_wait);
   cs_pack_int64 (pack, outcome->service_time);
@@ -306,7 +307,7 @@
   *number = cs_unpack_uint64 (cursor);
   int64_t kind = cs_unpack_int64 (cursor), reason = cs_unpack_int64 (cursor);
   outcome->reached_server = cs_unpack_int64 (cursor) != 0;
-  outcome->close_delimited = cs_unpack_int64 (cursor) != 0;
+  cs_unpack_int64 (cursor); /* See cs_outcome_pack.  */
   outcome->status = (unsigned)cs_unpack_int64 (cursor);
   outcome->expected_wait = cs_unpack_int64 (cursor);
   outcome->service_time = cs_unpack_int64 (cursor);
