--- a/tests/test-client.c
+++ b/tests/test-client.c
@@ -358,6 +358,46 @@
   g_free (expected);
 }
 
+#define HELD_BYTES 60000 /* Of an answer without a length, before a pause. */
+
+/* An answer without a length waits for memory while its request is being
+   written, and the server resets the connection: the write takes the error of
+   the socket, and the next read is told of an end of file.  */
+static void
+test_write_takes_the_error (void)
+{
+  uv_loop_t loop;
+  unsigned port;
+  int server;
+  events_t events = { .text = g_string_new (NULL) };
+  cs_memory_budget_t budget = { .limit = 1000000, .used = 900000 };
+  cs_claims_t claims = { .budget = &budget };
+  cs_answer_memory_t memory
+      = { .max_per_answer = 1 << 20, .max_total = 2 << 20, .claims = &claims };
+  char *body = g_strnfill (HELD_BYTES, 'b');
+  int listener = listen_on_free_port (&port);
+  uv_loop_init (&loop);
+  cs_http1_client_t *client = send_request (
+      &loop, listener, port, false, UPLOAD_BYTES, &memory, &events, &server);
+  send_pieces (&loop, server, OWN "\r\n", strlen (OWN "\r\n"));
+  send_pieces (&loop, server, body, HELD_BYTES);
+  pump (&loop, 20);
+  g_assert_cmpint (cs_http1_client_paused_since (client), >, 0);
+  reset_connection (server);
+  pump (&loop, 20);
+  budget.used -= 900000;
+  cs_http1_client_resume (client, false);
+  for (int ms = 0; !events.ended && ms < SOCKET_TIMEOUT_MS; ms += 5)
+    pump (&loop, 5);
+  g_assert_cmpstr (events.text->str, ==, "connection broken, partial;");
+  cs_http1_client_drop (client);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  g_assert_cmpint (uv_loop_close (&loop), ==, 0);
+  close (listener);
+  g_string_free (events.text, TRUE);
+  g_free (body);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -369,5 +409,7 @@
       g_free (path);
     }
   g_test_add_func ("/client/short-of-memory", test_short_of_memory);
+  g_test_add_func ("/client/write-takes-the-error",
+                   test_write_takes_the_error);
   return g_test_run ();
 }
--- a/tests/test-http.c
+++ b/tests/test-http.c
@@ -119,6 +119,12 @@
     STATUS_200 "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", CS_UNKNOWN,
     NULL },
   { "no-length", STATUS_200 "\r\nabc", CS_UNKNOWN, NULL },
+  { "status-999", "HTTP/1.1 999 No\r\nContent-Length: 3\r\n\r\nabc",
+    CS_UNKNOWN, NULL },
+  { "malformed-trailer",
+    STATUS_200 "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n"
+               "A B: c\r\n\r\n",
+    CS_UNKNOWN, NULL },
   { "headers-cut", STATUS_200 "Content-Le", CS_UNKNOWN, NULL },
   { "nothing", "", CS_UNKNOWN, NULL },
   { "no-http", "SSH-2.0\r\n\r\n", CS_UNKNOWN, NULL },
