A process that starts after a drill believes other nodes before the copy

Now a node's first read waits 0.3 s for the rows of its region's nodes, which answer a request for rows with the states of all moves too, concluded ones included. A process that is started beside others takes an era that it first sees as not settled: it claims no move that has not begun, and what the copy has otherwise waits. The state of a move is written again by its owner and, a second later, by the first other nodes. A row that is sent on says whether it is certain to be what the operator wrote last; if it isn't, the receiver applies the rule for rows of the copy itself. What is settled is judged by when a call was made. Frames carry the era behind the fields that earlier releases read; a frame without one is of the era that the receiver knows.

--- a/source/sidecar/control.c
+++ b/source/sidecar/control.c
@@ -38,7 +38,7 @@
       rows_handle_freshness (control, node, &in);
       break;
     case CS_FRAME_ROWS_REQUEST:
-      rows_send_all (control, node);
+      rows_handle_request (control, node, &in);
       break;
     case CS_FRAME_VERSION_STATS:
       moves_handle_evidence (control, node, &in);
--- a/source/sidecar/control.h
+++ b/source/sidecar/control.h
@@ -76,6 +76,9 @@
      again.  */
   cs_usec_t rows_settle_at;
   bool settle_read_due; /* Read all rows after that.  */
+  /* The first read, which waits for the rows of other nodes; or NULL.  */
+  GPtrArray *first_rows;
+  cs_revision_t first_rows_revision;
   /* Another node has had other rows at the same revision since then; 0: none.
      After RECONCILE_DELAY its rows are requested.  */
   cs_usec_t rows_differ_since, reconcile_delay;
@@ -114,6 +117,7 @@
   bool resume_pending;          /* Its backend server is yet to be checked.  */
   struct cs_http1_client *health_check;
   bool registered;         /* The table has this node's row.  */
+  bool region_has_peers;   /* The table has rows of others of the region.  */
   bool table_call_pending; /* A read, a watch or the registration runs.  */
   /* The last startup step, read, watch or write of a move in the table ended
      with CS_OK, CS_CONFLICT or CS_NOT_FOUND.  Later writes of the node's row
@@ -158,8 +162,10 @@
                             cs_unpack_cursor_t *in);
 /* Handle CS_FRAME_ROWS_COMPLETE: remove the rows that are no more.  */
 void rows_handle_complete (control_t *control, cs_unpack_cursor_t *in);
-/* Send all operator rows to NODE, which has requested them.  */
-void rows_send_all (control_t *control, const char *node);
+/* Handle CS_FRAME_ROWS_REQUEST: send all operator rows, and the states of
+   moves, to NODE.  */
+void rows_handle_request (control_t *control, const char *node,
+                          cs_unpack_cursor_t *in);
 /* Request the operator rows from NODE, unless the last request was sent less
    than a minimum interval ago.  */
 void rows_request (control_t *control, const char *node);
@@ -187,9 +193,10 @@
 /* How long after a rise of the table's era the row NAME is written again, so
    that not all nodes write at once.  */
 cs_usec_t control_rewrite_delay (const char *name);
-/* Whether the operator has had the time to write again what the table has lost
-   with the last rise of its era.  */
-bool control_era_is_settled (const control_t *control);
+/* Whether at NOW the operator has had the time to write again what the table
+   has lost with the last rise of its era.  For what a call brings, NOW is the
+   time at which it was made.  */
+bool control_era_is_settled (const control_t *control, cs_usec_t now);
 /* Set TABLE_UP from the STATUS of a call of the table, and log a change.  */
 void control_note_table (control_t *control, cs_status_t status);
 
@@ -207,6 +214,9 @@
 /* Request the operator rows from a random reachable node of the region; false
    when there is none.  */
 bool startup_request_rows (control_t *control);
+/* Whether what this node reads is to wait for the rows of the other nodes of
+   its region, which may be later than the table's.  */
+bool startup_awaits_peers (const control_t *control);
 /* Run the current startup step; RANK is from rows_reader_rank.  */
 void startup_run_step (control_t *control, unsigned rank, cs_usec_t now);
 
@@ -239,6 +249,8 @@
                          cs_unpack_cursor_t *in);
 void moves_handle_evidence (control_t *control, const char *from,
                             cs_unpack_cursor_t *in);
+/* Send the states of all moves to NODE, also of those that are concluded.  */
+void moves_send_all (control_t *control, const char *node);
 /* The table came back from an older copy: write the states of moves again.  */
 void moves_note_era (control_t *control);
 void moves_tick (control_t *control, cs_usec_t now);
--- a/source/sidecar/move-orders.c
+++ b/source/sidecar/move-orders.c
@@ -23,7 +23,8 @@
   return cs_revision_is_set (move->row_of_request)
          && requests_are_equal (request, &move->request)
          && (revision.era > move->row_of_request.era
-             || !control_era_is_settled (move->control));
+             || !control_era_is_settled (move->control,
+                                         control_now (move->control)));
 }
 
 /* Whether REQUEST, of a row at REVISION, is the one before the one that MOVE
@@ -64,14 +65,16 @@
       || is_earlier_request (move, &request, row->revision))
     return;
   bool again = is_written_again (move, &request, row->revision);
-  bool first = !cs_revision_is_set (move->row_of_request);
+  bool may_be_again
+      = !cs_revision_is_set (move->row_of_request)
+        || !control_era_is_settled (control, control_now (control));
   move->row_of_request = row->revision;
   if (again)
     return;
   move->earlier_request = move->request;
   move->request = request;
   move->request_revision = row->revision;
-  if (first && move->has_state)
+  if (may_be_again && move->has_state)
     move_match_request (move, &move->state);
   move->requested_at = control_now (control);
   move->requested_wall_ms = move_wall_ms (control);
--- a/source/sidecar/move-record.c
+++ b/source/sidecar/move-record.c
@@ -1,7 +1,7 @@
 /* The state of a move in its row and in the heartbeats of its owner.  */
 #include "moves-internal.h"
 
-#define MOVE_FIELDS 15 /* Of a packed move, with its frame type.  */
+#define MOVE_FIELDS 16 /* Of a packed move, with its frame type.  */
 
 void
 move_record_pack (cs_pack_t *pack, const char *service,
@@ -10,7 +10,7 @@
   cs_pack_array (pack, MOVE_FIELDS);
   cs_pack_int64 (pack, CS_FRAME_MOVE_STATE);
   cs_pack_text (pack, service);
-  cs_pack_int64 (pack, cs_revision_to_number (state->request_revision));
+  cs_pack_int64 (pack, state->request_revision.version);
   cs_pack_int64 (pack, state->epoch);
   cs_pack_int64 (pack, state->step);
   cs_pack_text (pack, state->owner);
@@ -23,15 +23,17 @@
   cs_pack_int64 (pack, can_write);
   cs_pack_int64 (pack, state->total_requests);
   cs_pack_int64 (pack, state->candidate_requests);
+  cs_pack_int64 (pack, state->request_revision.era);
 }
 
 bool
-move_record_unpack (cs_unpack_cursor_t *in, char service[CS_NAME_SIZE],
-                    move_record_t *state)
+move_record_unpack (cs_unpack_cursor_t *in, int64_t era,
+                    char service[CS_NAME_SIZE], move_record_t *state)
 {
   *state = (move_record_t){ 0 };
   cs_name_unpack (in, service);
-  state->request_revision = cs_revision_from_number (cs_unpack_int64 (in));
+  state->request_revision
+      = (cs_revision_t){ .era = era, .version = cs_unpack_int64 (in) };
   state->epoch = cs_unpack_int64 (in);
   state->step = cs_unpack_int64 (in);
   cs_name_unpack (in, state->owner);
@@ -48,6 +50,8 @@
       state->total_requests = cs_unpack_int64 (in);
       state->candidate_requests = cs_unpack_int64 (in);
     }
+  if (in->remaining)
+    state->request_revision.era = cs_unpack_int64 (in);
   if (phase < CS_MOVE_RUNNING || phase > CS_MOVE_ROLLED_BACK
       || state->share_permille < 0
       || state->share_permille > CS_ALL_TRAFFIC_PERMILLE)
--- a/source/sidecar/moves-internal.h
+++ b/source/sidecar/moves-internal.h
@@ -82,10 +82,11 @@
    whether its owner can write to the table.  */
 void move_record_pack (cs_pack_t *pack, const char *service,
                        const move_record_t *state, bool can_write);
-/* Unpack the fields after the frame type; malformed ones set IN->failed.
-   Returns whether the owner can write to the table.  */
-bool move_record_unpack (cs_unpack_cursor_t *in, char service[CS_NAME_SIZE],
-                         move_record_t *state);
+/* Unpack the fields after the frame type; malformed ones set IN->failed.  The
+   request is of ERA if the sender is of a release without eras.  Returns
+   whether the owner can write to the table.  */
+bool move_record_unpack (cs_unpack_cursor_t *in, int64_t era,
+                         char service[CS_NAME_SIZE], move_record_t *state);
 /* Whether A is a later state than B of a move of the same service.  */
 bool move_record_is_newer (const move_record_t *a, const move_record_t *b);
 
--- a/source/sidecar/moves.c
+++ b/source/sidecar/moves.c
@@ -15,6 +15,10 @@
 #define FALSE_ALARM_PROBABILITY 0.0025
 /* Delay before the next write after a failed one or a conflict.  */
 #define WRITE_RETRY_DELAY (250 * CS_MSEC)
+/* Nodes before this rank write the state of a move again beside its owner,
+   this much later.  */
+#define REWRITER_RANK_MAX 1
+#define OTHER_REWRITER_DELAY (1 * CS_SEC)
 /* A slow table answers a write within some hundred milliseconds.  After this
    time the owner most likely cannot reach the table.  */
 #define WRITE_DURATION_MAX (800 * CS_MSEC)
@@ -102,7 +106,7 @@
     return;
   /* The frame type.  */
   cs_unpack_int64 (&in);
-  move_record_unpack (&in, service, &state);
+  move_record_unpack (&in, control->table_era, service, &state);
   if (!in.failed)
     {
       tracked_move_t *move = move_find_or_add (control, service);
@@ -121,7 +125,8 @@
 {
   char service[CS_NAME_SIZE] = "";
   move_record_t state;
-  bool can_write = move_record_unpack (in, service, &state);
+  bool can_write
+      = move_record_unpack (in, control->table_era, service, &state);
   if (in->failed)
     return;
   tracked_move_t *move = move_find_or_add (control, service);
@@ -203,6 +208,26 @@
   g_free (text);
 }
 
+void
+moves_send_all (control_t *control, const char *node)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, control->moves);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const tracked_move_t *move = value;
+      cs_pack_t pack;
+      if (!move->has_state)
+        continue;
+      cs_pack_init (&pack);
+      move_record_pack (&pack, move->service, &move->state, false);
+      cs_traffic_send_control (control->traffic, node, NULL,
+                               cs_pack_payload (&pack));
+      cs_pack_clear (&pack);
+    }
+}
+
 void
 move_send_state (tracked_move_t *move)
 {
@@ -399,15 +424,14 @@
 }
 
 /* Whether this node writes the state of MOVE to the table again: its owner
-   does, or another node in its place.  */
+   does, and later one that may take over, in case that the owner has ended or
+   is a process that has started since.  */
 static bool
 is_rewriter (const tracked_move_t *move)
 {
   const control_t *control = move->control;
-  const member_info_t *owner
-      = g_hash_table_lookup (control->members, move->state.owner);
   return strcmp (move->state.owner, control->settings.node) == 0
-         || (!(owner && owner->reachable) && owner_rank (move) == 0);
+         || owner_rank (move) <= REWRITER_RANK_MAX;
 }
 
 static void
@@ -432,7 +456,10 @@
       tracked_move_t *move = value;
       move->rewrite_due = move->has_state;
       move->published_request_revision = (cs_revision_t){ 0 };
-      if (move->state.phase != CS_MOVE_RUNNING)
+      if (strcmp (move->state.owner, control->settings.node) != 0)
+        move->next_write_at = now + OTHER_REWRITER_DELAY
+                              + control_rewrite_delay (move->service);
+      else if (move->state.phase != CS_MOVE_RUNNING)
         move->next_write_at = now + control_rewrite_delay (move->service);
     }
 }
@@ -461,6 +488,9 @@
                           : move->requested_at;
   if (!move->write_pending && now >= move->next_write_at
       && move->control->table_up
+      /* Another node may hold the state of a move that this process hasn't
+         heard of.  */
+      && (begun || control_era_is_settled (move->control, now))
       && cs_move_owner_should_take_over (owner_rank (move), begun,
                                          now - since))
     claim_ownership (move);
--- a/source/sidecar/operator-rows.c
+++ b/source/sidecar/operator-rows.c
@@ -131,6 +131,17 @@
   return cs_row_supersedes (&held_order, &row_order);
 }
 
+/* Whether ROW, a row that isn't a document, may be the copy's, while the
+   operator has yet to write HELD, the later one, again.  */
+static bool
+may_be_older (const control_t *control, const cs_table_row_t *held,
+              const cs_table_row_t *row)
+{
+  return !control_era_is_settled (control, control_now (control))
+         && cs_row_may_be_older (held->revision, row->revision)
+         && !rows_are_equal (held, row);
+}
+
 /* ROW is stored; EXISTED tells whether there was one before.  */
 static void
 apply_row (control_t *control, const cs_table_row_t *row, bool existed)
@@ -152,7 +163,7 @@
 }
 
 bool
-rows_accept (control_t *control, cs_table_row_t *row,
+rows_accept (control_t *control, cs_table_row_t *row, bool certain,
              const rows_audience_t *audience)
 {
   const cs_table_row_t *held
@@ -160,26 +171,29 @@
   bool is_config
       = row->value
         && control->adapter->classify_row (row->key) == CS_OPERATOR_ROW_CONFIG;
-  bool is_same
-      = held && cs_revision_compare (held->revision, row->revision) == 0;
+  bool is_same = held
+                 && cs_revision_compare (held->revision, row->revision) == 0
+                 && rows_are_equal (held, row);
   cs_snapshot_t *config
       = is_config && !is_same ? decode_config (control, row) : NULL;
   bool is_malformed = is_config && !is_same && !config;
-  bool is_old = held && !is_same && !is_malformed
-                && !supersedes (control, held, row, config);
+  bool is_old
+      = held && !is_same && !is_malformed
+        && (!supersedes (control, held, row, config)
+            || (!certain && !config && may_be_older (control, held, row)));
   if (is_same || is_old || is_malformed)
     {
       if (is_old)
         note_old_row (held, row);
       if (is_malformed && audience)
-        rows_send (control, row, held, *audience); /* All nodes log it.  */
+        rows_send (control, row, held, true, *audience); /* All log it.  */
       cs_counter_add (CS_C_CONFIG_STALE, is_old && config);
       cs_snapshot_drop (control->ctx, config);
       cs_table_row_free (row);
       return false;
     }
   if (audience)
-    rows_send (control, row, held, *audience);
+    rows_send (control, row, held, certain, *audience);
   bool existed = held && held->value;
   bool is_written_again = held && rows_are_equal (held, row);
   g_hash_table_replace (control->operator_rows, row->key, row);
@@ -193,12 +207,13 @@
 
 void
 rows_remove_missing (control_t *control, GHashTable *in_table,
-                     cs_revision_t revision, const rows_audience_t *audience)
+                     cs_revision_t revision, cs_usec_t read_at,
+                     const rows_audience_t *audience)
 {
   GHashTableIter iter;
   gpointer value;
   GPtrArray *missing = g_ptr_array_new ();
-  bool settled = control_era_is_settled (control);
+  bool settled = control_era_is_settled (control, read_at);
   g_hash_table_iter_init (&iter, control->operator_rows);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -218,7 +233,7 @@
       *removed = (cs_table_row_t){ .keyspace = CS_KEYSPACE_OPERATOR,
                                    .key = g_strdup (row->key),
                                    .revision = revision };
-      rows_accept (control, removed, audience);
+      rows_accept (control, removed, true, audience);
     }
   g_ptr_array_unref (missing);
 }
--- a/source/sidecar/rows-exchange.c
+++ b/source/sidecar/rows-exchange.c
@@ -75,7 +75,7 @@
 
 void
 rows_send (control_t *control, const cs_table_row_t *row,
-           const cs_table_row_t *base, rows_audience_t audience)
+           const cs_table_row_t *base, bool certain, rows_audience_t audience)
 {
   cs_pack_t pack;
   bool has_base = base && base->value && row->value;
@@ -92,13 +92,17 @@
       return;
     }
   cs_pack_init (&pack);
-  cs_pack_array (&pack, 6);
+  cs_pack_array (&pack, 9);
   cs_pack_int64 (&pack, CS_FRAME_ROW);
   cs_pack_text (&pack, row->key);
-  cs_pack_int64 (&pack, cs_revision_to_number (row->revision));
+  cs_pack_int64 (&pack, row->revision.version);
   cs_pack_int64 (&pack, row->value != NULL);
-  cs_pack_int64 (&pack, has_base ? cs_revision_to_number (base->revision) : 0);
+  cs_pack_int64 (&pack, has_base ? base->revision.version : 0);
   cs_pack_bytes (&pack, delta ? cs_str_of_gstring (delta) : CS_STR (""));
+  /* Earlier releases read no further.  */
+  cs_pack_int64 (&pack, row->revision.era);
+  cs_pack_int64 (&pack, has_base ? base->revision.era : 0);
+  cs_pack_int64 (&pack, certain);
   send_payload (control, audience, cs_pack_payload (&pack));
   cs_pack_clear (&pack);
   if (delta)
@@ -108,7 +112,7 @@
 /* What two nodes compare of the rows that they hold.  */
 typedef struct
 {
-  int64_t sum;   /* Of the revisions; all that earlier releases send.  */
+  int64_t sum;   /* Of the versions; all that earlier releases send.  */
   uint64_t hash; /* Of the keys and revisions, in any order.  */
 } rows_digest_t;
 
@@ -126,7 +130,7 @@
       if (!row->value)
         continue;
       uint64_t revision = (uint64_t)cs_revision_to_number (row->revision);
-      sum += revision;
+      sum += (uint64_t)row->revision.version;
       digest.hash
           ^= XXH3_64bits_withSeed (row->key, strlen (row->key), revision);
     }
@@ -141,22 +145,23 @@
   cs_pack_t pack;
   cs_pack_init (&pack);
   rows_digest_t digest = rows_digest (control);
-  cs_pack_array (&pack, 8);
+  cs_pack_array (&pack, 9);
   cs_pack_int64 (&pack, CS_FRAME_ROWS_FRESHNESS);
-  cs_pack_int64 (&pack, cs_revision_to_number (control->rows_revision));
+  cs_pack_int64 (&pack, control->rows_revision.version);
   cs_pack_int64 (&pack, digest.sum);
   cs_pack_int64 (&pack, now - control->rows_fresh_at);
   cs_pack_int64 (&pack, now - control->own_read_at < OWN_READ_AGE_MAX);
   cs_pack_int64 (&pack, now - atomic_load (&control->keys_fresh_at));
   cs_pack_int64 (&pack, now);
   cs_pack_int64 (&pack, (int64_t)digest.hash);
+  cs_pack_int64 (&pack, control->rows_revision.era);
   send_payload (control, audience, cs_pack_payload (&pack));
   cs_pack_clear (&pack);
 }
 
 /* Tell NODE the names of all rows of this node, which it has been sent.  */
 static void
-send_row_names (control_t *control, const char *node)
+send_row_names (control_t *control, const char *node, bool knows_eras)
 {
   GHashTableIter iter;
   gpointer value;
@@ -168,7 +173,9 @@
   cs_pack_init (&pack);
   cs_pack_array (&pack, 2 + count);
   cs_pack_int64 (&pack, CS_FRAME_ROWS_COMPLETE);
-  cs_pack_int64 (&pack, cs_revision_to_number (control->rows_revision));
+  cs_pack_int64 (&pack, knows_eras
+                            ? cs_revision_to_number (control->rows_revision)
+                            : control->rows_revision.version);
   g_hash_table_iter_init (&iter, control->operator_rows);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (((const cs_table_row_t *)value)->value)
@@ -187,21 +194,26 @@
   while (in->remaining && !in->failed)
     g_hash_table_add (names, cs_unpack_text (in));
   if (!in->failed)
-    rows_remove_missing (control, names, revision, NULL);
+    rows_remove_missing (control, names, revision, control_now (control),
+                         NULL);
   g_hash_table_unref (names);
 }
 
 void
-rows_send_all (control_t *control, const char *node)
+rows_handle_request (control_t *control, const char *node,
+                     cs_unpack_cursor_t *in)
 {
   GHashTableIter iter;
   gpointer row;
+  /* Earlier releases don't say it.  */
+  bool knows_eras = in->remaining && cs_unpack_int64 (in) != 0;
+  moves_send_all (control, node);
   if (!cs_revision_is_set (control->rows_revision))
     return;
   g_hash_table_iter_init (&iter, control->operator_rows);
   while (g_hash_table_iter_next (&iter, NULL, &row))
-    rows_send (control, row, NULL, (rows_audience_t){ .node = node });
-  send_row_names (control, node);
+    rows_send (control, row, NULL, false, (rows_audience_t){ .node = node });
+  send_row_names (control, node, knows_eras);
   rows_send_heartbeat (control, (rows_audience_t){ .node = node },
                        control_now (control));
 }
@@ -215,8 +227,9 @@
     return;
   control->rows_requested_at = now;
   cs_pack_init (&pack);
-  cs_pack_array (&pack, 1);
+  cs_pack_array (&pack, 2);
   cs_pack_int64 (&pack, CS_FRAME_ROWS_REQUEST);
+  cs_pack_int64 (&pack, true); /* This node knows eras.  */
   cs_traffic_send_control (control->traffic, node, NULL,
                            cs_pack_payload (&pack));
   cs_pack_clear (&pack);
@@ -259,7 +272,7 @@
       = g_hash_table_lookup (control->operator_rows, key);
   if (held && held->value
       && rows_reader_rank (control, false) <= CORRECTING_RANK_MAX)
-    rows_send (control, held, NULL, (rows_audience_t){ .node = node });
+    rows_send (control, held, NULL, false, (rows_audience_t){ .node = node });
 }
 
 void
@@ -268,10 +281,16 @@
   cs_table_row_t *row = g_new0 (cs_table_row_t, 1);
   row->keyspace = CS_KEYSPACE_OPERATOR;
   row->key = cs_unpack_text (in);
-  row->revision = cs_revision_from_number (cs_unpack_int64 (in));
+  row->revision.version = cs_unpack_int64 (in);
   bool exists = cs_unpack_int64 (in) != 0;
-  cs_revision_t base = cs_revision_from_number (cs_unpack_int64 (in));
+  cs_revision_t base = { .version = cs_unpack_int64 (in) };
   cs_str_t delta = cs_unpack_str (in);
+  /* Earlier releases name no era.  */
+  bool names_era = in->remaining >= 3;
+  row->revision.era = names_era ? cs_unpack_int64 (in) : control->table_era;
+  int64_t base_era = names_era ? cs_unpack_int64 (in) : control->table_era;
+  base.era = base.version ? base_era : 0;
+  bool certain = !names_era || cs_unpack_int64 (in) != 0;
   if (in->failed)
     {
       cs_table_row_free (row);
@@ -292,7 +311,7 @@
       return;
     }
   char *key = g_strdup (row->key);
-  if (!rows_accept (control, row,
+  if (!rows_accept (control, row, certain,
                     is_elsewhere (control, from) ? &rows_own_region : NULL)
       && order > 0 && is_document)
     send_held_row (control, key, from);
@@ -343,7 +362,7 @@
                        cs_unpack_cursor_t *in)
 {
   cs_usec_t now = control_now (control);
-  cs_revision_t revision = cs_revision_from_number (cs_unpack_int64 (in));
+  cs_revision_t revision = { .version = cs_unpack_int64 (in) };
   int64_t sum = cs_unpack_int64 (in);
   cs_usec_t age = cs_unpack_int64 (in);
   bool reads_table = cs_unpack_int64 (in) != 0;
@@ -351,8 +370,9 @@
   bool names_keys = in->remaining >= 2;
   cs_usec_t keys_age = names_keys ? cs_unpack_int64 (in) : 0;
   cs_usec_t sent_at = names_keys ? cs_unpack_int64 (in) : 0;
-  bool has_hash = in->remaining >= 1;
+  bool has_hash = in->remaining >= 2;
   uint64_t hash = has_hash ? (uint64_t)cs_unpack_int64 (in) : 0;
+  revision.era = has_hash ? cs_unpack_int64 (in) : control->table_era;
   if (in->failed || age < 0 || age > REPORTED_ROWS_AGE_MAX)
     return;
   const member_info_t *reader = g_hash_table_lookup (control->members, from);
--- a/source/sidecar/rows-reader.c
+++ b/source/sidecar/rows-reader.c
@@ -102,25 +102,15 @@
     rows_tick (control, control_now (control));
 }
 
-/* Whether ROW, which CALL has brought, is left to the read that follows once
-   the operator has had the time to write the later one again.  */
-static bool
-may_be_older (const control_t *control, rows_call_t call,
-              const cs_table_row_t *row)
-{
-  const cs_table_row_t *held
-      = g_hash_table_lookup (control->operator_rows, row->key);
-  return call != WATCH && held && !control_era_is_settled (control)
-         && control->adapter->classify_row (row->key) != CS_OPERATOR_ROW_CONFIG
-         && cs_row_may_be_older (held->revision, row->revision)
-         && !rows_are_equal (held, row);
-}
-
 /* Accept the newest version of each of ROWS.  Returns whether one was new. */
 static bool
 accept_rows (control_t *control, rows_call_t call, GPtrArray *rows)
 {
   bool changed = false;
+  /* A watch brings what was written since a revision of this era.  */
+  bool certain
+      = call == WATCH
+        || control_era_is_settled (control, control->rows_call_sent_at);
   for (guint i = 0; i < rows->len; i++)
     {
       cs_table_row_t *row = rows->pdata[i];
@@ -133,11 +123,8 @@
                                 .revision = row->revision };
       row->value = NULL;
       redact_row (control, copy);
-      if (may_be_older (control, call, copy))
-        cs_table_row_free (copy);
-      else
-        changed |= rows_accept (control, copy,
-                                call == FIRST_READ ? NULL : &rows_whole_mesh);
+      changed |= rows_accept (control, copy, certain,
+                              call == FIRST_READ ? NULL : &rows_whole_mesh);
     }
   return changed;
 }
@@ -150,7 +137,7 @@
   GHashTable *names = g_hash_table_new (g_str_hash, g_str_equal);
   for (guint i = 0; i < rows->len; i++)
     g_hash_table_add (names, ((cs_table_row_t *)rows->pdata[i])->key);
-  rows_remove_missing (control, names, revision,
+  rows_remove_missing (control, names, revision, control->rows_call_sent_at,
                        call == FIRST_READ ? NULL : &rows_whole_mesh);
   g_hash_table_unref (names);
 }
@@ -166,7 +153,8 @@
   if (call != WATCH)
     {
       remove_unread_rows (control, call, rows, revision);
-      control->settle_read_due &= !control_era_is_settled (control);
+      control->settle_read_due
+          &= !control_era_is_settled (control, control->rows_call_sent_at);
     }
   bool changed = accept_rows (control, call, rows);
   control->rows_revision
@@ -226,7 +214,25 @@
 rows_on_read (void *user, cs_status_t status, GPtrArray *rows,
               cs_revision_t revision)
 {
-  finish_rows_call (user, FIRST_READ, status, rows, revision);
+  control_t *control = user;
+  if (status == CS_OK && startup_awaits_peers (control))
+    {
+      control->first_rows = g_ptr_array_ref (rows);
+      control->first_rows_revision = revision;
+      return;
+    }
+  finish_rows_call (control, FIRST_READ, status, rows, revision);
+}
+
+/* Use the first read, which has waited for the rows of other nodes.  */
+static void
+finish_first_read (control_t *control)
+{
+  GPtrArray *rows = control->first_rows;
+  control->first_rows = NULL;
+  finish_rows_call (control, FIRST_READ, CS_OK, rows,
+                    control->first_rows_revision);
+  g_ptr_array_unref (rows);
 }
 
 static void
@@ -269,7 +275,8 @@
             has fallen behind may not get over its link in time.  */
          || control->table_failures >= WATCH_FAILURES_MAX
          || control->rows_revision.era != control->table_era
-         || (control->settle_read_due && control_era_is_settled (control));
+         || (control->settle_read_due
+             && control_era_is_settled (control, control_now (control)));
 }
 
 void
@@ -296,6 +303,11 @@
       rows_send_heartbeat (control, rows_whole_mesh, now);
     }
   startup_sync_node_row (control, now);
+  if (control->first_rows && !startup_awaits_peers (control))
+    {
+      finish_first_read (control);
+      return;
+    }
   if (control->table_call_pending || now < control->table_retry_at)
     return;
   if (control->startup_step < STARTUP_READ_OPERATOR_ROWS
--- a/source/sidecar/startup.c
+++ b/source/sidecar/startup.c
@@ -6,6 +6,8 @@
 #include "control.h"
 
 #define NODE_ROW_WRITE_INTERVAL (500 * CS_MSEC)
+/* Time in which a running node has connected to this one and sent its rows. */
+#define PEERS_WAIT (300 * CS_MSEC)
 
 static void
 finish_step (control_t *control, cs_status_t status, unsigned next_step)
@@ -112,7 +114,11 @@
     return;
   cs_node_info_unpack (&in, &info);
   if (!in.failed && strcmp (info.name, control->settings.node) != 0)
-    cs_traffic_update_member (control->traffic, &info);
+    {
+      control->region_has_peers
+          |= strcmp (info.region, control->settings.region) == 0;
+      cs_traffic_update_member (control->traffic, &info);
+    }
   else if (!in.failed)
     {
       control->registered
@@ -145,6 +151,14 @@
                                    : STARTUP_REGISTER);
 }
 
+bool
+startup_awaits_peers (const control_t *control)
+{
+  return control->region_has_peers && !control->settings.first_start
+         && !control->snapshot
+         && control_now (control) - control->rows_awaited_since < PEERS_WAIT;
+}
+
 bool
 startup_request_rows (control_t *control)
 {
--- a/source/sidecar/table-era.c
+++ b/source/sidecar/table-era.c
@@ -11,12 +11,20 @@
 control_note_era (control_t *control, int64_t era)
 {
   cs_usec_t now = control_now (control);
-  bool restored = control->era_known && era > control->table_era;
-  if (control->era_known && !restored)
+  bool first = !control->era_known;
+  bool restored = !first && era > control->table_era;
+  if (!first && !restored)
     return;
   control->era_known = true;
   control->table_era = era;
   cs_gauge_set (CS_C_G_TABLE_ERA, (uint64_t)era);
+  /* A process that starts beside others doesn't know how long the era has
+     lasted.  */
+  if (restored || !control->settings.first_start)
+    {
+      control->rows_settle_at = now + CS_ERA_SETTLE_TIME;
+      control->settle_read_due = true;
+    }
   if (!restored)
     return;
   cs_counter_add (CS_C_STORE_RESTORED, 1);
@@ -24,8 +32,6 @@
                 "state=restored era=%" G_GINT64_FORMAT
                 " seen=" CS_REVISION_FORMAT,
                 era, CS_REVISION_ARGS (control->rows_revision));
-  control->rows_settle_at = now + CS_ERA_SETTLE_TIME;
-  control->settle_read_due = true;
   control->node_row_lost = true;
   control->node_row_retry_at
       = now + control_rewrite_delay (control->settings.node);
@@ -66,9 +72,9 @@
 }
 
 bool
-control_era_is_settled (const control_t *control)
+control_era_is_settled (const control_t *control, cs_usec_t now)
 {
-  return control_now (control) >= control->rows_settle_at;
+  return now >= control->rows_settle_at;
 }
 
 void
--- a/tests/sidecar-drill-moves.t
+++ b/tests/sidecar-drill-moves.t
@@ -64,6 +64,18 @@
 ok "the same version can be ordered again later" until_ok has_begun 2
 ok "and is rolled back" until_ok status_is rolled_back
 
+kill -KILL "${node_pids[1]}"
+wait "${node_pids[1]}" 2>/dev/null
+drill
+write_settings 1 0
+start_node 1
+until_ok is_ready 1
+sleep 1
+order v2 2s
+sleep 3
+is "nor does it begin anew where its owner starts with the copy" 2 "$(moves_begun)"
+ok "which says what became of it" until_ok status_is rolled_back
+
 mark
 order v3 20s
 ok "a move runs" until_ok status_is running
--- a/tests/sidecar-drill.t
+++ b/tests/sidecar-drill.t
@@ -128,6 +128,20 @@
 ok "nodes that start with the copy alone take what a living one holds" serves 1 7
 ok "also in another region" until_ok serves 3 7
 
+put_config 7
+kill -KILL "${node_pids[1]}"
+wait "${node_pids[1]}" 2>/dev/null
+for i in $(seq 5); do
+  drill 10
+  start_in_region 1 0
+  for k in $(seq 1000); do ! is_ready 1 || break; sleep 0.01; done
+  for k in $(seq 20); do echo "$(status 1 7)"; done
+  kill -KILL "${node_pids[1]}"
+  wait "${node_pids[1]}" 2>/dev/null
+done >"$dir/reader-statuses" 2>/dev/null
+ok "the reader, started with the copy, never goes back" bash -c "! grep 404 '$dir/reader-statuses'"
+start_in_region 1 0
+until_ok serves 1 7
 put_config 7
 mark
 evacuate x
