Scripted runs: ids of requests that no other request has

A node answers 502 at once (event=failed why="broken at the server") to a request that is not idempotent and whose Attempt-Id it has had within 60 s; by hand, the same id twice on /u/x: 200, then 502. The scripts' ids were $RANDOM$RANDOM$RANDOM in subshells, each of which bash seeds anew from its process id and the time: of 20,000 ids made so, 156 came twice. endless.t has about 140 requests on /u/ before the test that failed, all within 60 s, so about one run in 130 has two with one id. No other cause was found: 7 runs of that part, longer, beside 10 busy loops, and 77,200 requests on /u/x with ids of their own while slow heads fail, idle and beside 8 busy loops, got 200 without an exception.

The ids are now the process id and the time in us, which no two requests share (20,000: none twice). What is checked stays as it is; a failure prints how the last requests ended.

--- a/tests/crowd-nodes.t
+++ b/tests/crowd-nodes.t
@@ -21,7 +21,7 @@
   local i result
   for i in $(seq 30); do
     result=$(curl -s -o "$dir/answer" --limit-rate 4M -m 60 -w '%{http_code}' -H 'Host: h' \
-      -H 'Timeout-Remaining-Ms: 15000' -H "Attempt-Id: $RANDOM$RANDOM" "http://127.0.0.1:$(port "$1" 1)$large") || continue
+      -H 'Timeout-Remaining-Ms: 15000' -H "Attempt-Id: $BASHPID-$EPOCHREALTIME" "http://127.0.0.1:$(port "$1" 1)$large") || continue
     [ "$result" != 200 ] && sleep 0.3 && continue
     result=$(stat -c %s "$dir/answer")
     echo "$result bytes of $BODY_BYTES"
--- a/tests/crowd.sh
+++ b/tests/crowd.sh
@@ -49,7 +49,7 @@
 }
 serves () { # [NODE]: an ordinary request is answered.
   [ "$(curl -s -o /dev/null -w '%{http_code}' -m 15 -X PUT -d small -H 'Host: h' -H 'Timeout-Remaining-Ms: 10000' \
-    -H "Attempt-Id: $RANDOM$RANDOM" "http://127.0.0.1:$(port "${1:-1}" 1)/d/x")" = 200 ]
+    -H "Attempt-Id: $BASHPID-$EPOCHREALTIME" "http://127.0.0.1:$(port "${1:-1}" 1)/d/x")" = 200 ]
 }
 # memory_kb NODE: the most memory that the process has had.
 memory_kb () { sed -n 's/^VmHWM:[^0-9]*\([0-9]*\) kB/\1/p' "/proc/${node_pids[$1]}/status" 2>/dev/null || echo 0; }
--- a/tests/endless.t
+++ b/tests/endless.t
@@ -33,15 +33,19 @@
 keep_reporting () { while sleep 0.3; do report_server; done; }
 request () { # PATH TIMEOUT-MS
   curl -s -o /dev/null -w '%{http_code}' -m 15 -H 'Host: h' -H "Timeout-Remaining-Ms: $2" \
-    -H "Attempt-Id: $RANDOM$RANDOM$RANDOM" "http://127.0.0.1:$(port 1 1)$1"
+    -H "Attempt-Id: $BASHPID-$EPOCHREALTIME" "http://127.0.0.1:$(port 1 1)$1"
 }
 serves () { [ "$(request /d/x 3000)" = 200 ]; }
+print_ends () { # The last requests that got no answer of the server.
+  sleep 1 # The nodes write their logs a little later.
+  grep -hE 'event=(failed|refused|unanswered)' "$dir"/n*.log | sort | tail -12
+}
 all_served () { # Ordinary requests, some of them for 200 KB, while others are held.
   local i path status
   for i in 1 2 3 4 5 6; do
     for path in /d/x /u/x /d/large; do
       status=$(request $path 3000)
-      [ "$status" = 200 ] || { echo "$path, time $i: $status"; return 1; }
+      [ "$status" = 200 ] || { echo "$path, time $i: $status"; print_ends; return 1; }
     done
     sleep 0.2
   done
--- a/tests/sidecar-crash.t
+++ b/tests/sidecar-crash.t
@@ -32,7 +32,7 @@
 }
 send_request () { # NODE PATH
   curl -s -o /dev/null -w '%{http_code}\n' -m 5 -H 'Host: h' -H 'Timeout-Remaining-Ms: 3000' \
-    -H "Attempt-Id: $RANDOM$RANDOM$RANDOM" "http://127.0.0.1:$(port $1 1)$2"
+    -H "Attempt-Id: $BASHPID-$EPOCHREALTIME" "http://127.0.0.1:$(port $1 1)$2"
 }
 ends () { wc -l <"$dir/servers.log"; }
 all_serve () { # Each of 40 requests, in turn at the nodes, is served.
--- a/tests/sidecar-drill.t
+++ b/tests/sidecar-drill.t
@@ -56,7 +56,7 @@
 # status NODE VERSION: of a request on the route that VERSION added.
 status () {
   curl -s -o /dev/null -w '%{http_code}' -H 'Host: h' -H 'Timeout-Remaining-Ms: 300' \
-    -H "Attempt-Id: $RANDOM$RANDOM" "http://127.0.0.1:$(port "$1" 1)/v$2/x"
+    -H "Attempt-Id: $BASHPID-$EPOCHREALTIME" "http://127.0.0.1:$(port "$1" 1)/v$2/x"
 }
 serves () { [ "$(status "$1" "$2")" != 404 ]; }
 # in_force NODES VERSION: whether all NODES have VERSION in time, from now.
--- a/tests/sidecar-keys.t
+++ b/tests/sidecar-keys.t
@@ -30,7 +30,7 @@
 }
 # ask NODE PATH [KEY]: print the status.
 ask () {
-  curl -s -o /dev/null -w '%{http_code}' -H 'Host: h' -H 'Timeout-Remaining-Ms: 2000' -H "Attempt-Id: $RANDOM$RANDOM" \
+  curl -s -o /dev/null -w '%{http_code}' -H 'Host: h' -H 'Timeout-Remaining-Ms: 2000' -H "Attempt-Id: $BASHPID-$EPOCHREALTIME" \
     ${3:+-H "Authorization: Bearer $3"} "http://127.0.0.1:$(port $1 1)$2"
 }
 status_is () { [ "$(ask "${@:2}")" = "$1" ]; }
--- a/tests/sidecar-places.t
+++ b/tests/sidecar-places.t
@@ -41,7 +41,7 @@
 }
 send_request () { # NODE PATH
   curl -s -w ' %{http_code}' -H 'Host: h' -H 'Timeout-Remaining-Ms: 2000' \
-    -H "Attempt-Id: $RANDOM$RANDOM" "http://127.0.0.1:$(port $1 1)$2"
+    -H "Attempt-Id: $BASHPID-$EPOCHREALTIME" "http://127.0.0.1:$(port $1 1)$2"
 }
 # served_by PATTERN PATH: each of 12 requests, at all nodes, gets an answer that
 # matches.
--- a/tests/sidecar.sh
+++ b/tests/sidecar.sh
@@ -1,5 +1,7 @@
 # Functions that run sidecars with their settings in $dir, for tests that have
 # sourced tap.sh and set base, the first port, and pids, the processes to end.
+# Their requests have $BASHPID and the time as ids: a subshell seeds RANDOM anew
+# from about 20 bits, and a node does not run an id twice.
 table=127.0.0.1:$base
 declare -A node_pids # Process ids of the sidecars by node.
 
--- a/tests/sidecar.t
+++ b/tests/sidecar.t
@@ -36,7 +36,7 @@
 }
 send_request () { # NODE PATH
   curl -s -w ' %{http_code}' -H 'Host: h' -H 'Timeout-Remaining-Ms: 2000' \
-    -H "Attempt-Id: $RANDOM$RANDOM" "http://127.0.0.1:$(port $1 1)$2"
+    -H "Attempt-Id: $BASHPID-$EPOCHREALTIME" "http://127.0.0.1:$(port $1 1)$2"
 }
 put_config () { # VERSION TIMEOUT
   put_row op config "{\"version\":\"$1\",\"services\":{\"desk\":{\"healthPath\":\"/health\"}},\"routes\":{\"r\":
@@ -83,7 +83,7 @@
     printf 'url = "http://127.0.0.1:%s/d/x"\noutput = "/dev/null"\n' \
       "$(port $((i % 2 + 1)) 1)"
     printf 'header = "Host: h"\nheader = "Timeout-Remaining-Ms: 2000"\n'
-    printf 'header = "Attempt-Id: %s"\nnext\n' "$RANDOM$RANDOM"
+    printf 'header = "Attempt-Id: %s"\nnext\n' "$BASHPID-$EPOCHREALTIME-$i"
   done | sed '$d' | curl -s -K -
 }
 ( while :; do send_batch; sleep 0.05; done ) &
