Test bodies for a frozen node of cardamomd; it fails

The node beside the server is frozen while 200 callers of the other one send whole bodies of 1 MB, one after the other, with a time limit of 300 ms: that node grew to 86 MB, and 89 after the other went on, where CARDAMOM_MEMORY_MB=64.

standin-crowd: form complete sends more than one body.

--- a/tests/crowd-daemon.t
+++ b/tests/crowd-daemon.t
@@ -7,7 +7,7 @@
 
 # The crowd and its bounds, fixed before the product was changed.
 export CARDAMOM_MEMORY_MB=64
-BODY_BYTES=1048576 CALLERS=200 MANY_CALLERS=600 CONNECTIONS_MAX=300 REQUESTS=300 SMALL_BYTES=61440
+BODY_BYTES=1048576 CALLERS=200 MANY_CALLERS=600 CONNECTIONS_MAX=300 REQUESTS=300 SMALL_BYTES=61440 BODIES=1000
 MAX_FDS=$((CONNECTIONS_MAX + 200))
 MESH_NODE_FLAGS="--connections-max=$CONNECTIONS_MAX"
 
@@ -84,6 +84,50 @@
 crowd heads heads $CALLERS 0 /d/x
 crowd idle idle $MANY_CALLERS 0 /d/x
 
+# Callers of the other node, while the node beside the server is frozen.
+
+# start_bodies NODE...: callers who send body after body to desk at each NODE,
+# whatever they get.
+start_bodies () {
+  local i
+  for i in "$@"; do
+    mesh_start_process "crowd$i" "$MESH_OUT/standin-crowd" --port="$(mesh_port "$i" 0)" --form=complete \
+      --callers=$CALLERS --bytes=$BODY_BYTES --path=/d/x --requests=$BODIES
+  done
+}
+start_side () { # A service whose upstream is beside node 1.
+  start_backends /shop/services/side v1 1
+  echo '{"/shop/services/side": {"version": "v1", "timeout_ms": 8000},
+    "/shop/services/desk": {"version": "v1", "timeout_ms": 300},
+    "/shop/routes/side": {"prefix": "/s", "service": "side"}}' >"$MESH_DIR/side.json"
+  mesh_ctl apply "$MESH_DIR/side.json" >/dev/null
+  wait_for_upstreams 2
+}
+side_serves () { # NODE: a request for the service beside node 1 is answered.
+  [ "$(curl -s -o /dev/null -w '%{http_code}' -m 15 -X PUT -d small "http://$(mesh_caller_address "$1")/s/x")" = 200 ]
+}
+answers () { # NODE: a request for desk gets a status, whichever.
+  [ "$(curl -s -o /dev/null -w '%{http_code}' -m 15 -X PUT -d small "http://$(mesh_caller_address "$1")/d/x")" != 000 ]
+}
+
+start_nodes
+start_side
+start_bodies 1
+mesh_signal node0 STOP
+for round in 1 2 3; do
+  ok "daemon, bodies for a frozen node, $round: others are answered meanwhile" mesh_wait_until 30 side_serves 1
+  ok "daemon, bodies for a frozen node, $round: so are requests for it, one way or another" answers 1
+  sleep 2
+done
+echo "# bodies for a frozen node: $(all_within | tr '\n' ' ')"
+ok "daemon, bodies for a frozen node: both live within their memory" all_within
+mesh_signal node0 CONT
+ok "daemon, bodies for a frozen node: ordinary requests are answered when it goes on" all_serve
+mesh_kill crowd1
+ok "daemon, bodies for a frozen node: and after the crowd" all_serve
+ok "daemon, bodies for a frozen node: both live within their memory after it" all_within
+mesh_kill_all
+
 # One caller alone, with the largest body that the limits allow.
 start_nodes
 head -c $BODY_BYTES /dev/zero >"$MESH_DIR/large"
--- a/tests/standins/standin-crowd.c
+++ b/tests/standins/standin-crowd.c
@@ -14,7 +14,9 @@
    bits      a body in chunks of 16 bytes, without the last chunk
    over      a body announced with 16 times B bytes, and sent
    endless   a body in chunks that never ends, sent until 16 times B bytes
-   complete  a body of B bytes, announced and complete; the answer is read
+   complete  N bodies of B bytes, announced and complete, one after the other,
+             on a new connection where the last was closed; the answers are
+             read
    answers   N requests without a body, one after the other, whose answers are
              not read
    heads     a head that never ends
@@ -144,6 +146,15 @@
   begin_request (caller);
 }
 
+/* Begin CALLER's next request on a new connection.  */
+static void
+reopen_caller (caller_t *caller)
+{
+  close (caller->fd);
+  caller->body_sent = 0;
+  open_caller (caller);
+}
+
 /* Read so much of CALLER's answers as it may in one round.  */
 static void
 read_some (caller_t *caller)
@@ -170,12 +181,20 @@
   ssize_t n;
   if (caller->dead)
     return false;
-  if (caller->head_sent == caller->head_len && is_form ("answers")
-      && caller->requests < requests_each)
-    begin_request (caller);
+  if (caller->head_sent == caller->head_len && caller->requests < requests_each
+      && (is_form ("answers")
+          || (is_form ("complete") && caller->body_sent == body_total ())))
+    {
+      begin_request (caller);
+      caller->body_sent = 0;
+    }
   if (is_form ("complete"))
-    while (recv (caller->fd, filler + sizeof filler / 2, 4096, 0) > 0)
-      continue;
+    {
+      while ((n = recv (caller->fd, filler + sizeof filler / 2, 4096, 0)) > 0)
+        continue;
+      if ((n == 0 || errno == ECONNRESET) && caller->requests < requests_each)
+        reopen_caller (caller);
+    }
   if (caller->head_sent < caller->head_len)
     n = send (caller->fd, caller->head + caller->head_sent,
               caller->head_len - caller->head_sent, MSG_NOSIGNAL);
@@ -195,7 +214,12 @@
       n = send (caller->fd, filler + offset, len, MSG_NOSIGNAL);
     }
   if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK)
-    caller->dead = true;
+    {
+      if (is_form ("complete") && caller->requests < requests_each)
+        reopen_caller (caller);
+      else
+        caller->dead = true;
+    }
   if (n <= 0)
     return false;
   if (caller->head_sent < caller->head_len)
