cardamomd: withdraw the frames of calls that have ended

Callers with bodies for an upstream whose node is frozen made the other node grow to 86 MB of 64. The frame of a call stayed in the output buffer of the connection after the call had ended at its time limit, while the claim for its memory was released, so that the next bodies were taken: up to 64 MB, uncounted. The frozen node would then run them all for nobody.

--- a/source/node/conn.c
+++ b/source/node/conn.c
@@ -121,6 +121,8 @@
     return false;
   sent_call_t call = { .id = call_id, .stream_offset = conn->bytes_queued };
   append_frame (conn, buffer, payload);
+  if (conn->authenticated)
+    call.frame_bytes = (guint)(conn->bytes_queued - call.stream_offset);
   if (call_id)
     g_array_append_val (conn->sent_calls, call);
   conn->last_used_at = cs_now (peers->ctx);
@@ -128,3 +130,30 @@
     conn_flush (peers, conn);
   return true;
 }
+
+/* Remove the frame of CALL, of which no byte was written, from the output
+   buffer: the memory for it is claimed no longer, and a node that takes
+   nothing for a while would run it for nobody.  */
+static void
+withdraw_frame (conn_t *conn, const sent_call_t *call)
+{
+  guint position
+      = conn->out_offset + (guint)(call->stream_offset - conn->bytes_written);
+  g_byte_array_remove_range (conn->out_buffer, position, call->frame_bytes);
+  conn->bytes_queued -= call->frame_bytes;
+  for (guint i = 0; i < conn->sent_calls->len; i++)
+    {
+      sent_call_t *later = &g_array_index (conn->sent_calls, sent_call_t, i);
+      if (later->stream_offset > call->stream_offset)
+        later->stream_offset -= call->frame_bytes;
+    }
+}
+
+void
+conn_forget_call (conn_t *conn, guint index)
+{
+  sent_call_t call = g_array_index (conn->sent_calls, sent_call_t, index);
+  g_array_remove_index_fast (conn->sent_calls, index);
+  if (call.frame_bytes && call.stream_offset >= conn->bytes_written)
+    withdraw_frame (conn, &call);
+}
--- a/source/node/peer-internal.h
+++ b/source/node/peer-internal.h
@@ -31,6 +31,9 @@
   uint64_t id;
   /* Value of BYTES_QUEUED of the connection when the frame was queued.  */
   uint64_t stream_offset;
+  /* Of the frame with its length; 0 if it was queued before authentication,
+     where STREAM_OFFSET is not its place among the bytes sent.  */
+  guint frame_bytes;
 } sent_call_t;
 
 typedef struct conn conn_t;
@@ -124,6 +127,10 @@
 bool conn_queue_frame (peers_t *peers, conn_t *conn, cs_str_t payload,
                        uint64_t call_id);
 
+/* Call number INDEX of CONN no longer waits for a result.  Its frame is
+   removed from the output buffer if none of it was written.  */
+void conn_forget_call (conn_t *conn, guint index);
+
 /* handshake.c: called with the lock held.  */
 
 void handshake_send_hello (peers_t *peers, conn_t *conn);
--- a/source/node/peer.c
+++ b/source/node/peer.c
@@ -359,7 +359,7 @@
     for (guint i = 0; i < conn->sent_calls->len; i++)
       if (g_array_index (conn->sent_calls, sent_call_t, i).id == id)
         {
-          g_array_remove_index_fast (conn->sent_calls, i);
+          conn_forget_call (conn, i);
           pthread_mutex_unlock (&peers->lock);
           return;
         }
