--- a/tests/crowd-daemon.t
+++ b/tests/crowd-daemon.t
@@ -125,6 +125,7 @@
 ok "daemon, bodies for a frozen node: ordinary requests are answered when it goes on" all_serve
 mesh_kill crowd1
 ok "daemon, bodies for a frozen node: and after the crowd" all_serve
+echo "# bodies for a frozen node, after it: $(all_within | tr '\n' ' ')"
 ok "daemon, bodies for a frozen node: both live within their memory after it" all_within
 mesh_kill_all
 
