--- a/source/sidecar/moves-internal.h
+++ b/source/sidecar/moves-internal.h
@@ -111,6 +111,12 @@
    written there since.  It takes effect when the write succeeds.  */
 void move_write_state (tracked_move_t *move, const move_record_t *state);
 
+/* The rank of this node among those that may own moves of MOVE's service.  */
+unsigned move_owner_rank (const tracked_move_t *move);
+
+/* move-rewrite.c: write the state of MOVE again if that is due.  */
+void move_rewrite (tracked_move_t *move, cs_usec_t now);
+
 /* evidence.c */
 /* Requests running or queued at the servers of the candidate.  */
 int64_t move_candidate_outstanding (const tracked_move_t *move);
--- a/source/sidecar/moves.c
+++ b/source/sidecar/moves.c
@@ -15,10 +15,6 @@
 #define FALSE_ALARM_PROBABILITY 0.0025
 /* Delay before the next write after a failed one or a conflict.  */
 #define WRITE_RETRY_DELAY (250 * CS_MSEC)
-/* Nodes before this rank write the state of a move again beside its owner,
-   this much later.  */
-#define REWRITER_RANK_MAX 1
-#define OTHER_REWRITER_DELAY (1 * CS_SEC)
 /* A slow table answers a write within some hundred milliseconds.  After this
    time the owner most likely cannot reach the table.  */
 #define WRITE_DURATION_MAX (800 * CS_MSEC)
@@ -348,9 +344,8 @@
     move_release (move);
 }
 
-/* The rank of this node among those that may own moves of MOVE's service.  */
-static unsigned
-owner_rank (const tracked_move_t *move)
+unsigned
+move_owner_rank (const tracked_move_t *move)
 {
   const control_t *control = move->control;
   GHashTableIter iter;
@@ -423,52 +418,11 @@
   return majority ? TICK_INTERVAL_SHORT : TICK_INTERVAL;
 }
 
-/* Whether this node writes the state of MOVE to the table again: its owner
-   does, and later one that may take over, in case that the owner has ended or
-   is a process that has started since.  */
-static bool
-is_rewriter (const tracked_move_t *move)
-{
-  const control_t *control = move->control;
-  return strcmp (move->state.owner, control->settings.node) == 0
-         || owner_rank (move) <= REWRITER_RANK_MAX;
-}
-
-static void
-rewrite_state (tracked_move_t *move, cs_usec_t now)
-{
-  if (!move->rewrite_due || move->write_pending || now < move->next_write_at
-      || !move->control->table_up || !is_rewriter (move))
-    return;
-  move->rewriting = true;
-  move_write_state (move, &move->state);
-}
-
-void
-moves_note_era (control_t *control)
-{
-  GHashTableIter iter;
-  gpointer value;
-  cs_usec_t now = control_now (control);
-  g_hash_table_iter_init (&iter, control->moves);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      tracked_move_t *move = value;
-      move->rewrite_due = move->has_state;
-      move->published_request_revision = (cs_revision_t){ 0 };
-      if (strcmp (move->state.owner, control->settings.node) != 0)
-        move->next_write_at = now + OTHER_REWRITER_DELAY
-                              + control_rewrite_delay (move->service);
-      else if (move->state.phase != CS_MOVE_RUNNING)
-        move->next_write_at = now + control_rewrite_delay (move->service);
-    }
-}
-
 static void
 tick_move (tracked_move_t *move, cs_usec_t now)
 {
   if (!move->control->stopping)
-    rewrite_state (move, now);
+    move_rewrite (move, now);
   bool unfinished = cs_revision_is_set (move->request_revision)
                     && !(move->has_state
                          && cs_revision_compare (move->state.request_revision,
@@ -491,7 +445,7 @@
       /* Another node may hold the state of a move that this process hasn't
          heard of.  */
       && (begun || control_era_is_settled (move->control, now))
-      && cs_move_owner_should_take_over (owner_rank (move), begun,
+      && cs_move_owner_should_take_over (move_owner_rank (move), begun,
                                          now - since))
     claim_ownership (move);
 }
