--- a/include/cardamom/event.h
+++ b/include/cardamom/event.h
@@ -15,7 +15,8 @@
   X (SETTINGS, "settings", 5, "The settings were read again.")                \
   X (CONFIG, "config", 20, "A configuration version is in force.")            \
   X (CONFIG_BAD, "config-refused", 5, "A row was kept out.")                  \
-  X (STORE, "store", 10, "The platform's table was lost or regained.")        \
+  X (STORE, "store", 10,                                                      \
+     "The platform's table was lost, regained or came back older.")           \
   X (ROW_OLD, "row-old", 5,                                                   \
      "A row was kept out, for the node holds a newer one.")                   \
   X (STORE_CALL, "store-call", 10,                                            \
