--- a/tests/sockets.h
+++ b/tests/sockets.h
@@ -54,12 +54,19 @@
   return fd;
 }
 
+/* A port that the code under test can listen on.  A socket that is bound to it
+   and does not listen keeps other programs off it until this one ends.  */
 static inline unsigned
 free_port (void)
 {
-  unsigned port;
-  close (listen_on_free_port (&port));
-  return port;
+  struct sockaddr_in address = loopback_address (0);
+  socklen_t len = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), reuse = 1;
+  g_assert_cmpint (bind (fd, (struct sockaddr *)&address, sizeof address), ==,
+                   0);
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+  getsockname (fd, (struct sockaddr *)&address, &len);
+  return ntohs (address.sin_port);
 }
 
 static inline int
