Moves: a process that the table tells of no other node waits for them

The copy from which the table comes back may lack the rows of all nodes. A process that starts then finds itself alone, uses the copy at once, and begins the move that the operator writes again 2 s later, unless another node has written its state by then. The other nodes try to connect every 2 s, so they may come later.

A process that finds no other node waits for those that know its address, 3 s at the most, before it uses what it has read, and before it begins a move; nodes that write states again send them to each process that they connect to; a state that a process has from them in an era that is not settled, it writes again itself; and a node that does not read the table writes again without knowing whether the table is there, every 2 s.

The test has nodes 2 and 3 cut off from the table, so that nothing depends on who is first.

--- a/source/sidecar/control.c
+++ b/source/sidecar/control.c
@@ -81,8 +81,14 @@
 {
   control_t *control = user;
   member_info_t *info = arg;
+  const member_info_t *known
+      = g_hash_table_lookup (control->members, info->member.name);
+  bool was_reachable = known && known->reachable
+                       && known->member.boot_ms == info->member.boot_ms;
   g_hash_table_replace (control->members, info->member.name, info);
   cs_gauge_set (CS_C_G_MEMBERS, g_hash_table_size (control->members));
+  if (info->reachable && !was_reachable)
+    moves_tell_process (control, info->member.name);
 }
 
 static void
@@ -303,6 +309,7 @@
   control->ctx = ctx;
   control->settings_path = settings_path;
   control->boot_ms = cs_now_wall (ctx) / CS_MSEC;
+  control->started_at = control_now (control);
   control->members
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   control->operator_rows = g_hash_table_new_full (g_str_hash, g_str_equal,
--- a/source/sidecar/control.h
+++ b/source/sidecar/control.h
@@ -57,6 +57,7 @@
   cs_traffic_t *traffic;
   cs_http1_server_t *ready_server, *reports_server, *metrics_server;
   int64_t boot_ms;      /* Wall time of the process start.  */
+  cs_usec_t started_at; /* The same, on the monotonic clock.  */
   cs_backend_t backend; /* The backend server beside this node.  */
   GHashTable *members;  /* name -> member_info_t *.  */
   /* Rows of CS_KEYSPACE_OPERATOR, and who reads them.  */
@@ -117,7 +118,8 @@
   bool resume_pending;          /* Its backend server is yet to be checked.  */
   struct cs_http1_client *health_check;
   bool registered;         /* The table has this node's row.  */
-  bool region_has_peers;   /* The table has rows of others of the region.  */
+  bool mesh_has_peers;     /* The table has rows of other nodes.  */
+  bool region_has_peers;   /* And of some of the region.  */
   bool table_call_pending; /* A read, a watch or the registration runs.  */
   /* The last startup step, read, watch or write of a move in the table ended
      with CS_OK, CS_CONFLICT or CS_NOT_FOUND.  Later writes of the node's row
@@ -201,6 +203,10 @@
 void control_note_table (control_t *control, cs_status_t status);
 
 /* startup.c */
+/* Time by which the nodes that know the address of a process that has started
+   are connected to it: they try again after 2 s at the latest.  */
+#define STARTUP_MEETING_TIME (3 * CS_SEC)
+
 enum
 {
   STARTUP_READ_MESH,
@@ -251,6 +257,10 @@
                             cs_unpack_cursor_t *in);
 /* Send the states of all moves to NODE, also of those that are concluded.  */
 void moves_send_all (control_t *control, const char *node);
+/* A process of NODE has become reachable: send it the states of the moves that
+   this node writes again (move-rewrite.c), for the table may have lost them.
+   */
+void moves_tell_process (control_t *control, const char *node);
 /* The table came back from an older copy: write the states of moves again.  */
 void moves_note_era (control_t *control);
 void moves_tick (control_t *control, cs_usec_t now);
--- a/source/sidecar/move-rewrite.c
+++ b/source/sidecar/move-rewrite.c
@@ -23,13 +23,37 @@
 void
 move_rewrite (tracked_move_t *move, cs_usec_t now)
 {
+  /* A node that doesn't read the table finds out here whether it is there. */
   if (!move->rewrite_due || move->write_pending || now < move->next_write_at
-      || !move->control->table_up || !is_rewriter (move))
+      || !is_rewriter (move))
     return;
   move->rewriting = true;
   move_write_state (move, &move->state);
 }
 
+void
+move_note_first_state (tracked_move_t *move)
+{
+  control_t *control = move->control;
+  cs_usec_t now = control_now (control);
+  if (control_era_is_settled (control, now))
+    return;
+  move->rewrite_due = true;
+  move->next_write_at
+      = now + OTHER_REWRITER_DELAY + control_rewrite_delay (move->service);
+}
+
+void
+moves_tell_process (control_t *control, const char *node)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, control->moves);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (is_rewriter (value))
+      move_send_record (value, node);
+}
+
 void
 moves_note_era (control_t *control)
 {
--- a/source/sidecar/moves.c
+++ b/source/sidecar/moves.c
@@ -15,6 +15,7 @@
 #define FALSE_ALARM_PROBABILITY 0.0025
 /* Delay before the next write after a failed one or a conflict.  */
 #define WRITE_RETRY_DELAY (250 * CS_MSEC)
+#define REWRITE_RETRY_DELAY (2 * CS_SEC)
 /* A slow table answers a write within some hundred milliseconds.  After this
    time the owner most likely cannot reach the table.  */
 #define WRITE_DURATION_MAX (800 * CS_MSEC)
@@ -126,7 +127,10 @@
   if (in->failed)
     return;
   tracked_move_t *move = move_find_or_add (control, service);
+  bool is_first = !move->has_state;
   adopt_if_newer (move, &state);
+  if (is_first)
+    move_note_first_state (move);
   if (strcmp (move->state.owner, from) != 0
       || move_record_is_newer (&move->state, &state))
     return;
@@ -204,6 +208,19 @@
   g_free (text);
 }
 
+void
+move_send_record (const tracked_move_t *move, const char *node)
+{
+  cs_pack_t pack;
+  if (!move->has_state)
+    return;
+  cs_pack_init (&pack);
+  move_record_pack (&pack, move->service, &move->state, false);
+  cs_traffic_send_control (move->control->traffic, node, NULL,
+                           cs_pack_payload (&pack));
+  cs_pack_clear (&pack);
+}
+
 void
 moves_send_all (control_t *control, const char *node)
 {
@@ -211,17 +228,7 @@
   gpointer value;
   g_hash_table_iter_init (&iter, control->moves);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const tracked_move_t *move = value;
-      cs_pack_t pack;
-      if (!move->has_state)
-        continue;
-      cs_pack_init (&pack);
-      move_record_pack (&pack, move->service, &move->state, false);
-      cs_traffic_send_control (control->traffic, node, NULL,
-                               cs_pack_payload (&pack));
-      cs_pack_clear (&pack);
-    }
+    move_send_record (value, node);
 }
 
 void
@@ -313,7 +320,9 @@
   if (status != CS_OK)
     {
       move->last_write_failed = true;
-      move->next_write_at = control_now (control) + WRITE_RETRY_DELAY;
+      move->next_write_at
+          = control_now (control)
+            + (rewritten ? REWRITE_RETRY_DELAY : WRITE_RETRY_DELAY);
       return;
     }
   move->rewrite_due &= revision.era != control->table_era;
@@ -418,6 +427,17 @@
   return majority ? TICK_INTERVAL_SHORT : TICK_INTERVAL;
 }
 
+/* Whether MOVE, of which this process has no state, has none elsewhere either,
+   as far as it would have heard.  */
+static bool
+may_begin (const tracked_move_t *move, cs_usec_t now)
+{
+  const control_t *control = move->control;
+  return control_era_is_settled (control, now)
+         && (control->settings.first_start || move->has_state
+             || now - control->started_at >= STARTUP_MEETING_TIME);
+}
+
 static void
 tick_move (tracked_move_t *move, cs_usec_t now)
 {
@@ -441,10 +461,7 @@
   cs_usec_t since = begun ? MAX (move->owner_heard_at, move->requested_at)
                           : move->requested_at;
   if (!move->write_pending && now >= move->next_write_at
-      && move->control->table_up
-      /* Another node may hold the state of a move that this process hasn't
-         heard of.  */
-      && (begun || control_era_is_settled (move->control, now))
+      && move->control->table_up && (begun || may_begin (move, now))
       && cs_move_owner_should_take_over (move_owner_rank (move), begun,
                                          now - since))
     claim_ownership (move);
--- a/tests/sidecar-drill-moves.t
+++ b/tests/sidecar-drill-moves.t
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
 # The platform's table comes back from a copy that lacks what nodes wrote.
 # Guards against: a node's row, or the verdict on a move, that stays lost; a
-# move that begins anew because the operator writes its request again; and one
-# that runs being begun anew or taken over by another node.
+# move that begins anew because the operator writes its request again, also at
+# a process that finds no other node in the table; and one that runs being begun
+# anew or taken over by another node.
 . "$(dirname "$0")/tap.sh"
 dir=$(mktemp -d)
 pids=()
@@ -36,7 +37,18 @@
 until_ok rows op
 put_row config '{"version":"00000001","services":{"desk":{"healthPath":"/health"}},"routes":{"r":{"host":"h","prefix":"/d/","kind":"safe","timeout":"1s","service":"desk","maxAttempts":2}},"limits":{}}'
 mark
-for n in 1 2 3; do write_settings $n 1; start_node $n; done
+# Nodes 2 and 3 reach the table by a link of their own.
+link=127.0.0.1:$((base + 1))
+start_link () {
+  "$MESH_OUT/standin-link" $((base + 1)) $base 100000000 &
+  link_pid=$!
+  pids+=($!)
+}
+start_link
+until_ok curl -s "http://$link/"
+write_settings 1 1
+for n in 2 3; do table=$link write_settings $n 1; done
+for n in 1 2 3; do start_node $n; done
 for n in 1 2 3; do until_ok is_ready $n; done
 # Nothing runs the version, so that it is rolled back by its deadline.
 order v2 2s
@@ -53,7 +65,7 @@
 ok "and the rows of all nodes" until_ok rows_are_back
 kill -KILL "${node_pids[2]}"
 wait "${node_pids[2]}" 2>/dev/null
-write_settings 2 0
+table=$link write_settings 2 0
 start_node 2
 until_ok is_ready 2
 sleep 2
@@ -76,6 +88,18 @@
 is "nor does it begin anew where its owner starts with the copy" 2 "$(moves_begun)"
 ok "which says what became of it" until_ok status_is rolled_back
 
+kill -KILL "${node_pids[1]}" "$link_pid"
+wait "${node_pids[1]}" "$link_pid" 2>/dev/null
+drill
+sleep 3 # By now the others try to connect every 2 s.
+start_node 1
+until_ok is_ready 1
+order v2 2s
+sleep 5
+is "nor where the others can't reach the table" 2 "$(moves_begun)"
+start_link
+ok "and it has the verdict from them" until_ok status_is rolled_back
+
 mark
 order v3 20s
 ok "a move runs" until_ok status_is running
