Crash records: order two crashes of one millisecond by microseconds

All nodes had both records in time: the third server got the request in the millisecond of the first crash. The records held milliseconds, and two crashes of the same millisecond were counted in the order of a hash table, so that the first run, which began before both, could count as overlapping the second.

The records' values now have the start and the crash in microseconds as well, behind the milliseconds that earlier releases read, and equal crashes count in the order of their starts. A run that began in the millisecond of another crash but before it still counts as overlapping, as after the failure of a rack.

--- a/include/cardamom/crash-detector.h
+++ b/include/cardamom/crash-detector.h
@@ -14,8 +14,8 @@
 typedef struct
 {
   uint64_t fingerprint;
-  int64_t started_ms; /* Wall time at which it was sent.  */
-  cs_usec_t ended_at; /* Monotonic.  */
+  cs_usec_t started_at; /* Wall time at which it was sent.  */
+  cs_usec_t ended_at;   /* Monotonic.  */
 } cs_unanswered_run_t;
 
 typedef struct
--- a/include/cardamom/crash-history.h
+++ b/include/cardamom/crash-history.h
@@ -41,11 +41,11 @@
 cs_request_trust_t cs_crash_history_trust (const cs_crash_history_t *history,
                                            uint64_t fingerprint);
 
-/* SERVER, which names one start of a backend server, crashed at wall time
-   NOW_MS while it ran the request FINGERPRINT, sent to it at STARTED_MS.  */
+/* SERVER, which names one start of a backend server, crashed at wall time NOW
+   while it ran the request FINGERPRINT, sent to it at STARTED_AT.  */
 void cs_crash_history_add (cs_crash_history_t *history, uint64_t fingerprint,
-                           const char *server, int64_t started_ms,
-                           int64_t now_ms);
+                           const char *server, cs_usec_t started_at,
+                           cs_usec_t now);
 
 /* The request FINGERPRINT has been answered by a server.  */
 void cs_crash_history_clear (cs_crash_history_t *history, uint64_t fingerprint,
--- a/include/cardamom/quarantine.h
+++ b/include/cardamom/quarantine.h
@@ -7,6 +7,7 @@
 #ifndef CARDAMOM_QUARANTINE_H
 #define CARDAMOM_QUARANTINE_H
 
+#include "cardamom/clock.h"
 #include "cardamom/records.h"
 
 /* The number of crashes from which a request is refused.  */
@@ -19,11 +20,11 @@
 uint64_t cs_request_fingerprint (cs_str_t method, cs_str_t host,
                                  cs_str_t target, cs_str_t body);
 
-/* The record of a crash at wall time NOW_MS of SERVER while it ran the request
-   FINGERPRINT, which it had got at STARTED_MS.  SERVER names the upstream, or
+/* The record of a crash at wall time NOW of SERVER while it ran the request
+   FINGERPRINT, which it had got at STARTED_AT.  SERVER names the upstream, or
    the node on its host.  The caller frees it.  */
 cs_record_t *cs_crash_record_new (uint64_t fingerprint, const char *server,
-                                  int64_t started_ms, int64_t now_ms);
+                                  cs_usec_t started_at, cs_usec_t now);
 
 /* The key of that record; the caller frees it.  */
 char *cs_crash_record_key (uint64_t fingerprint, const char *server);
@@ -32,7 +33,7 @@
 typedef struct
 {
   uint64_t fingerprint;
-  int64_t started_ms, crashed_ms;
+  cs_usec_t started_at, crashed_at;
 } cs_crashed_run_t;
 
 /* The run that RECORD, a crash record, is about.  */
--- a/source/idempotency/quarantine.c
+++ b/source/idempotency/quarantine.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -31,17 +32,23 @@
   return record->seq == SEQ_ACTIVE;
 }
 
-/* The incarnation of a crash record is the time of the crash; its value is the
-   time at which the run started.  */
+/* The incarnation of a crash record is the time of the crash in milliseconds.
+   Its value is the time at which the run started, in milliseconds for earlier
+   releases, and then that time and the time of the crash in microseconds: a
+   retry may begin in the millisecond of the crash, or a run that overlaps.  */
 cs_record_t *
 cs_crash_record_new (uint64_t fingerprint, const char *server,
-                     int64_t started_ms, int64_t now_ms)
+                     cs_usec_t started_at, cs_usec_t now)
 {
-  char started[32];
+  char times[96];
+  int64_t now_ms = now / CS_MSEC;
   char *key = cs_crash_record_key (fingerprint, server);
-  g_snprintf (started, sizeof started, "%" G_GINT64_FORMAT, started_ms);
+  g_snprintf (times, sizeof times,
+              "%" G_GINT64_FORMAT " %" G_GINT64_FORMAT " %" G_GINT64_FORMAT,
+              (int64_t)(started_at / CS_MSEC), (int64_t)started_at,
+              (int64_t)now);
   cs_record_t *record = cs_record_new (CS_RECORD_CRASH, key, (uint64_t)now_ms,
-                                       SEQ_ACTIVE, cs_str_of (started));
+                                       SEQ_ACTIVE, cs_str_of (times));
   record->expires_ms = now_ms + CS_CRASH_RECORD_TTL_MS;
   record->urgent = true;
   g_free (key);
@@ -54,16 +61,28 @@
   record->seq = SEQ_CLEARED;
 }
 
+static cs_usec_t
+from_ms (int64_t ms)
+{
+  return CLAMP (ms, 0, INT64_MAX / CS_MSEC) * CS_MSEC;
+}
+
 cs_crashed_run_t
 cs_crash_record_run (const cs_record_t *record)
 {
   cs_crashed_run_t run
       = { .fingerprint = g_ascii_strtoull (record->key, NULL, 16),
-          .crashed_ms = (int64_t)record->incarnation };
-  /* Earlier releases give no start.  */
-  run.started_ms = record->value->len
-                       ? g_ascii_strtoll (record->value->str, NULL, 10)
-                       : run.crashed_ms;
+          .crashed_at = from_ms ((int64_t)record->incarnation) };
+  int64_t started_ms, started_at, crashed_at;
+  int given = sscanf (record->value->str, "%" SCNd64 " %" SCNd64 " %" SCNd64,
+                      &started_ms, &started_at, &crashed_at);
+  /* Earlier releases give no start, or milliseconds only.  */
+  run.started_at = given >= 1 ? from_ms (started_ms) : run.crashed_at;
+  if (given == 3)
+    {
+      run.started_at = started_at;
+      run.crashed_at = crashed_at;
+    }
   return run;
 }
 
@@ -71,22 +90,25 @@
 compare_runs (gconstpointer a, gconstpointer b)
 {
   const cs_crashed_run_t *left = a, *right = b;
-  return (left->crashed_ms > right->crashed_ms)
-         - (left->crashed_ms < right->crashed_ms);
+  gint order = (left->crashed_at > right->crashed_at)
+               - (left->crashed_at < right->crashed_at);
+  return order ? order
+               : (left->started_at > right->started_at)
+                     - (left->started_at < right->started_at);
 }
 
 unsigned
 cs_count_crashes (GArray *runs)
 {
   unsigned count = 0;
-  int64_t counted_until_ms = 0;
+  cs_usec_t counted_until = 0;
   g_array_sort (runs, compare_runs);
   for (guint i = 0; i < runs->len; i++)
     {
       const cs_crashed_run_t *run = &g_array_index (runs, cs_crashed_run_t, i);
-      if (count && run->started_ms < counted_until_ms)
+      if (count && run->started_at < counted_until)
         continue;
-      counted_until_ms = run->crashed_ms;
+      counted_until = run->crashed_at;
       count++;
     }
   return count;
--- a/source/node/crash-reports.c
+++ b/source/node/crash-reports.c
@@ -24,9 +24,9 @@
   cs_members_t *members = control_members (control);
   if (report->node_name)
     {
-      int64_t now_ms = cs_now_wall (ctx) / CS_MSEC;
-      cs_record_t *record = cs_crash_record_new (
-          report->fingerprint, report->node_name, now_ms, now_ms);
+      cs_usec_t now = cs_now_wall (ctx);
+      cs_record_t *record = cs_crash_record_new (report->fingerprint,
+                                                 report->node_name, now, now);
       cs_counter_add (CS_C_STRIKES, 1);
       cs_log (CS_LOG_NOTICE, "strike", "print=%016llx upstream=%s",
               (unsigned long long)report->fingerprint, report->node_name);
--- a/source/run/crash-check.c
+++ b/source/run/crash-check.c
@@ -23,12 +23,12 @@
 
 static void
 add_crash (cs_dispatcher_t *dispatcher, uint64_t fingerprint,
-           int64_t started_ms)
+           cs_usec_t started_at)
 {
   char server[2 * CS_NAME_SIZE];
   name_server_start (dispatcher, server);
   cs_crash_history_add (dispatcher->crash_history, fingerprint, server,
-                        started_ms, dispatcher_wall_ms (dispatcher));
+                        started_at, cs_now_wall (dispatcher->ctx));
 }
 
 void
@@ -75,7 +75,7 @@
     {
       const cs_unanswered_run_t *run
           = &g_array_index (runs, cs_unanswered_run_t, i);
-      add_crash (dispatcher, run->fingerprint, run->started_ms);
+      add_crash (dispatcher, run->fingerprint, run->started_at);
     }
   g_array_unref (runs);
   for (GList *link = dispatcher->in_flight.head; with_in_flight && link;
@@ -83,7 +83,7 @@
     {
       const cs_dispatch_t *dispatch = link->data;
       if (cs_http1_client_is_connected (dispatch->conn->client))
-        add_crash (dispatcher, dispatch->fingerprint, dispatch->sent_wall_ms);
+        add_crash (dispatcher, dispatch->fingerprint, dispatch->sent_wall);
     }
 }
 
@@ -92,7 +92,7 @@
 {
   cs_dispatcher_t *dispatcher = dispatch->dispatcher;
   cs_unanswered_run_t run = { .fingerprint = dispatch->fingerprint,
-                              .started_ms = dispatch->sent_wall_ms,
+                              .started_at = dispatch->sent_wall,
                               .ended_at = dispatcher_now (dispatcher) };
   dispatch->service_time = run.ended_at - dispatch->sent_at;
   cs_crash_detector_add (&dispatcher->crash_detector, &run);
--- a/source/run/crash-history.c
+++ b/source/run/crash-history.c
@@ -147,13 +147,13 @@
 
 void
 cs_crash_history_add (cs_crash_history_t *history, uint64_t fingerprint,
-                      const char *server, int64_t started_ms, int64_t now_ms)
+                      const char *server, cs_usec_t started_at, cs_usec_t now)
 {
   if (!fingerprint || cs_crash_history_find (history, fingerprint, server))
     return;
   cs_record_t *record
-      = cs_crash_record_new (fingerprint, server, started_ms, now_ms);
-  if (cs_crash_history_merge (history, record, now_ms))
+      = cs_crash_record_new (fingerprint, server, started_at, now);
+  if (cs_crash_history_merge (history, record, now / CS_MSEC))
     {
       cs_counter_add (CS_C_STRIKES, 1);
       history->handler.created (history->user, record);
--- a/source/run/dispatcher-internal.h
+++ b/source/run/dispatcher-internal.h
@@ -42,7 +42,7 @@
   GBytes *body; /* NULL: empty.  */
   cs_usec_t deadline, sent_at;
   cs_usec_t service_time; /* Set when it is DISPATCH_UNANSWERED.  */
-  int64_t sent_wall_ms;   /* SENT_AT as wall time.  */
+  cs_usec_t sent_wall;    /* SENT_AT as wall time.  */
   uint64_t fingerprint;   /* 0: not known.  */
   bool suspect;           /* It was suspected when it was sent.  */
   bool cold;              /* The server was cold when it was sent.  */
--- a/source/run/dispatcher.c
+++ b/source/run/dispatcher.c
@@ -384,7 +384,7 @@
     cs_retry_window_note_request (
         &dispatcher->retry_window, &dispatcher->retry_settings,
         dispatch->may_be_call, dispatch->retry_share, now);
-  dispatch->sent_wall_ms = dispatcher_wall_ms (dispatcher);
+  dispatch->sent_wall = cs_now_wall (dispatcher->ctx);
   conn->dispatch = dispatch;
   conn->uses++;
   g_queue_push_tail (&dispatcher->in_flight, dispatch);
--- a/tests/test-crash.c
+++ b/tests/test-crash.c
@@ -64,8 +64,8 @@
   char server[32];
   g_snprintf (server, sizeof server, "s%d/%" G_GINT64_FORMAT, node,
               mesh->now_ms);
-  cs_crash_history_add (mesh->histories[node], fingerprint, server, started_ms,
-                        mesh->now_ms);
+  cs_crash_history_add (mesh->histories[node], fingerprint, server,
+                        started_ms * CS_MSEC, mesh->now_ms * CS_MSEC);
 }
 
 static cs_request_trust_t
@@ -165,14 +165,50 @@
 {
   mesh_t *mesh = new_mesh ();
   cs_crash_history_t *history = mesh->histories[0];
-  cs_crash_history_add (history, 5, "s1/1", mesh->now_ms - 10, mesh->now_ms);
+  cs_crash_history_add (history, 5, "s1/1", (mesh->now_ms - 10) * CS_MSEC,
+                        mesh->now_ms * CS_MSEC);
   cs_crash_history_clear (history, 5, mesh->now_ms + 1);
-  cs_crash_history_add (history, 5, "s1/1", mesh->now_ms - 10,
-                        mesh->now_ms + 900);
+  cs_crash_history_add (history, 5, "s1/1", (mesh->now_ms - 10) * CS_MSEC,
+                        (mesh->now_ms + 900) * CS_MSEC);
   g_assert_cmpint (trust_everywhere (mesh, 5), ==, CS_REQUEST_TRUSTED);
   free_mesh (mesh);
 }
 
+/* Two crashes in one millisecond, in whichever order the records are held: a
+   retry that began after the first crash is the second one, a run that began
+   before it is not.  */
+static void
+test_two_crashes_in_one_millisecond (void)
+{
+  /* The start and the crash of the second run, in microseconds after the first
+     crash.  */
+  static const struct
+  {
+    cs_usec_t started, crashed;
+    cs_request_trust_t trust;
+  } cases[] = { { 100, 400, CS_REQUEST_QUARANTINED },
+                { 0, 0, CS_REQUEST_QUARANTINED },
+                { -100, 400, CS_REQUEST_SUSPECT },
+                { -100, 0, CS_REQUEST_SUSPECT } };
+  mesh_t *mesh = new_mesh ();
+  const cs_usec_t now = mesh->now_ms * CS_MSEC + 500;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    for (int order = 0; order < NODES; order++)
+      {
+        uint64_t fingerprint = 1 + i * NODES + (uint64_t)order;
+        char first[8], second[8];
+        g_snprintf (first, sizeof first, "s%d", order);
+        g_snprintf (second, sizeof second, "s%d", (order + 5) % NODES);
+        cs_crash_history_add (mesh->histories[0], fingerprint, first,
+                              now - 3 * CS_MSEC, now);
+        cs_crash_history_add (mesh->histories[1], fingerprint, second,
+                              now + cases[i].started, now + cases[i].crashed);
+        g_assert_cmpint (trust_everywhere (mesh, fingerprint), ==,
+                         cases[i].trust);
+      }
+  free_mesh (mesh);
+}
+
 /* A node that has just started gets the requests in quarantine, and only
    those; they expire.  */
 static void
@@ -265,6 +301,8 @@
   g_test_add_func ("/crash/request-that-ends-every-server",
                    test_request_that_ends_every_server);
   g_test_add_func ("/crash/reported-twice", test_crash_reported_twice);
+  g_test_add_func ("/crash/two-in-one-millisecond",
+                   test_two_crashes_in_one_millisecond);
   g_test_add_func ("/crash/new-node", test_quarantine_for_new_node);
   g_test_add_func ("/crash/more-than-are-held",
                    test_more_crashes_than_are_held);
--- a/tests/test-member.c
+++ b/tests/test-member.c
@@ -440,8 +440,8 @@
       = { { 7, "n1", 1 }, { 7, "n1", 1 }, { 7, "n2", 2 }, { 8, "n1", 1 } };
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      cs_record_t *record = cs_crash_record_new (cases[i].fingerprint,
-                                                 cases[i].node, 1000, 1000);
+      cs_record_t *record = cs_crash_record_new (
+          cases[i].fingerprint, cases[i].node, CS_SEC, CS_SEC);
       cs_records_merge (records, record, 1000);
       cs_record_free (record);
       GHashTable *crash_counts = cs_crashes_by_fingerprint (records);
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -2123,9 +2123,9 @@
 {
   uint64_t fingerprint = cs_request_fingerprint (
       CS_STR ("GET"), CS_STR ("h"), cs_str_of (path), CS_STR (""));
-  int64_t now_ms = cs_now_wall (mesh->ctx) / CS_MSEC + at_ms;
+  cs_usec_t now = cs_now_wall (mesh->ctx) + at_ms * CS_MSEC;
   cs_record_t *record
-      = cs_crash_record_new (fingerprint, start, now_ms, now_ms + 1);
+      = cs_crash_record_new (fingerprint, start, now, now + CS_MSEC);
   cs_traffic_add_crash_record (mesh->server_node, record);
   cs_record_free (record);
 }
