A carriage return alone ends no head

A caller could be given other bytes as a body, and a request could have another end here than at a server in front: http-parser, as it is built for the system, takes any byte for the line feed of the blank line that ends a head, and of a status line. "\r\n\rX" ended the fields, what followed up to the real blank line became the body, or was dropped without a word. The same holds for "HTTP/1.1 200 OK\rX".

The bytes of a head are looked at before they are parsed, as for a line feed alone; a carriage return without a line feed is refused now, in requests (400) and answers.

--- a/source/http1/message.c
+++ b/source/http1/message.c
@@ -281,6 +281,8 @@
       refuse (message, 400, "obsolete line folding");
     else if (text[i] == '\0')
       refuse (message, 400, "NUL in the header section");
+    else if (text[i] == '\r' && text[i + 1] != '\n')
+      refuse (message, 400, "carriage return without line feed");
   check_status (message);
 }
 
