Check the bytes around chunks

Callers got answers whose chunks are malformed as complete, and requests with such bodies were run: http-parser, as it is built for the system, takes any byte for the line feed of a size ("2\rXab\r\n"), any two for the end of a chunk ("2\r\nabXY"), any byte for the last line feed ("0\r\n\r\n" and "0\r\n\rX"), and skips what follows a size to the next carriage return, so that an extension may hold a line feed and "2 3" is 2. A server in front that reads otherwise sees another end of the request.

cs_chunk_framing_t follows the bytes that the parser doesn't hand over as body, which are checked up to each piece of body and at the end of each read; the check of trailers is part of it, and the parser isn't paused for them any more. Bodies aren't scanned. Also refused: blanks behind a size other than before an extension, control characters in an extension, sizes of more than 16 digits. It is in the reader of messages, so that it holds for requests (400) and answers, in both programs.

/message/chunks: before, 19 of 34 malformed bodies passed, each in requests and answers and at each of the 7 ways to split the reads; now 0. /message/malformed-trailer with the new line failed before as well. /message/endless-chunk-lines passed before.

--- a/include/cardamom/message.h
+++ b/include/cardamom/message.h
@@ -6,6 +6,7 @@
 #include <http_parser.h>
 #include <stdbool.h>
 
+#include "cardamom/chunk-framing.h"
 #include "cardamom/str.h"
 
 /* One header field; views into the HEAD of its message.  */
@@ -31,8 +32,10 @@
   bool skip_body; /* The answer is to HEAD; set before feeding.  */
   /* Close-delimited: the body ends with the connection.  */
   bool close_delimited;
-  bool in_trailer;   /* The last chunk has been read.  */
-  char trailer_byte; /* The last one of the trailer section.  */
+  cs_chunk_framing_t chunk_framing;
+  /* Within the bytes being read: what the chunks' framing is not yet checked
+     of.  */
+  const char *unchecked;
   /* Of an answer: the memory that its body has in a budget; NULL: none.  */
   struct cs_claim *claim;
   /* 0, or the HTTP status that refuses the message: 400 (malformed), 413 (body
--- a/source/http1/message.c
+++ b/source/http1/message.c
@@ -114,22 +114,30 @@
   return message->skip_body ? 1 : 0;
 }
 
-/* The trailer section is fed by itself, so that its bytes are known.  */
-static int
-on_chunk_head (http_parser *parser)
+/* Check the bytes around chunks up to END, from where the last check ended. */
+static void
+check_chunk_framing (cs_http1_message_t *message, const char *end)
 {
-  cs_http1_message_t *message = parser->data;
-  message->in_trailer = parser->content_length == 0;
-  message->trailer_byte = '\n';
-  if (message->in_trailer)
-    http_parser_pause (parser, 1);
-  return 0;
+  const char *why
+      = cs_chunk_framing_check (&message->chunk_framing, message->unchecked,
+                                (size_t)(end - message->unchecked));
+  message->unchecked = end;
+  if (why)
+    refuse (message, 400, why);
 }
 
 static int
 on_body (http_parser *parser, const char *at, size_t len)
 {
   cs_http1_message_t *message = parser->data;
+  if (parser->flags & F_CHUNKED)
+    {
+      check_chunk_framing (message, at);
+      if (message->error_status)
+        return 1;
+      cs_chunk_framing_pass_data (&message->chunk_framing);
+      message->unchecked = at + len;
+    }
   if (message->body->len + len > message->body_max)
     return refuse (message, 413, "body exceeds the limit");
   g_string_append_len (message->body, at, (gssize)len);
@@ -151,7 +159,6 @@
   .on_header_value = on_field_value,
   .on_headers_complete = on_headers_complete,
   .on_body = on_body,
-  .on_chunk_header = on_chunk_head,
   .on_message_complete = on_complete,
 };
 
@@ -202,7 +209,8 @@
   g_array_set_size (message->fields, 0);
   message->request_target = (cs_str_t){ 0 };
   message->head_complete = message->complete = message->skip_body
-      = message->close_delimited = message->in_trailer = false;
+      = message->close_delimited = false;
+  message->chunk_framing = (cs_chunk_framing_t){ 0 };
   message->error_status = 0;
   message->blank_bytes = 0;
   message->error_text = NULL;
@@ -286,24 +294,6 @@
   check_status (message);
 }
 
-/* Refuse lines of the trailer section DATA that http-parser accepts although
-   RFC 9112 forbids them.  */
-static void
-check_trailer_bytes (cs_http1_message_t *message, const char *data, size_t len)
-{
-  for (size_t i = 0; i < len; i++)
-    {
-      char before = message->trailer_byte;
-      if (data[i] == '\n' && before != '\r')
-        refuse (message, 400, "line feed without carriage return");
-      else if (before == '\n' && (data[i] == ' ' || data[i] == '\t'))
-        refuse (message, 400, "obsolete line folding");
-      message->trailer_byte = data[i];
-    }
-  if (message->error_status)
-    message->complete = false;
-}
-
 /* Whether the request begins with a syntactically valid method, known or
    not.  */
 static bool
@@ -318,15 +308,13 @@
 static size_t
 parse (cs_http1_message_t *message, const char *data, size_t len)
 {
-  bool in_trailer = message->in_trailer;
+  message->unchecked = data;
   size_t used = http_parser_execute (&message->parser, &settings, data, len);
   enum http_errno error = HTTP_PARSER_ERRNO (&message->parser);
   if (error == HPE_INVALID_METHOD && starts_with_method (message))
     refuse (message, 501, "unknown method");
   else if (error != HPE_OK && error != HPE_PAUSED)
     refuse (message, 400, http_errno_description (error));
-  if (in_trailer)
-    check_trailer_bytes (message, data, used);
   return used;
 }
 
@@ -334,12 +322,13 @@
 static size_t
 parse_body (cs_http1_message_t *message, const char *data, size_t len)
 {
+  bool chunked = message->parser.flags & F_CHUNKED;
   size_t used = parse (message, data, len);
-  if (!message->in_trailer || message->complete || message->error_status
-      || used == len)
-    return used;
-  http_parser_pause (&message->parser, 0);
-  return used + parse (message, data + used, len - used);
+  if (chunked && !message->error_status)
+    check_chunk_framing (message, data + used);
+  if (message->error_status)
+    message->complete = false;
+  return used;
 }
 
 size_t
--- a/tests/test-message.c
+++ b/tests/test-message.c
@@ -206,7 +206,7 @@
     LINE ("A\351B: v\r\n"), LINE ("A\"B: v\r\n"),    LINE ("A : v\r\n"),
     LINE (" A: v\r\n"),     LINE ("A: v\r\n w\r\n"), LINE ("A: v\r\n\tw\r\n"),
     LINE ("A: v\rw\r\n"),   LINE ("A: v\0w\r\n"),    LINE ("A: v\001w\r\n"),
-    LINE ("A: v\n"),        LINE ("A\r\n"),
+    LINE ("A: v\n"),        LINE ("A\r\n"),          LINE ("\rA: v\r\n"),
   };
 #undef LINE
   for (size_t i = 0; i < G_N_ELEMENTS (lines); i++)
@@ -230,6 +230,122 @@
       }
 }
 
+/* Bodies in chunks, of requests and of answers, however the reads split them:
+   the bytes around the chunks are all checked, for a reader that is stricter
+   or more lenient sees another end of the message.  */
+static void
+test_chunks (void)
+{
+  static const size_t steps[] = { 1, 2, 3, 4, 5, 7, 4096 };
+  static const enum http_parser_type types[] = { HTTP_REQUEST, HTTP_RESPONSE };
+#define BODY(text) text, sizeof text - 1
+#define LAST "0\r\n\r\n"
+  static const struct
+  {
+    const char *text;
+    size_t len;
+    const char *body; /* Expected; NULL: the message is malformed.  */
+  } cases[] = {
+    { BODY ("2\r\nab\r\n1\r\nc\r\n" LAST), "abc" },
+    { BODY ("00A\r\n0123456789\r\n1\r\n\n\r\n" LAST), "0123456789\n" },
+    { BODY ("a\r\n\r\n0\r\n\r\n\r\nX\r\n000\r\n\r\n"), "\r\n0\r\n\r\n\r\nX" },
+    { BODY ("0000000000000002\r\nab\r\n" LAST), "ab" },
+    { BODY ("2;x=y\r\nab\r\n2 \t; x=\"\351;\t\"\r\ncd\r\n0;z\r\n\r\n"),
+      "abcd" },
+    { BODY ("2\r\nab\r\n0\r\nTrail: 1\r\nOther: 2\r\n\r\n"), "ab" },
+    /* Behind a size.  */
+    { BODY ("2\rXab\r\n" LAST), NULL },
+    { BODY ("2\r\rab\r\n" LAST), NULL },
+    { BODY ("2\nab\r\n" LAST), NULL },
+    { BODY ("2;x\rXab\r\n" LAST), NULL },
+    { BODY ("2;x\ny\r\nab\r\n" LAST), NULL },
+    { BODY ("2;\n2\r\nab\r\n" LAST), NULL },
+    { BODY ("2;x\0y\r\nab\r\n" LAST), NULL },
+    { BODY ("2;x\177y\r\nab\r\n" LAST), NULL },
+    { BODY ("2 \r\nab\r\n" LAST), NULL },
+    { BODY ("2 3\r\nab\r\n" LAST), NULL },
+    { BODY ("2 x\r\nab\r\n" LAST), NULL },
+    /* Behind a chunk.  */
+    { BODY ("2\r\nabXY" LAST), NULL },
+    { BODY ("2\r\nab\rY" LAST), NULL },
+    { BODY ("2\r\nabX\n" LAST), NULL },
+    { BODY ("2\r\nab\n\n" LAST), NULL },
+    { BODY ("2\r\nab" LAST), NULL },
+    { BODY ("2\r\nabc\r\n" LAST), NULL },
+    /* Sizes.  */
+    { BODY ("\r\nab\r\n" LAST), NULL },
+    { BODY (";x\r\nab\r\n" LAST), NULL },
+    { BODY ("+2\r\nab\r\n" LAST), NULL },
+    { BODY ("-2\r\nab\r\n" LAST), NULL },
+    { BODY (" 2\r\nab\r\n" LAST), NULL },
+    { BODY ("\t2\r\nab\r\n" LAST), NULL },
+    { BODY ("0x2\r\nab\r\n" LAST), NULL },
+    { BODY ("2g\r\nab\r\n" LAST), NULL },
+    { BODY ("2_\r\nab\r\n" LAST), NULL },
+    { BODY ("00000000000000002\r\nab\r\n" LAST), NULL },
+    { BODY ("10000000000000002\r\nab\r\n" LAST), NULL },
+    /* Behind the last chunk.  */
+    { BODY ("2\r\nab\r\n0\rX\r\n"), NULL },
+    { BODY ("2\r\nab\r\n0\n\n"), NULL },
+    { BODY ("2\r\nab\r\n0\r\n\rX"), NULL },
+    { BODY ("2\r\nab\r\n0\r\n\n"), NULL },
+    { BODY ("2\r\nab\r\n0\r\nTrail: 1\r\n\rX"), NULL },
+    { BODY ("2\r\nab\r\n0 0\r\n\r\n"), NULL },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases) * G_N_ELEMENTS (types); i++)
+    for (size_t j = 0; j < G_N_ELEMENTS (steps); j++)
+      {
+        size_t at = i / G_N_ELEMENTS (types);
+        enum http_parser_type type = types[i % G_N_ELEMENTS (types)];
+        GString *text = g_string_new (type == HTTP_REQUEST
+                                          ? "PUT / HTTP/1.1\r\nHost: h\r\n"
+                                          : "HTTP/1.1 200 OK\r\n");
+        cs_http1_message_t message;
+        g_string_append (text, "Transfer-Encoding: chunked\r\n\r\n");
+        g_string_append_len (text, cases[at].text, (gssize)cases[at].len);
+        cs_http1_message_init (&message, type, HEAD_MAX, BODY_MAX);
+        size_t used = feed (&message, text->str, text->len, steps[j]);
+        g_test_message ("case %zu, type %d, %zu at a time", at, type,
+                        steps[j]);
+        g_assert_cmpint (message.error_status, ==, cases[at].body ? 0 : 400);
+        g_assert_cmpint (message.complete, ==, cases[at].body != NULL);
+        if (cases[at].body)
+          {
+            g_assert_cmpuint (used, ==, text->len);
+            g_assert_cmpstr (message.body->str, ==, cases[at].body);
+          }
+        cs_http1_message_clear (&message);
+        g_string_free (text, TRUE);
+      }
+#undef LAST
+#undef BODY
+}
+
+#define ENDLESS_BYTES (1 << 20)
+
+/* A line of a size, an extension or a trailer without an end is refused.  */
+static void
+test_endless_chunk_lines (void)
+{
+  static const char *const begins[] = { "2;", "2 ", "0\r\nTrail: " };
+  static const char fills[] = { 'x', ' ', 'x' };
+  for (size_t i = 0; i < G_N_ELEMENTS (begins); i++)
+    {
+      cs_http1_message_t message;
+      char *fill = g_strnfill (ENDLESS_BYTES, fills[i]);
+      char *text = g_strconcat ("PUT / HTTP/1.1\r\nHost: h\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n",
+                                begins[i], fill, NULL);
+      cs_http1_message_init (&message, HTTP_REQUEST, HEAD_MAX, BODY_MAX);
+      feed (&message, text, strlen (text), 1000);
+      g_test_message ("%s", begins[i]);
+      g_assert_cmpint (message.error_status, ==, 400);
+      cs_http1_message_clear (&message);
+      g_free (fill);
+      g_free (text);
+    }
+}
+
 /* Random mutations of the requests above, from a fixed seed: each is accepted,
    refused, or incomplete.  A body never exceeds its limit, and no accepted
    request has both Content-Length and Transfer-Encoding.  */
@@ -286,6 +402,8 @@
                         test_malformed_fields);
   g_test_add_data_func ("/message/malformed-trailer", "trailer",
                         test_malformed_fields);
+  g_test_add_func ("/message/chunks", test_chunks);
+  g_test_add_func ("/message/endless-chunk-lines", test_endless_chunk_lines);
   g_test_add_func ("/message/mutants", test_mutations);
   return g_test_run ();
 }
