A coding that the parser doesn't take for chunks is malformed

Callers got the chunks themselves, sizes and all, as the body of an answer with "Transfer-Encoding: chunked\t": the field's value is compared without the blanks behind it, and the parser, which doesn't drop a tab there, reads up to the end of the connection. A request with that field was refused already.

A coding must be chunks for both.

--- a/source/http1/message.c
+++ b/source/http1/message.c
@@ -93,9 +93,10 @@
   unsigned codings = count_field (message, "transfer-encoding");
   if (codings > 1
       || (codings
-          && !cs_str_equal_nocase (
-              cs_http1_message_field (message, "transfer-encoding"),
-              "chunked")))
+          && (!cs_str_equal_nocase (
+                  cs_http1_message_field (message, "transfer-encoding"),
+                  "chunked")
+              || !(parser->flags & F_CHUNKED))))
     return refuse (message, 400, "unsupported transfer coding"), -1;
   if (request
       && (count_field (message, "host") > 1
--- a/tests/answer-cases.h
+++ b/tests/answer-cases.h
@@ -101,6 +101,7 @@
     false },
   { "coding-capitals", TEXT (ANSWER_CODING (" CHUNKED ", "")), "200 body",
     false },
+  { "coding-tab", TEXT (ANSWER_CODING (" chunked\t", "")), NULL, false },
   { "chunk-size", TEXT (ANSWER_CHUNKS ("4\rXbody\r\n0\r\n\r\n")), NULL,
     false },
   { "chunk-end", TEXT (ANSWER_CHUNKS ("4\r\nbodyXY0\r\n\r\n")), NULL, false },
