Messages of another major version of HTTP are malformed

Answers of HTTP/2.0 and HTTP/0.9 were passed on, and requests of these versions, or of none ("GET /"), run: their framing is not that of HTTP/1, by which they were read. Such requests get 400, such answers are malformed; a higher minor version is read as before (RFC 9110, section 2.5).

--- a/source/http1/message.c
+++ b/source/http1/message.c
@@ -84,6 +84,8 @@
   bool request = parser->type == HTTP_REQUEST;
   message->head_complete = true;
   parser->upgrade = 0;
+  if (parser->http_major != 1)
+    return refuse (message, 400, "unsupported version of HTTP"), -1;
   if (count_field (message, "content-length") > 1)
     return refuse (message, 400, "repeated Content-Length"), -1;
   if (count_field (message, "transfer-encoding")
@@ -100,8 +102,7 @@
     return refuse (message, 400, "unsupported transfer coding"), -1;
   if (request
       && (count_field (message, "host") > 1
-          || (!count_field (message, "host")
-              && (parser->http_major > 1 || parser->http_minor > 0))))
+          || (!count_field (message, "host") && parser->http_minor > 0)))
     return refuse (message, 400, "missing or repeated Host"), -1;
   if (request && parser->method == HTTP_CONNECT)
     return refuse (message, 400, "CONNECT is not supported"), -1;
--- a/tests/answer-cases.h
+++ b/tests/answer-cases.h
@@ -47,6 +47,8 @@
     false },
   { "version-lower", TEXT ("HTTP/1.0 200 OK\r\n" ANSWER_BODY), "200 body",
     false },
+  { "version-2", TEXT ("HTTP/2.0 200 OK\r\n" ANSWER_BODY), NULL, false },
+  { "version-0", TEXT ("HTTP/0.9 200 OK\r\n" ANSWER_BODY), NULL, false },
   { "version-11", TEXT ("HTTP/11 200 OK\r\n" ANSWER_BODY), NULL, false },
   { "version-none", TEXT ("HTTP 200 OK\r\n" ANSWER_BODY), NULL, false },
   { "protocol-none", TEXT ("200 OK\r\n" ANSWER_BODY), NULL, false },
