Answers of 1xx, 204 and 304 have no body, nor has one to HEAD a limit

Callers waited for the answer until their time was up where a server answers 304 with the Content-Length of what it doesn't send, as it may, or 304 or 1xx with Transfer-Encoding: http-parser reads a body there. The body that came behind an interim answer or a 204 was taken in, where it is bytes that belong to no answer. And a 304, or an answer to HEAD, that tells a length over the limit of bodies was malformed.

Such answers end with their heads (RFC 9112, section 6.3), before a length is compared with the limit; what follows ends the connection or is a malformed answer.

--- a/source/http1/message.c
+++ b/source/http1/message.c
@@ -77,6 +77,16 @@
   return count;
 }
 
+/* Whether the message is an answer that has no body, whatever its fields tell
+   (RFC 9112, section 6.3).  */
+static bool
+is_bodyless_answer (const http_parser *parser)
+{
+  return parser->type == HTTP_RESPONSE
+         && (parser->status_code < 200 || parser->status_code == 204
+             || parser->status_code == 304);
+}
+
 static int
 on_headers_complete (http_parser *parser)
 {
@@ -106,14 +116,15 @@
     return refuse (message, 400, "missing or repeated Host"), -1;
   if (request && parser->method == HTTP_CONNECT)
     return refuse (message, 400, "CONNECT is not supported"), -1;
+  if (message->skip_body || is_bodyless_answer (parser))
+    return 1;
   if (parser->content_length != UINT64_MAX
       && parser->content_length > message->body_max)
     return refuse (message, 413, "body exceeds the limit"), -1;
-  if (!request && !message->skip_body && parser->status_code >= 200
-      && parser->status_code != 204 && parser->status_code != 304
-      && !(parser->flags & F_CHUNKED) && parser->content_length == UINT64_MAX)
+  if (!request && !(parser->flags & F_CHUNKED)
+      && parser->content_length == UINT64_MAX)
     message->close_delimited = true;
-  return message->skip_body ? 1 : 0;
+  return 0;
 }
 
 /* Check the bytes around chunks up to END, from where the last check ended. */
