A switch of protocols is no interim answer

A caller could be given what a server sends in another protocol: 101, which we never ask for, was taken for an interim answer, and what came behind it for the answer. It is malformed now.

--- a/source/http1/message.c
+++ b/source/http1/message.c
@@ -290,6 +290,9 @@
           || !g_ascii_isdigit (status[2])
           || (status[3] != ' ' && status[3] != '\r')))
     refuse (message, 400, "invalid status");
+  else if (message->parser.type == HTTP_RESPONSE
+           && strncmp (status, "101", 3) == 0)
+    refuse (message, 400, "switch of protocols that was not asked for");
 }
 
 /* Refuse what http-parser accepts although RFC 9112 forbids it.  */
--- a/tests/answer-cases.h
+++ b/tests/answer-cases.h
@@ -116,6 +116,13 @@
   { "interim-endless",
     TEXT (ANSWER_INTERIM_16 ANSWER_INTERIM ANSWER_OK ANSWER_BODY), NULL,
     false },
+  { "switch",
+    TEXT ("HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: "
+          "Upgrade\r\n\r\n" ANSWER_OK ANSWER_BODY),
+    NULL, false },
+  { "switch-alone",
+    TEXT ("HTTP/1.1 101 Switching\r\n\r\n" ANSWER_OK ANSWER_BODY), NULL,
+    false },
   { "no-body", TEXT ("HTTP/1.1 204 No\r\n" ANSWER_OWN "\r\n"), "204 ", false },
   { "no-body-length", TEXT ("HTTP/1.1 204 No\r\n" ANSWER_BODY), "204 ",
     false },
