--- a/source/http1/message.c
+++ b/source/http1/message.c
@@ -77,6 +77,16 @@
   return count;
 }
 
+/* Whether the message is an answer that has no body, whatever its fields tell
+   (RFC 9112, section 6.3).  */
+static bool
+is_bodyless_answer (const http_parser *parser)
+{
+  return parser->type == HTTP_RESPONSE
+         && (parser->status_code < 200 || parser->status_code == 204
+             || parser->status_code == 304);
+}
+
 static int
 on_headers_complete (http_parser *parser)
 {
@@ -84,6 +94,8 @@
   bool request = parser->type == HTTP_REQUEST;
   message->head_complete = true;
   parser->upgrade = 0;
+  if (parser->http_major != 1)
+    return refuse (message, 400, "unsupported version of HTTP"), -1;
   if (count_field (message, "content-length") > 1)
     return refuse (message, 400, "repeated Content-Length"), -1;
   if (count_field (message, "transfer-encoding")
@@ -93,43 +105,52 @@
   unsigned codings = count_field (message, "transfer-encoding");
   if (codings > 1
       || (codings
-          && !cs_str_equal_nocase (
-              cs_http1_message_field (message, "transfer-encoding"),
-              "chunked")))
+          && (!cs_str_equal_nocase (
+                  cs_http1_message_field (message, "transfer-encoding"),
+                  "chunked")
+              || !(parser->flags & F_CHUNKED))))
     return refuse (message, 400, "unsupported transfer coding"), -1;
   if (request
       && (count_field (message, "host") > 1
-          || (!count_field (message, "host")
-              && (parser->http_major > 1 || parser->http_minor > 0))))
+          || (!count_field (message, "host") && parser->http_minor > 0)))
     return refuse (message, 400, "missing or repeated Host"), -1;
   if (request && parser->method == HTTP_CONNECT)
     return refuse (message, 400, "CONNECT is not supported"), -1;
+  if (message->skip_body || is_bodyless_answer (parser))
+    return 1;
   if (parser->content_length != UINT64_MAX
       && parser->content_length > message->body_max)
     return refuse (message, 413, "body exceeds the limit"), -1;
-  if (!request && !message->skip_body && parser->status_code >= 200
-      && parser->status_code != 204 && parser->status_code != 304
-      && !(parser->flags & F_CHUNKED) && parser->content_length == UINT64_MAX)
+  if (!request && !(parser->flags & F_CHUNKED)
+      && parser->content_length == UINT64_MAX)
     message->close_delimited = true;
-  return message->skip_body ? 1 : 0;
+  return 0;
 }
 
-/* The trailer section is fed by itself, so that its bytes are known.  */
-static int
-on_chunk_head (http_parser *parser)
+/* Check the bytes around chunks up to END, from where the last check ended. */
+static void
+check_chunk_framing (cs_http1_message_t *message, const char *end)
 {
-  cs_http1_message_t *message = parser->data;
-  message->in_trailer = parser->content_length == 0;
-  message->trailer_byte = '\n';
-  if (message->in_trailer)
-    http_parser_pause (parser, 1);
-  return 0;
+  const char *why
+      = cs_chunk_framing_check (&message->chunk_framing, message->unchecked,
+                                (size_t)(end - message->unchecked));
+  message->unchecked = end;
+  if (why)
+    refuse (message, 400, why);
 }
 
 static int
 on_body (http_parser *parser, const char *at, size_t len)
 {
   cs_http1_message_t *message = parser->data;
+  if (parser->flags & F_CHUNKED)
+    {
+      check_chunk_framing (message, at);
+      if (message->error_status)
+        return 1;
+      cs_chunk_framing_pass_data (&message->chunk_framing);
+      message->unchecked = at + len;
+    }
   if (message->body->len + len > message->body_max)
     return refuse (message, 413, "body exceeds the limit");
   g_string_append_len (message->body, at, (gssize)len);
@@ -151,7 +172,6 @@
   .on_header_value = on_field_value,
   .on_headers_complete = on_headers_complete,
   .on_body = on_body,
-  .on_chunk_header = on_chunk_head,
   .on_message_complete = on_complete,
 };
 
@@ -202,7 +222,8 @@
   g_array_set_size (message->fields, 0);
   message->request_target = (cs_str_t){ 0 };
   message->head_complete = message->complete = message->skip_body
-      = message->close_delimited = message->in_trailer = false;
+      = message->close_delimited = false;
+  message->chunk_framing = (cs_chunk_framing_t){ 0 };
   message->error_status = 0;
   message->blank_bytes = 0;
   message->error_text = NULL;
@@ -269,6 +290,9 @@
           || !g_ascii_isdigit (status[2])
           || (status[3] != ' ' && status[3] != '\r')))
     refuse (message, 400, "invalid status");
+  else if (message->parser.type == HTTP_RESPONSE
+           && strncmp (status, "101", 3) == 0)
+    refuse (message, 400, "switch of protocols that was not asked for");
 }
 
 /* Refuse what http-parser accepts although RFC 9112 forbids it.  */
@@ -281,27 +305,11 @@
       refuse (message, 400, "obsolete line folding");
     else if (text[i] == '\0')
       refuse (message, 400, "NUL in the header section");
+    else if (text[i] == '\r' && text[i + 1] != '\n')
+      refuse (message, 400, "carriage return without line feed");
   check_status (message);
 }
 
-/* Refuse lines of the trailer section DATA that http-parser accepts although
-   RFC 9112 forbids them.  */
-static void
-check_trailer_bytes (cs_http1_message_t *message, const char *data, size_t len)
-{
-  for (size_t i = 0; i < len; i++)
-    {
-      char before = message->trailer_byte;
-      if (data[i] == '\n' && before != '\r')
-        refuse (message, 400, "line feed without carriage return");
-      else if (before == '\n' && (data[i] == ' ' || data[i] == '\t'))
-        refuse (message, 400, "obsolete line folding");
-      message->trailer_byte = data[i];
-    }
-  if (message->error_status)
-    message->complete = false;
-}
-
 /* Whether the request begins with a syntactically valid method, known or
    not.  */
 static bool
@@ -316,15 +324,13 @@
 static size_t
 parse (cs_http1_message_t *message, const char *data, size_t len)
 {
-  bool in_trailer = message->in_trailer;
+  message->unchecked = data;
   size_t used = http_parser_execute (&message->parser, &settings, data, len);
   enum http_errno error = HTTP_PARSER_ERRNO (&message->parser);
   if (error == HPE_INVALID_METHOD && starts_with_method (message))
     refuse (message, 501, "unknown method");
   else if (error != HPE_OK && error != HPE_PAUSED)
     refuse (message, 400, http_errno_description (error));
-  if (in_trailer)
-    check_trailer_bytes (message, data, used);
   return used;
 }
 
@@ -332,12 +338,13 @@
 static size_t
 parse_body (cs_http1_message_t *message, const char *data, size_t len)
 {
+  bool chunked = message->parser.flags & F_CHUNKED;
   size_t used = parse (message, data, len);
-  if (!message->in_trailer || message->complete || message->error_status
-      || used == len)
-    return used;
-  http_parser_pause (&message->parser, 0);
-  return used + parse (message, data + used, len - used);
+  if (chunked && !message->error_status)
+    check_chunk_framing (message, data + used);
+  if (message->error_status)
+    message->complete = false;
+  return used;
 }
 
 size_t
