A table whose first era is 0, or unnamed, comes back older for the first time

In a mesh of one region whose table names no era, or era 0, until it comes back from an older copy, the reader took era 1 for the first one that it heard of: it believed the copy at once (an evacuation ended everywhere though the operator was about to write it again), and wrote neither its row, nor moves, nor quarantine records again. Only nodes that had heard another one's heartbeat, which names era 0, noticed.

Cause: control_check_answer passed over answers without an era and left era_known unset. An answer of the table that names none is of era 0 now.

--- a/source/sidecar/table-era.c
+++ b/source/sidecar/table-era.c
@@ -45,13 +45,24 @@
   return (cs_usec_t)(g_str_hash (name) % (guint)REWRITE_SPREAD);
 }
 
+/* Whether a call that ended with STATUS has had an answer of the table.  */
+static bool
+is_answer (cs_status_t status)
+{
+  return status == CS_OK || status == CS_CONFLICT || status == CS_NOT_FOUND
+         || status == CS_TOO_LARGE;
+}
+
 cs_status_t
 control_check_answer (control_t *control, cs_status_t status, GPtrArray *rows,
                       cs_revision_t *revision)
 {
   if (!revision->era)
     {
-      /* A table without eras, or no answer.  */
+      /* A table without eras, or that has none until it comes back older for
+         the first time, or no answer.  */
+      if (is_answer (status) && !control->era_known)
+        control_note_era (control, 0);
       revision->era = control->table_era;
       for (guint i = 0; i < rows->len; i++)
         ((cs_table_row_t *)rows->pdata[i])->revision.era = control->table_era;
@@ -80,8 +91,7 @@
 void
 control_note_table (control_t *control, cs_status_t status)
 {
-  bool up = status == CS_OK || status == CS_CONFLICT || status == CS_NOT_FOUND
-            || status == CS_TOO_LARGE;
+  bool up = is_answer (status);
   if (up != control->table_up)
     cs_event_log (
         CS_E_STORE,
--- a/tests/standins/standin-rows.c
+++ b/tests/standins/standin-rows.c
@@ -2,16 +2,17 @@
    rows, with its transactions, reads and long polls for changes, and backend
    servers.
 
-     standin-rows --port=P [--servers=P1:NAME,P2:NAME] [--no-era]
+     standin-rows --port=P [--servers=P1:NAME,P2:NAME] [--no-era] [--era=N]
 
    The table of rows is served on port P and checks no permissions.  Its
-   answers name an era unless --no-era is given.  GET /standin/version answers
-   with the number of transactions, and GET /standin/drill?to=N&away_ms=M has
-   it refuse all calls for M ms and come back, in the next era, as it was after
-   the Nth.  GET /standin/calls answers with the number of calls of the table
-   since the last such request.  Each server answers 200 with its NAME, GET
-   /count with the number of requests it ran, and GET /health with NAME as its
-   instance, the first letter replaced by "i".  */
+   answers name an era, the first one 1 or N, unless --no-era is given.  GET
+   /standin/version answers with the number of transactions, and GET
+   /standin/drill?to=N&away_ms=M has it refuse all calls for M ms and come
+   back, in the next era, as it was after the Nth.  GET /standin/calls answers
+   with the number of calls of the table since the last such request.  Each
+   server answers 200 with its NAME, GET /count with the number of requests it
+   ran, and GET /health with NAME as its instance, the first letter replaced by
+   "i".  */
 #include <jansson.h>
 #include <signal.h>
 #include <stdlib.h>
@@ -446,6 +447,8 @@
       start_server (argv[i] + strlen ("--port="), &table_handler, NULL);
     else if (strcmp (argv[i], "--no-era") == 0)
       names_era = false;
+    else if (g_str_has_prefix (argv[i], "--era="))
+      era = atoi (argv[i] + strlen ("--era="));
     else if (g_str_has_prefix (argv[i], "--servers="))
       for (char **server_argument
            = g_strsplit (argv[i] + strlen ("--servers="), ",", -1);
