Use a node that restarts after its clock went back

A node whose wall clock had gone back between two starts of its process, by more than the first one had run, was not used by any other node until the clock had passed the earlier start: they kept the description of the first process, and where that had said that it stops, they did not even connect.

The process that answers a connection to the node's address is the last one there, so that its hello counts whatever time it names. A hello or a row of a start that seems earlier makes the node connect at once, if it isn't connected, and ask.

--- a/source/call/peers.c
+++ b/source/call/peers.c
@@ -352,6 +352,10 @@
   peer->process_gone = false;
   peer->hello_boot = info.boot_ms;
   peer->reconnect_delay = RECONNECT_DELAY_MIN;
+  /* The process that answers at the address is the last one there, even if the
+     clock of its host has gone back since the one before it started.  */
+  if (info.boot_ms < peer->info.boot_ms)
+    peer->info.boot_ms = 0;
   peers_update_member (traffic, &info);
   cs_event_log (CS_E_PEER, "peer=%s state=connected", peer->info.name);
   traffic->handler.member_changed (traffic->user, &peer->info, true);
@@ -501,8 +505,15 @@
       open_stream (peer, traffic_now (traffic));
       return;
     }
-  if (peer->self || !cs_node_info_is_newer (info, &peer->info))
+  if (peer->self)
     return;
+  if (!cs_node_info_is_newer (info, &peer->info))
+    {
+      /* An earlier process, or a later one whose clock has gone back.  */
+      if (info->boot_ms < peer->info.boot_ms && !peer->stream)
+        open_stream (peer, traffic_now (traffic));
+      return;
+    }
   cs_node_info_t before = peer->info;
   peer->info = *info;
   if (strcmp (before.instance, info->instance) != 0)
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -2261,6 +2261,52 @@
   close (listener);
 }
 
+/* The clock of a node has gone back before the node restarts.  The other
+   nodes use the new process all the same, also if the one before it had told
+   them that it stops.  */
+static void
+test_restart_after_clock_went_back (void)
+{
+  mesh_t *mesh = start_mesh (4);
+  cs_node_info_t peer = { .name = "peer",
+                          .dc = "a",
+                          .region = "r",
+                          .boot_ms = 2000,
+                          .server_state = CS_BACKEND_READY,
+                          .service = SERVICE,
+                          .version = "v1",
+                          .instance = "p1",
+                          .slots = 4,
+                          .stopping = true };
+  cs_backend_t gone = { .state = CS_BACKEND_LEFT };
+  struct sockaddr_in address;
+  unsigned port;
+  int listener = listen_on_free_port (&port);
+  g_snprintf (peer.address, sizeof peer.address, "127.0.0.1:%u", port);
+  cs_traffic_set_server_state (mesh->server_node, &gone);
+  cs_traffic_update_member (mesh->caller_node, &peer);
+  int fd = accept_one (listener);
+  send_hello (fd, &peer);
+  g_usleep (SOCKET_ABSENCE_MS * 1000);
+  close (fd);
+  g_usleep (SOCKET_ABSENCE_MS * 1000);
+  peer.boot_ms = 1000;
+  peer.stopping = false;
+  g_assert_true (cs_sockaddr_parse (mesh->caller_info.address, &address));
+  int own = connect_to (ntohs (address.sin_port));
+  send_hello (own, &peer);
+  fd = accept_one (listener);
+  send_hello (fd, &peer);
+  g_usleep (SOCKET_ABSENCE_MS * 1000);
+  int caller = connect_to (mesh->caller_port);
+  send_request (caller, "GET", "/read/1", "a1", "");
+  g_assert_cmpuint (receive_job (mesh->ctx, fd), >, 0);
+  close (caller);
+  close (own);
+  close (fd);
+  close (listener);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -2345,5 +2391,7 @@
                    test_outcome_before_crash_record);
   g_test_add_func ("/path/server-ready-between-hellos",
                    test_server_ready_between_hellos);
+  g_test_add_func ("/path/restart-after-clock-went-back",
+                   test_restart_after_clock_went_back);
   return g_test_run ();
 }
