Believe the reports of a server that started after the clock went back

A server that started after the clock of its host had gone back, by more than the one before it had run, was kept out as an earlier one: its node answered its reports with 200 and didn't use it until the clock had passed the start of the one before, which was taken to be there still.

Only after a leave without a report was the time of the last one compared as the present clock gives it; now it always is.

/decide/report-after-clock-went-back: failed before (1 of 1), passes now; the other tests of test-decide and test-adapter pass.

--- a/source/mesh/backend.c
+++ b/source/mesh/backend.c
@@ -34,12 +34,13 @@
   backend->generation++;
 }
 
-/* Whether REPORT, which arrived at NOW, is of a later start of the instance
-   that has left.  Of the start that left, only the latest possible time is
-   known.  If the clock has been stepped back since, a new start may seem
-   earlier: the time of the leave, if this process received it, is then
-   compared as the present clock gives it, but only for the first reports of a
-   start, as a delayed report of the start that left has a higher number.  */
+/* Whether REPORT, which arrived at NOW, is of a later start than the one that
+   is held.  Of a start that left before any report of it, only the latest
+   possible time is known.  If the clock has been stepped back since, a new
+   start may seem earlier: the time of the last report or of the leave, if this
+   process received it, is then compared as the present clock gives it, but
+   only for the first reports of a start, as a delayed report of the start that
+   is held has a higher number.  */
 static bool
 is_later_start (const cs_backend_t *backend, const cs_backend_report_t *report,
                 cs_usec_t now)
@@ -70,7 +71,8 @@
     {
       if (same_start && report->sequence <= held->sequence)
         return CS_REPORT_STALE;
-      if (!same_start && report->started_ms < held->started_ms)
+      if (!same_start && report->started_ms < held->started_ms
+          && !is_later_start (backend, report, now))
         return CS_REPORT_STALE;
       if (same_start && backend->state == CS_BACKEND_LEFT)
         return CS_REPORT_STALE;
--- a/tests/test-decide.c
+++ b/tests/test-decide.c
@@ -611,6 +611,39 @@
     }
 }
 
+/* A report whose start is earlier than that of the server that is known, which
+   was last heard of at wall time 5010.  Guards against a server that is kept
+   out for ever because the clock went back before it started.  */
+static void
+test_report_after_clock_went_back (void)
+{
+  static const struct
+  {
+    const char *what, *instance;
+    int64_t started_ms, received_ms, sequence;
+    const char *known;
+  } cases[] = {
+    { "an earlier server", "a", 1000, 5020, 1, "b" },
+    { "a new server, the clock 2 s back", "a", 3015, 3020, 1, "a" },
+    { "an earlier server, the clock 2 s back", "a", 1000, 3020, 1, "b" },
+    { "its late report, the clock 4 s back", "a", 1100, 1020, 9, "b" },
+    { "an earlier server, the clock 2 s ahead", "a", 1000, 7020, 1, "b" },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      cs_backend_t backend = { 0 };
+      cs_backend_report_t held = make_report ("b", 4000, 7, true);
+      cs_backend_report_t report = make_report (
+          cases[i].instance, cases[i].started_ms, cases[i].sequence, false);
+      held.received_ms = 5010;
+      report.received_ms = cases[i].received_ms;
+      cs_backend_report (&backend, &held, 10 * MS);
+      cs_backend_report (&backend, &report, 20 * MS);
+      g_test_message ("%s", cases[i].what);
+      g_assert_cmpstr (backend.report.instance, ==, cases[i].known);
+    }
+}
+
 /* The process before this one acknowledged that the server leaves, and wrote
    it to the node's row.  Guards against a report that was sent before and is
    received by the new process, before or after it reads the row.  */
@@ -1066,6 +1099,8 @@
                    test_leave_before_first_report);
   g_test_add_func ("/decide/reports-after-early-leave",
                    test_reports_after_early_leave);
+  g_test_add_func ("/decide/report-after-clock-went-back",
+                   test_report_after_clock_went_back);
   g_test_add_func ("/decide/leave-of-earlier-process",
                    test_leave_of_earlier_process);
   g_test_add_func ("/decide/leaving-in-answers", test_leaving_in_answers);
