--- a/tests/soak/hosts.c
+++ b/tests/soak/hosts.c
@@ -400,8 +400,10 @@
   host_t *host = process->data;
   soak_t *soak = host->soak;
   if (host->must_exit_cleanly && (exit_status || signal_number))
-    soak_record_violation (soak, "STOP", "%s ended with %lld, signal %d",
-                           host->name, (long long)exit_status, signal_number);
+    soak_record_violation (
+        soak, "STOP", "%s ended with %lld, signal %d, %lld ms after its start",
+        host->name, (long long)exit_status, signal_number,
+        (long long)((soak_now (soak) - host->started_at) / CS_MSEC));
   else if (!host->stopping && !host->must_exit_cleanly
            && signal_number != SIGKILL)
     soak_record_violation (soak, "ALIVE",
@@ -461,7 +463,8 @@
     soak_fail (soak, "%s cannot be started", program);
   host->pid = host->process->pid;
   host->frozen = host->stopping = false;
-  host->last_disruption_at = soak->last_start_at = soak_now (soak);
+  host->started_at = host->last_disruption_at = soak->last_start_at
+      = soak_now (soak);
   host->start_count++;
   host->active_config_version = 0;
   fclose (log_file);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -132,6 +132,7 @@
   unsigned start_count;          /* Starts of the process so far.  */
   int64_t active_config_version; /* Last seen active since the start.  */
   cs_usec_t last_disruption_at;  /* Last start of or signal to the process. */
+  cs_usec_t started_at;          /* The process.  */
   cs_usec_t restart_at;          /* Time of the next start; 0: none planned. */
   proxy_t *peer_proxy;           /* In front of the port for other nodes.  */
   proxy_t *table_proxy;          /* In front of the table.  */
