Soak: an end by a signal is printed, and leaves no nodes

By the code only a signal to the soak alone has that effect: it caught none. It now prints its last line for those that it can catch, with the number and the command of the process that sent it, and ends its nodes; it also prints that its loop has ended, should that be.

This names the cause next time; the one of the two ends is still open.

--- a/tests/soak.t
+++ b/tests/soak.t
@@ -26,5 +26,19 @@
   # group of timeout.
   grep -qE '^(not )?ok ' "$output" || kill -KILL -- "-${soak_pids[$seed]}" 2>/dev/null
 done
+
+# A soak that a signal ends says so and leaves no nodes.
+mkdir -p "$work_dir/ended"
+"$MESH_OUT/soak" --seed=1 --base=$port_base --bin="${MESH_DAEMON_OUT:-$MESH_OUT}" \
+  --dir="$work_dir/ended" >"$work_dir/ended/tap" 2>&1 &
+ended_pid=$!
+nodes_of_ended () { grep -la "$work_dir/ended/n" /proc/[0-9]*/cmdline 2>/dev/null; }
+ok "a soak has started its nodes" mesh_wait_until 20 nodes_of_ended
+kill $ended_pid
+wait $ended_pid
+matches "a soak that a signal ends says so" "^not ok 1 - soak seed 1: ended by signal 15, code 0, of process $$: .*soak.t" \
+  "$(grep -v ' ms to ' "$work_dir/ended/tap")"
+none_of_ended () { ! nodes_of_ended; }
+ok "and leaves no nodes" mesh_wait_until 5 none_of_ended
 rm -rf "$work_dir"
 done_testing
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -2,6 +2,7 @@
 
    Prints the plan of faults and the violations as TAP comments, then one TAP
    result for the seed.  Exits with 0 if no guarantee was violated.  */
+#include <fcntl.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
@@ -113,6 +114,56 @@
 }
 
 static soak_t soak;
+
+/* Write the command of process PID to TEXT, of SIZE bytes.  */
+static void
+read_command (pid_t pid, char *text, size_t size)
+{
+  char path[32];
+  g_snprintf (path, sizeof path, "/proc/%d/cmdline", (int)pid);
+  int fd = open (path, O_RDONLY);
+  ssize_t len = fd < 0 ? 0 : read (fd, text, size - 1);
+  text[MAX (len, 0)] = '\0';
+  for (ssize_t i = 0; i < len; i++)
+    if (!g_ascii_isprint (text[i]))
+      text[i] = ' ';
+  if (fd >= 0)
+    close (fd);
+}
+
+/* A signal ends this program: say so, with the process that sent it, and end
+   the nodes.  */
+static void
+on_fatal_signal (int signal_number, siginfo_t *info, void *context)
+{
+  char command[160] = "", line[320];
+  bool sent = info->si_code <= 0;
+  (void)context;
+  if (sent)
+    read_command (info->si_pid, command, sizeof command);
+  int len = g_snprintf (line, sizeof line,
+                        "not ok 1 - soak seed %u: ended by signal %d, code "
+                        "%d, of process %d: %s\n",
+                        soak.seed, signal_number, info->si_code,
+                        sent ? (int)info->si_pid : 0, command);
+  if (write (STDOUT_FILENO, line, (size_t)len) != len)
+    _exit (3);
+  kill_processes (&soak);
+  signal (signal_number, SIG_DFL);
+  raise (signal_number);
+}
+
+static void
+catch_fatal_signals (void)
+{
+  static const int signals[] = { SIGTERM, SIGINT, SIGHUP, SIGQUIT, SIGABRT,
+                                 SIGSEGV, SIGBUS, SIGFPE, SIGILL };
+  struct sigaction action
+      = { .sa_sigaction = on_fatal_signal, .sa_flags = SA_SIGINFO };
+  for (size_t i = 0; i < G_N_ELEMENTS (signals); i++)
+    sigaction (signals[i], &action, NULL);
+}
+
 static uv_timer_t ticker;
 static unsigned tick_count;
 static cs_usec_t window_begin_at; /* Of the recovery window.  */
@@ -342,6 +393,7 @@
       fputs (errors->str, stderr);
       return 2;
     }
+  catch_fatal_signals ();
   soak.seed = (guint32)settings.seed;
   soak.base_port = (unsigned)settings.base;
   soak.host_count = (unsigned)settings.hosts;
@@ -365,5 +417,6 @@
     }
   uv_timer_init (&soak.loop, &ticker);
   uv_timer_start (&ticker, on_tick, TICK_MS, TICK_MS);
-  return uv_run (&soak.loop, UV_RUN_DEFAULT);
+  uv_run (&soak.loop, UV_RUN_DEFAULT);
+  soak_fail (&soak, "its loop has ended");
 }
