Dispatcher: a request suspected while it runs counts as a suspect in flight

A request that ends its servers and a sound one that was in flight with it were both tried again at the same server. The first came before the record of the crash, from another node than the second, and was sent as trusted; the second came behind the record and was sent beside it, for no suspect seemed to be in flight. So the next crash condemned both.

Whether a suspect is in flight is now asked of what is known when the next one is to be sent, not only of what was known when the first was.

--- a/source/run/dispatcher.c
+++ b/source/run/dispatcher.c
@@ -394,12 +394,17 @@
       dispatch->method_is_head, &dispatcher_answer_handler, conn);
 }
 
+/* Also a request that was trusted when it was sent: the record of its crash
+   may have come since.  */
 static bool
 suspect_in_flight (const cs_dispatcher_t *dispatcher)
 {
   for (const GList *link = dispatcher->in_flight.head; link; link = link->next)
-    if (((const cs_dispatch_t *)link->data)->suspect)
-      return true;
+    {
+      const cs_dispatch_t *dispatch = link->data;
+      if (dispatch->suspect || dispatcher_is_suspect (dispatch))
+        return true;
+    }
   return false;
 }
 
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -2116,33 +2116,37 @@
   close (caller);
 }
 
-/* Give the node beside the server the record of a crash of START, a start of a
-   server, while it ran GET PATH, AT_MS from now.  */
+/* Give NODE the record of a crash of START, a start of a server, while it ran
+   GET PATH, AT_MS from now.  */
 static void
-add_crash (mesh_t *mesh, const char *path, const char *start, int64_t at_ms)
+add_crash (const mesh_t *mesh, cs_traffic_t *node, const char *path,
+           const char *start, int64_t at_ms)
 {
   uint64_t fingerprint = cs_request_fingerprint (
       CS_STR ("GET"), CS_STR ("h"), cs_str_of (path), CS_STR (""));
   cs_usec_t now = cs_now_wall (mesh->ctx) + at_ms * CS_MSEC;
   cs_record_t *record
       = cs_crash_record_new (fingerprint, start, now, now + CS_MSEC);
-  cs_traffic_add_crash_record (mesh->server_node, record);
+  cs_traffic_add_crash_record (node, record);
   cs_record_free (record);
 }
 
-/* Two requests are suspected of a crash: the second one is sent to the server
-   when the first has been answered, and a third, trusted one at once.  */
+/* Two requests are suspected of a crash, as NODE knows, of the first one only
+   while it runs if LATE is set: the second one is sent to the server when the
+   first has been answered, and a third, trusted one at once.  */
 static void
-test_suspects_run_together (void)
+check_suspects_apart (const mesh_t *mesh, cs_traffic_t *node, bool late)
 {
-  mesh_t *mesh = start_mesh (4);
   int callers[3];
-  add_crash (mesh, "/read/1", "i0/0", 0);
-  add_crash (mesh, "/read/2", "i0/0", 0);
+  if (!late)
+    add_crash (mesh, node, "/read/1", "i0/0", 0);
+  add_crash (mesh, node, "/read/2", "i0/0", 0);
   for (int i = 0; i < 3; i++)
     callers[i] = connect_to (mesh->caller_port);
   send_request (callers[0], "GET", "/read/1", "a1", "");
   int first = accept_request (mesh, "/read/1");
+  if (late)
+    add_crash (mesh, node, "/read/1", "i0/0", 0);
   send_request (callers[1], "GET", "/read/2", "a2", "");
   g_assert_false (readable (mesh->server_listener, SOCKET_ABSENCE_MS));
   send_request (callers[2], "GET", "/read/3", "a3", "");
@@ -2162,14 +2166,29 @@
   close (third);
 }
 
+static void
+test_suspects_run_together (void)
+{
+  const mesh_t *mesh = start_mesh (4);
+  check_suspects_apart (mesh, mesh->server_node, false);
+}
+
+/* The crash becomes known when the first suspect is in flight already.  */
+static void
+test_suspect_known_while_it_runs (void)
+{
+  const mesh_t *mesh = start_mesh (4);
+  check_suspects_apart (mesh, mesh->server_node, true);
+}
+
 /* A request that has crashed two servers is not sent to a third: the caller is
    told that it has not run, and not to come back soon.  */
 static void
 test_quarantined_request_sent (void)
 {
   mesh_t *mesh = start_mesh (4);
-  add_crash (mesh, "/read/1", "i0/0", 0);
-  add_crash (mesh, "/read/1", "i0/1", 100);
+  add_crash (mesh, mesh->server_node, "/read/1", "i0/0", 0);
+  add_crash (mesh, mesh->server_node, "/read/1", "i0/1", 100);
   int caller = connect_to (mesh->caller_port);
   send_request (caller, "GET", "/read/1", "a1", "");
   char *answer = receive_message (caller);
@@ -2323,6 +2342,8 @@
                    test_pipelined_request_cut_by_stop);
   g_test_add_func ("/path/second-life", test_server_restart);
   g_test_add_func ("/path/suspects-run-together", test_suspects_run_together);
+  g_test_add_func ("/path/suspect-known-while-it-runs",
+                   test_suspect_known_while_it_runs);
   g_test_add_func ("/path/quarantined-request-sent",
                    test_quarantined_request_sent);
   g_test_add_func ("/path/request-ends-server-again",
