Crash records: the calling node sends them ahead of a retry

The node beside the next server may get a retry before the record of the crash, which comes from the first server's node on another connection. It then sent the request as trusted, beside other suspects, and their next crash could not tell which of them was the cause. The calling node, which has the record ahead of the outcome, now sends what it knows of a suspect on ahead of the request, on the same connection. Trusted requests send nothing.

--- a/include/cardamom/crash-history.h
+++ b/include/cardamom/crash-history.h
@@ -62,6 +62,11 @@
                                           uint64_t fingerprint,
                                           const char *server);
 
+/* Copies of the records of the crashes of FINGERPRINT that no answer has
+   cleared; the caller unrefs the list.  */
+GPtrArray *cs_crash_history_of_request (const cs_crash_history_t *history,
+                                        uint64_t fingerprint);
+
 /* Copies of the records of all requests in quarantine; the caller unrefs the
    list.  */
 GPtrArray *cs_crash_history_quarantined (const cs_crash_history_t *history);
--- a/source/call/calls.c
+++ b/source/call/calls.c
@@ -309,6 +309,9 @@
       return;
     }
   g_hash_table_insert (peer->calls, &call->job_number, call);
+  /* The nodes that saw the crashes have sent their records on other
+     connections, which may come later.  */
+  crash_records_send_of_request (peer, call->fingerprint);
   if (call->body
       && cs_link_must_ask ((double)peer->info.link_mbps,
                            g_bytes_get_size (call->body)))
--- a/source/call/crash-frames.c
+++ b/source/call/crash-frames.c
@@ -53,11 +53,10 @@
   cs_pack_clear (&pack);
 }
 
-void
-crash_records_send_quarantined (peer_t *peer)
+/* Send PEER the RECORDS, which are unreferenced.  */
+static void
+send_records (peer_t *peer, GPtrArray *records)
 {
-  GPtrArray *records
-      = cs_crash_history_quarantined (peer->traffic->crash_history);
   if (records->len)
     {
       cs_pack_t pack;
@@ -70,6 +69,21 @@
   g_ptr_array_unref (records);
 }
 
+void
+crash_records_send_quarantined (peer_t *peer)
+{
+  send_records (peer,
+                cs_crash_history_quarantined (peer->traffic->crash_history));
+}
+
+void
+crash_records_send_of_request (peer_t *peer, uint64_t fingerprint)
+{
+  const cs_crash_history_t *history = peer->traffic->crash_history;
+  if (cs_crash_history_trust (history, fingerprint) != CS_REQUEST_TRUSTED)
+    send_records (peer, cs_crash_history_of_request (history, fingerprint));
+}
+
 void
 crash_records_received (cs_traffic_t *traffic, cs_unpack_cursor_t *in)
 {
--- a/source/call/traffic.h
+++ b/source/call/traffic.h
@@ -218,6 +218,8 @@
 void crash_records_received (cs_traffic_t *traffic, cs_unpack_cursor_t *in);
 /* Send PEER the records of all requests in quarantine.  */
 void crash_records_send_quarantined (peer_t *peer);
+/* Send PEER those of the request FINGERPRINT, if there are any.  */
+void crash_records_send_of_request (peer_t *peer, uint64_t fingerprint);
 /* Send RECORD over STREAM.  */
 void crash_record_send (cs_stream_t *stream, const cs_record_t *record);
 /* Wall time in milliseconds, as crash records hold it.  */
--- a/source/run/crash-history.c
+++ b/source/run/crash-history.c
@@ -122,12 +122,20 @@
                                  history->records, CS_RECORD_CRASH, key)));
 }
 
+GPtrArray *
+cs_crash_history_of_request (const cs_crash_history_t *history,
+                             uint64_t fingerprint)
+{
+  GPtrArray *copies = cs_record_list_new ();
+  copy_records (history, fingerprint, copies);
+  return copies;
+}
+
 /* Have the records of FINGERPRINT stored.  */
 static void
 store_records (const cs_crash_history_t *history, uint64_t fingerprint)
 {
-  GPtrArray *lasting = cs_record_list_new ();
-  copy_records (history, fingerprint, lasting);
+  GPtrArray *lasting = cs_crash_history_of_request (history, fingerprint);
   for (guint i = 0; i < lasting->len; i++)
     history->handler.lasting (history->user, lasting->pdata[i]);
   g_ptr_array_unref (lasting);
@@ -217,8 +225,7 @@
   unsigned count = crash_count (history, fingerprint);
   if (!count)
     return;
-  GPtrArray *cleared = cs_record_list_new ();
-  copy_records (history, fingerprint, cleared);
+  GPtrArray *cleared = cs_crash_history_of_request (history, fingerprint);
   for (guint i = 0; i < cleared->len; i++)
     {
       cs_record_t *record = cleared->pdata[i];
--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -2181,6 +2181,15 @@
   check_suspects_apart (mesh, mesh->server_node, true);
 }
 
+/* The calling node knows of the crash, the node beside the server has not
+   heard of it yet.  */
+static void
+test_suspects_known_to_caller (void)
+{
+  const mesh_t *mesh = start_mesh (4);
+  check_suspects_apart (mesh, mesh->caller_node, false);
+}
+
 /* A request that has crashed two servers is not sent to a third: the caller is
    told that it has not run, and not to come back soon.  */
 static void
@@ -2344,6 +2353,8 @@
   g_test_add_func ("/path/suspects-run-together", test_suspects_run_together);
   g_test_add_func ("/path/suspect-known-while-it-runs",
                    test_suspect_known_while_it_runs);
+  g_test_add_func ("/path/suspects-known-to-caller",
+                   test_suspects_known_to_caller);
   g_test_add_func ("/path/quarantined-request-sent",
                    test_quarantined_request_sent);
   g_test_add_func ("/path/request-ends-server-again",
