The first byte of a field's value may be no control character

Callers were passed fields as "A: \001", in heads of answers, and servers in those of requests: http-parser looks at all bytes of a value but the first. It is looked at now, in trailers too.

--- a/source/http1/message.c
+++ b/source/http1/message.c
@@ -57,6 +57,9 @@
 on_field_value (http_parser *parser, const char *at, size_t len)
 {
   cs_http1_message_t *message = parser->data;
+  /* http-parser looks at all but the first byte.  */
+  if (len && g_ascii_iscntrl (*at) && *at != '\t')
+    return refuse (message, 400, "control character in a header field");
   if (message->head_complete || !message->fields->len)
     return 0;
   cs_http1_field_t *field = &g_array_index (message->fields, cs_http1_field_t,
--- a/tests/test-message.c
+++ b/tests/test-message.c
@@ -211,6 +211,7 @@
     LINE (" A: v\r\n"),     LINE ("A: v\r\n w\r\n"), LINE ("A: v\r\n\tw\r\n"),
     LINE ("A: v\rw\r\n"),   LINE ("A: v\0w\r\n"),    LINE ("A: v\001w\r\n"),
     LINE ("A: v\n"),        LINE ("A\r\n"),          LINE ("\rA: v\r\n"),
+    LINE ("A: \001\r\n"),
   };
 #undef LINE
   for (size_t i = 0; i < G_N_ELEMENTS (lines); i++)
