No tab or form feed in the target of a request

A server could run another request than the caller's: http-parser, as it is built for the system, takes "GET /a\tb HTTP/1.1", which is passed on as it is, and a server that splits at any white space reads "/a". Such requests get 400.

--- a/source/http1/message.c
+++ b/source/http1/message.c
@@ -30,6 +30,8 @@
 on_url (http_parser *parser, const char *at, size_t len)
 {
   cs_http1_message_t *message = parser->data;
+  if (memchr (at, '\t', len) || memchr (at, '\f', len))
+    return refuse (message, 400, "white space in the request target");
   if (message->request_target.data
       && at == message->request_target.data + message->request_target.len)
     message->request_target.len += len;
