A test of cut and malformed answers of the table

A fake service now answers a read and a commit without a length and resets, cuts answers in their length and in chunks, and sends odd statuses, fields and chunks, also as a refusal and as the second of two pages: the call fails (a commit as unknown) and tells no rows.

Nothing was wrong in the client itself.

--- a/tests/test-adapter.c
+++ b/tests/test-adapter.c
@@ -7,6 +7,7 @@
 #include "cardamom/delta.h"
 #include "cardamom/registry.h"
 #include "cardamom/server.h"
+#include "sockets.h"
 
 static cs_ctx_t *ctx;
 
@@ -504,6 +505,141 @@
   g_assert_cmpint (fake->revision.version, ==, 9);
 }
 
+#define TABLE_OK "HTTP/1.1 200 OK\r\n"
+#define TABLE_ROWS "{\"rows\":[" ROW "],\"ver\":9}"
+#define TABLE_TWO_ROWS                                                        \
+  TABLE_OK                                                                    \
+  "\r\n{\"rows\":[" MESH_ROW ("node/a") "," MESH_ROW (                        \
+      "node/b") "],"                                                          \
+                "\"hasMore\":true}"
+#define TABLE_CHUNKED                                                         \
+  TABLE_OK "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+/* How the table service ends a connection.  */
+typedef enum
+{
+  END_CLOSE,
+  END_RESET,
+  END_RESET_AT_ONCE /* Before the client has read any of the answer.  */
+} table_end_t;
+
+/* Answer the next request at LISTENER with BYTES and the END of its
+ * connection.
+ */
+static void
+answer_table_call (fake_table_t *fake, int listener, const char *bytes,
+                   table_end_t end)
+{
+  while (!readable (listener, 0))
+    uv_run (&fake->loop, UV_RUN_NOWAIT);
+  int server = accept_one (listener);
+  while (!readable (server, 0))
+    uv_run (&fake->loop, UV_RUN_NOWAIT);
+  g_free (receive_message (server));
+  send_text (server, bytes);
+  for (int ms = 0; end != END_RESET_AT_ONCE && ms < 20; ms++)
+    {
+      uv_run (&fake->loop, UV_RUN_NOWAIT);
+      g_usleep (1000);
+    }
+  if (end == END_CLOSE)
+    close (server);
+  else
+    reset_connection (server);
+}
+
+/* Nothing is used of an answer that is not whole, or none in the protocol, of
+   a refusal either, nor of a page after which the next one is cut.  */
+static void
+test_table_answer_cut (void)
+{
+  static const struct
+  {
+    const char *what, *bytes;
+    table_end_t end;
+    bool whole;
+  } cases[] = {
+    { "no length", TABLE_OK "\r\n" TABLE_ROWS, END_CLOSE, true },
+    { "no length, cut", TABLE_OK "\r\n{\"rows\":[" ROW, END_CLOSE, false },
+    { "no length, reset", TABLE_OK "\r\n" TABLE_ROWS, END_RESET, false },
+    { "no length, reset at once", TABLE_OK "\r\n" TABLE_ROWS,
+      END_RESET_AT_ONCE, false },
+    { "cut in its length", TABLE_OK "Content-Length: 9999\r\n\r\n" TABLE_ROWS,
+      END_CLOSE, false },
+    { "reset in its length",
+      TABLE_OK "Content-Length: 9999\r\n\r\n" TABLE_ROWS, END_RESET, false },
+    { "refusal cut in its length",
+      "HTTP/1.1 412 No\r\nContent-Length: 9999\r\n\r\n" TABLE_ROWS, END_CLOSE,
+      false },
+    { "refusal without a length, reset", "HTTP/1.1 412 No\r\n\r\n" TABLE_ROWS,
+      END_RESET, false },
+    { "chunks", TABLE_CHUNKED "2\r\n{}\r\n0\r\n\r\n", END_CLOSE, true },
+    { "cut in chunks", TABLE_CHUNKED "2\r\n{}\r\n", END_CLOSE, false },
+    { "malformed chunks", TABLE_CHUNKED "2\r\n{}XY0\r\n\r\n", END_CLOSE,
+      false },
+    { "malformed trailer", TABLE_CHUNKED "2\r\n{}\r\n0\r\nA B: c\r\n\r\n",
+      END_CLOSE, false },
+    { "status 000", "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
+      END_CLOSE, false },
+    { "status 2000", "HTTP/1.1 2000 OK\r\nContent-Length: 2\r\n\r\n{}",
+      END_CLOSE, false },
+    { "name with a blank", TABLE_OK "A B: c\r\nContent-Length: 2\r\n\r\n{}",
+      END_CLOSE, false },
+    { "name with a control byte",
+      TABLE_OK "A\001: c\r\nContent-Length: 2\r\n\r\n{}", END_CLOSE, false },
+    { "two lengths",
+      TABLE_OK "Content-Length: 2\r\nContent-Length: 9\r\n\r\n{}", END_CLOSE,
+      false },
+  };
+  fake_table_t *fake = g_new0 (fake_table_t, 1);
+  unsigned port;
+  int listener = listen_on_free_port (&port);
+  cs_table_write_t put
+      = { .keyspace = CS_KEYSPACE_MESH, .key = "k", .value = CS_STR ("v") };
+  char *address = g_strdup_printf ("127.0.0.1:%u", port);
+  g_ptr_array_add (never_freed, fake);
+  uv_loop_init (&fake->loop);
+  g_assert_cmpint (
+      adapter ()->open_table (ctx, &fake->loop, address, &fake->table), ==,
+      CS_OK);
+  for (size_t i = 0; i < 2 * G_N_ELEMENTS (cases); i++)
+    {
+      size_t at = i / 2;
+      bool commit = i % 2;
+      g_test_message ("%s, commit: %d", cases[at].what, commit);
+      fake->completed_calls = 0;
+      if (commit)
+        fake->table->vtable->commit (fake->table, NULL, 0, &put, 1,
+                                     on_table_result, fake);
+      else
+        fake->table->vtable->read (fake->table, CS_KEYSPACE_OPERATOR,
+                                   on_table_result, fake);
+      answer_table_call (fake, listener, cases[at].bytes, cases[at].end);
+      while (!fake->completed_calls)
+        uv_run (&fake->loop, UV_RUN_ONCE);
+      g_assert_cmpint (fake->result, ==,
+                       cases[at].whole ? CS_OK
+                       : commit        ? CS_UNKNOWN
+                                       : CS_UNAVAILABLE);
+      if (cases[at].whole)
+        continue;
+      g_assert_cmpuint (fake->row_count, ==, 0);
+      g_assert_cmpint (fake->revision.version, ==, 0);
+    }
+  /* The second of two pages.  */
+  fake->completed_calls = 0;
+  fake->table->vtable->read (fake->table, CS_KEYSPACE_MESH, on_table_result,
+                             fake);
+  answer_table_call (fake, listener, TABLE_TWO_ROWS, END_CLOSE);
+  answer_table_call (fake, listener, TABLE_OK "\r\n" TABLE_ROWS, END_RESET);
+  while (!fake->completed_calls)
+    uv_run (&fake->loop, UV_RUN_ONCE);
+  g_assert_cmpint (fake->result, ==, CS_UNAVAILABLE);
+  g_assert_cmpuint (fake->row_count, ==, 0);
+  g_free (address);
+  close (listener);
+}
+
 /* When the connection is refused, nothing was sent, so a commit cannot have
    taken effect.  */
 static void
@@ -571,6 +707,7 @@
   g_test_add_func ("/adapter/move", test_move);
   g_test_add_func ("/adapter/table-faults", test_table_faults);
   g_test_add_func ("/adapter/table-read-in-part", test_table_read_in_part);
+  g_test_add_func ("/adapter/table-answer-cut", test_table_answer_cut);
   g_test_add_func ("/adapter/table-gone", test_table_connection_refused);
   g_test_add_func ("/adapter/delta", test_delta);
   return g_test_run ();
