Early answers to long uploads: a table, and connections kept before the end

Which of a server's early answers a caller gets was tested without a length, and for refusals that stay open or are reset. Now in each framing: whole answers pass, however the server goes on (reset, close with the upload unread, end of its side, reading on), answers that are cut do not, and one without a length passes once the upload was read and the connection ended in order.

--- a/tests/test-client.c
+++ b/tests/test-client.c
@@ -12,6 +12,8 @@
 #define OTHER_REFUSAL "HTTP/1.1 503 Busy\r\nId: other\r\n"
 #define LENGTH "Content-Length: 4\r\n\r\nbody"
 #define CHUNKS "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+#define LENGTH_CUT "Content-Length: 9\r\n\r\nbody"
+#define CHUNKS_CUT "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"
 #define EARLY "HTTP/1.1 413 Too Large\r\nId: own\r\n"
 #define NO_LENGTH "\r\nbody"
 
@@ -23,7 +25,8 @@
   RESETS,
   RESETS_AT_ONCE, /* Before the client has read any of them.  */
   CLOSES_AT_ONCE,
-  ENDS_ITS_SIDE /* Reads nothing more, and the connection stays.  */
+  ENDS_ITS_SIDE,   /* Reads nothing more, and the connection stays.  */
+  READS_AND_CLOSES /* Once it has read the whole request.  */
 } end_t;
 
 /* More than the buffers of two sockets take.  */
@@ -99,14 +102,44 @@
     "connection broken, partial;", false, UPLOAD_BYTES },
   { "upload-end", OWN NO_LENGTH, ENDS_ITS_SIDE, "answer truncated, partial;",
     false, UPLOAD_BYTES },
+  { "upload-read", OWN NO_LENGTH, READS_AND_CLOSES, "200 body;", false,
+    UPLOAD_BYTES },
   { "upload-early-refusal", EARLY LENGTH, STAYS_OPEN, "413 body;", false,
     UPLOAD_BYTES },
-  { "upload-early-refusal-chunks", EARLY CHUNKS, STAYS_OPEN, "413 body;",
-    false, UPLOAD_BYTES },
   { "upload-early-refusal-reset", EARLY LENGTH, RESETS_AT_ONCE, "413 body;",
     false, UPLOAD_BYTES },
+  { "upload-early-refusal-close", EARLY LENGTH, CLOSES_AT_ONCE, "413 body;",
+    false, UPLOAD_BYTES },
+  { "upload-early-refusal-end", EARLY LENGTH, ENDS_ITS_SIDE, "413 body;",
+    false, UPLOAD_BYTES },
+  { "upload-early-refusal-read", EARLY LENGTH, READS_AND_CLOSES, "413 body;",
+    false, UPLOAD_BYTES },
+  { "upload-early-refusal-chunks", EARLY CHUNKS, STAYS_OPEN, "413 body;",
+    false, UPLOAD_BYTES },
   { "upload-early-refusal-chunks-reset", EARLY CHUNKS, RESETS_AT_ONCE,
     "413 body;", false, UPLOAD_BYTES },
+  { "upload-early-refusal-chunks-close", EARLY CHUNKS, CLOSES_AT_ONCE,
+    "413 body;", false, UPLOAD_BYTES },
+  { "upload-early-refusal-chunks-end", EARLY CHUNKS, ENDS_ITS_SIDE,
+    "413 body;", false, UPLOAD_BYTES },
+  { "upload-early-refusal-chunks-read", EARLY CHUNKS, READS_AND_CLOSES,
+    "413 body;", false, UPLOAD_BYTES },
+  { "upload-length-cut-reset", EARLY LENGTH_CUT, RESETS_AT_ONCE,
+    "connection broken, partial;", false, UPLOAD_BYTES },
+  { "upload-length-cut-close", EARLY LENGTH_CUT, CLOSES_AT_ONCE,
+    "connection broken, partial;", false, UPLOAD_BYTES },
+  { "upload-length-cut-end", EARLY LENGTH_CUT, ENDS_ITS_SIDE,
+    "answer truncated, partial;", false, UPLOAD_BYTES },
+  { "upload-length-cut-read", EARLY LENGTH_CUT, READS_AND_CLOSES,
+    "answer truncated, partial;", false, UPLOAD_BYTES },
+  { "upload-chunks-cut-reset", EARLY CHUNKS_CUT, RESETS_AT_ONCE,
+    "connection broken, partial;", false, UPLOAD_BYTES },
+  { "upload-chunks-cut-close", EARLY CHUNKS_CUT, CLOSES_AT_ONCE,
+    "connection broken, partial;", false, UPLOAD_BYTES },
+  { "upload-chunks-cut-end", EARLY CHUNKS_CUT, ENDS_ITS_SIDE,
+    "answer truncated, partial;", false, UPLOAD_BYTES },
+  { "upload-chunks-cut-read", EARLY CHUNKS_CUT, READS_AND_CLOSES,
+    "answer truncated, partial;", false, UPLOAD_BYTES },
 };
 
 /* What the client reports, in order: "STATUS BODY;" for an answer, the text of
@@ -219,12 +252,28 @@
   return client;
 }
 
+/* Read up to MAX bytes that LOOP's client sends to SERVER, for as long as it
+   sends any; returns them.  */
+static GString *
+read_upload (uv_loop_t *loop, int server, size_t max)
+{
+  GString *got = g_string_new (NULL);
+  while (got->len < max)
+    {
+      for (int ms = 0; !readable (server, 0) && ms < SOCKET_TIMEOUT_MS; ms++)
+        pump (loop, 1);
+      if (!receive_some (server, got))
+        break;
+    }
+  return got;
+}
+
 static void
 end_connection (int server, end_t end)
 {
   if (end == RESETS || end == RESETS_AT_ONCE)
     reset_connection (server);
-  else if (end == CLOSES || end == CLOSES_AT_ONCE)
+  else if (end == CLOSES || end == CLOSES_AT_ONCE || end == READS_AND_CLOSES)
     close (server);
   else if (end == ENDS_ITS_SIDE)
     shutdown (server, SHUT_WR);
@@ -252,6 +301,8 @@
                    strlen (cases[index].bytes), piece);
       pump (&loop, 20);
     }
+  if (cases[index].end == READS_AND_CLOSES)
+    g_string_free (read_upload (&loop, server, cases[index].upload), TRUE);
   end_connection (server, cases[index].end);
   for (int ms = 0; cases[index].end != STAYS_OPEN && !events.ended
                    && ms < SOCKET_TIMEOUT_MS;
@@ -384,6 +435,47 @@
   g_free (expected);
 }
 
+#define BUFFERED_UPLOAD_BYTES 60000 /* Written at once.  */
+
+/* A server answers before it has read a long body, keeps the connection and
+   reads on later.  Guards against bytes of another request where the rest of
+   that body is due: the connection is kept only once the body is written.  */
+static void
+test_kept_connection (gconstpointer data)
+{
+  size_t upload = GPOINTER_TO_SIZE (data);
+  bool written = upload == BUFFERED_UPLOAD_BYTES;
+  uv_loop_t loop;
+  unsigned port;
+  events_t events = { .text = g_string_new (NULL) };
+  int listener = listen_on_free_port (&port), server;
+  uv_loop_init (&loop);
+  cs_http1_client_t *client = send_request (&loop, listener, port, false,
+                                            upload, NULL, &events, &server);
+  send_text (server, OWN LENGTH);
+  for (int ms = 0; !events.ended && ms < SOCKET_TIMEOUT_MS; ms++)
+    pump (&loop, 1);
+  g_assert_cmpstr (events.text->str, ==, "200 body;");
+  g_assert_cmpint (cs_http1_client_is_usable (client, 0), ==, written);
+  if (written)
+    cs_http1_client_send (client, g_string_new ("GET /next HTTP/1.1\r\n\r\n"),
+                          false, &handler, &events);
+  GString *got = read_upload (&loop, server, upload + 1);
+  for (size_t i = 0; i < MIN (got->len, upload); i++)
+    g_assert_cmpint (got->str[i], ==, 0);
+  if (written)
+    g_assert_cmpstr (got->str + upload, ==, "GET /next HTTP/1.1\r\n\r\n");
+  else
+    g_assert_cmpuint (got->len, <, upload);
+  cs_http1_client_drop (client);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  g_assert_cmpint (uv_loop_close (&loop), ==, 0);
+  close (server);
+  close (listener);
+  g_string_free (got, TRUE);
+  g_string_free (events.text, TRUE);
+}
+
 #define HELD_BYTES 60000 /* Of an answer without a length, before a pause. */
 
 /* An answer without a length waits for memory while its request is being
@@ -441,6 +533,11 @@
       g_free (path);
     }
   g_test_add_func ("/client/short-of-memory", test_short_of_memory);
+  g_test_add_data_func ("/client/kept-connection",
+                        GSIZE_TO_POINTER (BUFFERED_UPLOAD_BYTES),
+                        test_kept_connection);
+  g_test_add_data_func ("/client/kept-before-written",
+                        GSIZE_TO_POINTER (UPLOAD_BYTES), test_kept_connection);
   g_test_add_func ("/client/write-takes-the-error",
                    test_write_takes_the_error);
   return g_test_run ();
