Malformed chunks and a kept connection through two nodes

/path/malformed-chunks: requests with malformed chunks get 400 and the end of their connection, and neither they nor what comes behind them is run. /path/malformed-answer has four more answers: chunks, a coding with a tab, HTTP/2.0, 101.

/path/next-request-inside-upload: a server answers a long upload early, keeps the connection and reads on; the next request comes on another one.

--- a/tests/test-path.c
+++ b/tests/test-path.c
@@ -544,21 +544,22 @@
   close (caller);
 }
 
+static const cs_http1_server_limits_t upload_limits
+    = { .head_max = 16384,
+        .body_max = UPLOAD_BYTES,
+        .head_timeout = 3 * CS_SEC,
+        .idle_timeout = 30 * CS_SEC };
+
 /* The server answers a long upload at once, without a length, and ends the
    connection with the upload unread: the caller gets none of it.  */
 static void
 test_upload_cut (void)
 {
-  static const cs_http1_server_limits_t limits
-      = { .head_max = 16384,
-          .body_max = UPLOAD_BYTES,
-          .head_timeout = 3 * CS_SEC,
-          .idle_timeout = 30 * CS_SEC };
   char *body = g_strnfill (UPLOAD_BYTES, 'u');
   for (int i = 0; i < 6; i++)
     {
       mesh_t *mesh = start_mesh (4);
-      cs_traffic_set_limits (mesh->caller_node, &limits);
+      cs_traffic_set_limits (mesh->caller_node, &upload_limits);
       int caller = connect_to (mesh->caller_port);
       send_request (caller, "PUT", "/write/1", "a1", body);
       int server = accept_one (mesh->server_listener);
@@ -577,6 +578,39 @@
   g_free (body);
 }
 
+/* The server answers a long upload with a length, keeps the connection and
+   reads on later: the next request comes on another one, and what it reads is
+   the rest of the body.  */
+static void
+test_next_request_inside_upload (void)
+{
+  char *body = g_strnfill (UPLOAD_BYTES, 'u');
+  mesh_t *mesh = start_mesh (4);
+  cs_traffic_set_limits (mesh->caller_node, &upload_limits);
+  int caller = connect_to (mesh->caller_port);
+  send_request (caller, "PUT", "/write/1", "a1", body);
+  int server = accept_one (mesh->server_listener);
+  GString *got = g_string_new (NULL);
+  while (!strstr (got->str, "\r\n\r\n"))
+    g_assert_true (receive_some (server, got));
+  g_string_erase (got, 0, strstr (got->str, "\r\n\r\n") + 4 - got->str);
+  send_answer (server, "a1", "early");
+  expect_answer (caller, "200", "early");
+  send_request (caller, "PUT", "/write/2", "a2", "x");
+  int next = accept_request (mesh, "/write/2");
+  send_answer (next, "a2", "second");
+  expect_answer (caller, "200", "second");
+  while (receive_some (server, got))
+    continue;
+  g_assert_cmpuint (got->len, <, UPLOAD_BYTES);
+  g_assert_cmpuint (strspn (got->str, "u"), ==, got->len);
+  g_string_free (got, TRUE);
+  g_free (body);
+  close (server);
+  close (next);
+  close (caller);
+}
+
 /* Answers that are none in the protocol end the request at once.  */
 static void
 test_malformed_answer (void)
@@ -590,6 +624,13 @@
     "HTTP/1.1 200 OK\nCardamom-Attempt: a1\nContent-Length: 0\n\n",
     "HTTP/1.1 200 OK\r\nCardamom-Attempt: a1\r\nCardamom-Seal: s\r\n"
     "Transfer-Encoding: chunked\r\n\r\n0\r\nA B: c\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nCardamom-Attempt: a1\r\nCardamom-Seal: s\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n2\r\nabXY0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nCardamom-Attempt: a1\r\nCardamom-Seal: s\r\n"
+    "Transfer-Encoding: chunked\t\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+    "HTTP/2.0 200 OK\r\nCardamom-Attempt: a1\r\nCardamom-Seal: s\r\n"
+    "Content-Length: 0\r\n\r\n",
+    "HTTP/1.1 101 Switch\r\n\r\n",
   };
   for (size_t i = 0; i < G_N_ELEMENTS (answers); i++)
     {
@@ -607,6 +648,32 @@
     }
 }
 
+/* Requests whose end another reader may see elsewhere are refused, with their
+   connection, and nothing of them is run.  */
+static void
+test_malformed_chunks (void)
+{
+  static const char *const bodies[]
+      = { "2\rXab\r\n0\r\n\r\n", "2\r\nabXY0\r\n\r\n",
+          "2;a\nb\r\nab\r\n0\r\n\r\n", "2\r\nab\r\n0\r\n\rX" };
+  mesh_t *mesh = start_mesh (4);
+  for (size_t i = 0; i < G_N_ELEMENTS (bodies); i++)
+    {
+      int caller = connect_to (mesh->caller_port);
+      send_text (caller, "PUT /write/1 HTTP/1.1\r\nHost: h\r\n"
+                         "Cardamom-Attempt: a1\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n");
+      send_text (caller, bodies[i]);
+      send_request (caller, "PUT", "/write/2", "a2", "x");
+      char *answer = receive_until_eof (caller);
+      g_assert_true (g_str_has_prefix (answer, "HTTP/1.1 400 "));
+      g_assert_null (strstr (answer + 1, "HTTP/1.1 "));
+      g_free (answer);
+      close (caller);
+    }
+  g_assert_false (readable (mesh->server_listener, SOCKET_ABSENCE_MS));
+}
+
 /* Answers with the attempt id of another request, and surplus answers, are
    never passed on.  */
 static void
@@ -2277,6 +2344,9 @@
   g_test_add_func ("/path/early-answer", test_early_answer);
   g_test_add_func ("/path/unframed", test_unframed);
   g_test_add_func ("/path/upload-cut", test_upload_cut);
+  g_test_add_func ("/path/next-request-inside-upload",
+                   test_next_request_inside_upload);
+  g_test_add_func ("/path/malformed-chunks", test_malformed_chunks);
   g_test_add_func ("/path/malformed-answer", test_malformed_answer);
   g_test_add_func ("/path/foreign-answer", test_foreign_answer);
   g_test_add_func ("/path/earlier-refusal-written-again",
