--- a/source/http1/message.c
+++ b/source/http1/message.c
@@ -30,6 +30,8 @@
 on_url (http_parser *parser, const char *at, size_t len)
 {
   cs_http1_message_t *message = parser->data;
+  if (memchr (at, '\t', len) || memchr (at, '\f', len))
+    return refuse (message, 400, "white space in the request target");
   if (message->request_target.data
       && at == message->request_target.data + message->request_target.len)
     message->request_target.len += len;
@@ -57,6 +59,9 @@
 on_field_value (http_parser *parser, const char *at, size_t len)
 {
   cs_http1_message_t *message = parser->data;
+  /* http-parser looks at all but the first byte.  */
+  if (len && g_ascii_iscntrl (*at) && *at != '\t')
+    return refuse (message, 400, "control character in a header field");
   if (message->head_complete || !message->fields->len)
     return 0;
   cs_http1_field_t *field = &g_array_index (message->fields, cs_http1_field_t,
--- a/tests/test-message.c
+++ b/tests/test-message.c
@@ -81,6 +81,9 @@
   { "version 2", "GET / HTTP/2.0\r\nHost: h\r\n\r\n", 400, "" },
   { "version 0", "GET / HTTP/0.9\r\nHost: h\r\n\r\n", 400, "" },
   { "no version", "GET /\r\nHost: h\r\n\r\n", 400, "" },
+  { "tab in the target", "GET /a\tb HTTP/1.1\r\nHost: h\r\n\r\n", 400, "" },
+  { "form feed in the target", "GET /a\fb HTTP/1.1\r\nHost: h\r\n\r\n", 400,
+    "" },
   { "no host", "GET / HTTP/1.1\r\nA: b\r\n\r\n", 400, "" },
   { "two hosts", "GET / HTTP/1.1\r\nHost: h\r\nHost: g\r\n\r\n", 400, "" },
   { "tunnel", "CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n", 400, "" },
@@ -211,6 +214,7 @@
     LINE (" A: v\r\n"),     LINE ("A: v\r\n w\r\n"), LINE ("A: v\r\n\tw\r\n"),
     LINE ("A: v\rw\r\n"),   LINE ("A: v\0w\r\n"),    LINE ("A: v\001w\r\n"),
     LINE ("A: v\n"),        LINE ("A\r\n"),          LINE ("\rA: v\r\n"),
+    LINE ("A: \001\r\n"),
   };
 #undef LINE
   for (size_t i = 0; i < G_N_ELEMENTS (lines); i++)
