A key that was taken away isn't served from an older copy of the table

The rule holds for all nodes, in touch or not.

Cause: keys_fresh_at says that the rows hold all that was acknowledged before, which a read of a copy doesn't show.

A view that is too old to last until the era is settled gains nothing from calls made before that. A younger one does: what it may lack was acknowledged so late that the operator has written it again in time.

--- a/source/sidecar/control.h
+++ b/source/sidecar/control.h
@@ -77,6 +77,9 @@
      again.  */
   cs_usec_t rows_settle_at;
   bool settle_read_due; /* Read all rows after that.  */
+  /* What the table brings to calls made before may lack that a key was taken
+     away; 0: it has not come back from an older copy.  */
+  cs_usec_t keys_settle_at;
   /* The first read, which waits for the rows of other nodes; or NULL.  */
   GPtrArray *first_rows;
   cs_revision_t first_rows_revision;
@@ -151,6 +154,8 @@
                                      const char *why);
 
 /* operator-rows.c */
+/* Whether what this node knows of keys now will be recent enough at AT.  */
+bool rows_view_allows_keys (const control_t *control, cs_usec_t at);
 /* Find out whether requests with a key may be served, and log a change.  */
 void rows_check_keys (control_t *control, cs_usec_t now);
 
--- a/source/sidecar/operator-rows.c
+++ b/source/sidecar/operator-rows.c
@@ -245,15 +245,22 @@
     atomic_store (&control->keys_fresh_at, fresh_at);
 }
 
-void
-rows_check_keys (control_t *control, cs_usec_t now)
+bool
+rows_view_allows_keys (const control_t *control, cs_usec_t at)
 {
   cs_freshness_settings_t freshness
       = { .fail_closed = control->settings.fail_closed,
           .revoke = control->settings.revoke };
+  return cs_freshness_allows_keys (&freshness,
+                                   atomic_load (&control->keys_fresh_at), at);
+}
+
+void
+rows_check_keys (control_t *control, cs_usec_t now)
+{
   cs_usec_t fresh_at = atomic_load (&control->keys_fresh_at);
   bool closed = control->snapshot && control->snapshot->workspaces
-                && !cs_freshness_allows_keys (&freshness, fresh_at, now);
+                && !rows_view_allows_keys (control, now);
   if (closed == control->keys_closed)
     return;
   control->keys_closed = closed;
--- a/source/sidecar/rows-reader.c
+++ b/source/sidecar/rows-reader.c
@@ -164,7 +164,8 @@
     control->watches_refused = 0;
   control->rows_overdue = false;
   control->rows_fresh_at = control->own_read_at = now;
-  rows_note_keys_fresh (control, control->rows_call_sent_at);
+  if (control->rows_call_sent_at >= control->keys_settle_at)
+    rows_note_keys_fresh (control, control->rows_call_sent_at);
   control->table_failures = 0;
   if (changed || first_read)
     {
--- a/source/sidecar/table-era.c
+++ b/source/sidecar/table-era.c
@@ -27,6 +27,10 @@
     }
   if (!restored)
     return;
+  /* A view that is too old to last until then may lack what was acknowledged
+     long before, and what it is brought may lack that as well.  */
+  if (!rows_view_allows_keys (control, control->rows_settle_at))
+    control->keys_settle_at = control->rows_settle_at;
   cs_counter_add (CS_C_STORE_RESTORED, 1);
   cs_event_log (CS_E_STORE,
                 "state=restored era=%" G_GINT64_FORMAT
