sidecar-drill.t: an evacuation that was removed comes back with the copy

No fault: the rule held, and had no test. While the operator may yet remove the row again, no node begins the evacuation, a node that starts with the copy just then included (their events are counted); nor later, if it is removed again. If it isn't, what the table says counts: it is in force again at all nodes.

--- a/tests/sidecar-drill.t
+++ b/tests/sidecar-drill.t
@@ -2,7 +2,8 @@
 # The platform's table comes back from an older copy, and gives its versions out
 # again.  Guards against: a configuration that is ignored because an earlier one
 # had a higher revision; a node that goes back to the copy's configuration, also
-# one that starts just then; an evacuation that is lost with the copy, or stays.
+# one that starts just then; an evacuation that is lost with the copy, or stays;
+# one that was removed and comes back with the copy.
 . "$(dirname "$0")/tap.sh"
 dir=$(mktemp -d)
 pids=()
@@ -42,6 +43,11 @@
   curl -s -o /dev/null -f "http://$table/api/rows-tx" -d \
     "{\"puts\":[{\"table\":\"op\",\"part\":\"\",\"key\":\"evacuate/b\",\"value\":\"$(printf '%s' "$1" | base64 -w0)\"}]}"
 }
+end_evacuation () {
+  curl -s -o /dev/null -f "http://$table/api/rows-tx" -d \
+    '{"remove":[{"table":"op","part":"","key":"evacuate/b"}]}'
+}
+evacuations_begun () { cat "$dir"/n*.log | grep -c "event=evacuation .*state=begun"; }
 evacuated_at () { curl -s "http://127.0.0.1:$(port "$1" 5)/metrics" | grep -q "^cardamom_evacuated_data_centres $2\$"; }
 # mark: remember the present state of the table; drill AWAY_MS: it is away and
 # comes back as it was then.
@@ -157,6 +163,31 @@
 ok "it ends if it was not" until_ok evacuated_at 3 0
 ok "at all nodes" until_ok evacuated_at 2 0
 
+evacuate x
+for n in 1 2 3 4 5; do until_ok evacuated_at $n 1; done
+mark
+end_evacuation
+ok "an evacuation is removed" until_ok evacuated_at 3 0
+for n in 1 2 4 5; do until_ok evacuated_at $n 0; done
+kill -KILL "${node_pids[1]}"
+wait "${node_pids[1]}" 2>/dev/null
+begun=$(evacuations_begun)
+drill 200
+start_in_region 1 0
+back
+sleep 1
+is "the copy that has it begins it at no node, while it may be removed again" "$begun" "$(evacuations_begun)"
+end_evacuation
+until_ok is_ready 1
+sleep 2.5
+is "nor later, if it was" "$begun" "$(evacuations_begun)"
+drill 200
+back
+sleep 1
+is "nor after one more drill" "$begun" "$(evacuations_begun)"
+ok "it is in force again if it was not removed" until_ok evacuated_at 3 1
+ok "at all nodes" until_ok evacuated_at 1 1
+
 kill "$table_pid"
 wait "$table_pid" 2>/dev/null
 start_table --no-era
