Frames with rows: a file of their own, tested with the release before

How frames with eras are read by nodes that know none, and theirs by nodes that do, was shown by no test in the repository. Packing and reading the frames is separated from handling them (source/sidecar/row-frames.c); what is sent and what is taken from a frame is unchanged. tests/test-row-frames.c packs each frame as the release before does, checks what this one takes from it, and that what this one sends begins with the same fields.

Names of rows without an era (ROWS_COMPLETE) are of era 0, not of the one that the receiver knows: what they lack is not removed.

--- a/Makefile
+++ b/Makefile
@@ -71,6 +71,8 @@
 $(OUT)/standin-%: $(OUT)/tests/standins/standin-%.o $(LIB)
 	$(LINK)
 $(OUT)/test-adapter: $(call obj,$(wildcard platform/*.c))
+$(OUT)/test-row-frames: $(call obj,source/sidecar/row-frames.c \
+  source/sidecar/move-record.c)
 $(OUT)/test-%: $(OUT)/tests/test-%.o $(LIB)
 	$(LINK)
 $(OUT)/soak: $(call obj,$(SOAK_SRC)) $(LIB)
@@ -135,7 +137,7 @@
   source/sidecar/evidence.c source/sidecar/move-owner.c \
   source/sidecar/crash-rows.c source/sidecar/table-era.c \
   source/sidecar/move-record.c source/sidecar/move-orders.c \
-  source/sidecar/move-rewrite.c \
+  source/sidecar/move-rewrite.c source/sidecar/row-frames.c \
   source/sidecar/settings.c $(EVENT_SRC) $(wildcard platform/*.c) \
   source/kernel/str.c source/kernel/context.c source/kernel/clock.c \
   source/kernel/counters.c source/kernel/pack.c source/kernel/registry.c \
--- a/source/sidecar/rows-exchange.c
+++ b/source/sidecar/rows-exchange.c
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include "cardamom/delta.h"
+#include "row-frames.h"
 #include "rows-internal.h"
 
 /* Shortest time between two requests for rows to other nodes.  */
@@ -91,38 +92,29 @@
                     row->key);
       return;
     }
+  row_frame_t frame
+      = { .key = row->key,
+          .revision = row->revision,
+          .exists = row->value != NULL,
+          .base = has_base ? base->revision : (cs_revision_t){ 0 },
+          .delta = delta ? cs_str_of_gstring (delta) : CS_STR (""),
+          .certain = certain };
   cs_pack_init (&pack);
-  cs_pack_array (&pack, 9);
-  cs_pack_int64 (&pack, CS_FRAME_ROW);
-  cs_pack_text (&pack, row->key);
-  cs_pack_int64 (&pack, row->revision.version);
-  cs_pack_int64 (&pack, row->value != NULL);
-  cs_pack_int64 (&pack, has_base ? base->revision.version : 0);
-  cs_pack_bytes (&pack, delta ? cs_str_of_gstring (delta) : CS_STR (""));
-  /* Earlier releases read no further.  */
-  cs_pack_int64 (&pack, row->revision.era);
-  cs_pack_int64 (&pack, has_base ? base->revision.era : 0);
-  cs_pack_int64 (&pack, certain);
+  row_frame_pack (&pack, &frame);
   send_payload (control, audience, cs_pack_payload (&pack));
   cs_pack_clear (&pack);
   if (delta)
     g_string_free (delta, TRUE);
 }
 
-/* What two nodes compare of the rows that they hold.  */
-typedef struct
-{
-  int64_t sum;   /* Of the versions; all that earlier releases send.  */
-  uint64_t hash; /* Of the keys and revisions, in any order.  */
-} rows_digest_t;
-
-static rows_digest_t
-rows_digest (const control_t *control)
+/* Set in FRAME what two nodes compare of the rows that they hold.  */
+static void
+set_digest (const control_t *control, freshness_frame_t *frame)
 {
   GHashTableIter iter;
   gpointer value;
-  rows_digest_t digest = { 0 };
   uint64_t sum = 0;
+  frame->hash = 0;
   g_hash_table_iter_init (&iter, control->operator_rows);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -131,11 +123,10 @@
         continue;
       uint64_t revision = (uint64_t)cs_revision_to_number (row->revision);
       sum += (uint64_t)row->revision.version;
-      digest.hash
+      frame->hash
           ^= XXH3_64bits_withSeed (row->key, strlen (row->key), revision);
     }
-  digest.sum = (int64_t)sum;
-  return digest;
+  frame->sum = (int64_t)sum;
 }
 
 void
@@ -143,18 +134,15 @@
                      cs_usec_t now)
 {
   cs_pack_t pack;
+  freshness_frame_t frame
+      = { .revision = control->rows_revision,
+          .age = now - control->rows_fresh_at,
+          .reads_table = now - control->own_read_at < OWN_READ_AGE_MAX,
+          .keys_age = now - atomic_load (&control->keys_fresh_at),
+          .sent_at = now };
+  set_digest (control, &frame);
   cs_pack_init (&pack);
-  rows_digest_t digest = rows_digest (control);
-  cs_pack_array (&pack, 9);
-  cs_pack_int64 (&pack, CS_FRAME_ROWS_FRESHNESS);
-  cs_pack_int64 (&pack, control->rows_revision.version);
-  cs_pack_int64 (&pack, digest.sum);
-  cs_pack_int64 (&pack, now - control->rows_fresh_at);
-  cs_pack_int64 (&pack, now - control->own_read_at < OWN_READ_AGE_MAX);
-  cs_pack_int64 (&pack, now - atomic_load (&control->keys_fresh_at));
-  cs_pack_int64 (&pack, now);
-  cs_pack_int64 (&pack, (int64_t)digest.hash);
-  cs_pack_int64 (&pack, control->rows_revision.era);
+  freshness_frame_pack (&pack, &frame);
   send_payload (control, audience, cs_pack_payload (&pack));
   cs_pack_clear (&pack);
 }
@@ -171,11 +159,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     count += ((const cs_table_row_t *)value)->value != NULL;
   cs_pack_init (&pack);
-  cs_pack_array (&pack, 2 + count);
-  cs_pack_int64 (&pack, CS_FRAME_ROWS_COMPLETE);
-  cs_pack_int64 (&pack, knows_eras
-                            ? cs_revision_to_number (control->rows_revision)
-                            : control->rows_revision.version);
+  complete_frame_pack (&pack, control->rows_revision, knows_eras, count);
   g_hash_table_iter_init (&iter, control->operator_rows);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (((const cs_table_row_t *)value)->value)
@@ -188,7 +172,7 @@
 void
 rows_handle_complete (control_t *control, cs_unpack_cursor_t *in)
 {
-  cs_revision_t revision = cs_revision_from_number (cs_unpack_int64 (in));
+  cs_revision_t revision = complete_frame_unpack (in);
   GHashTable *names
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   while (in->remaining && !in->failed)
@@ -205,8 +189,7 @@
 {
   GHashTableIter iter;
   gpointer row;
-  /* Earlier releases don't say it.  */
-  bool knows_eras = in->remaining && cs_unpack_int64 (in) != 0;
+  bool knows_eras = request_frame_unpack (in);
   moves_send_all (control, node);
   if (!cs_revision_is_set (control->rows_revision))
     return;
@@ -227,9 +210,7 @@
     return;
   control->rows_requested_at = now;
   cs_pack_init (&pack);
-  cs_pack_array (&pack, 2);
-  cs_pack_int64 (&pack, CS_FRAME_ROWS_REQUEST);
-  cs_pack_int64 (&pack, true); /* This node knows eras.  */
+  request_frame_pack (&pack);
   cs_traffic_send_control (control->traffic, node, NULL,
                            cs_pack_payload (&pack));
   cs_pack_clear (&pack);
@@ -279,18 +260,11 @@
 rows_handle_row (control_t *control, const char *from, cs_unpack_cursor_t *in)
 {
   cs_table_row_t *row = g_new0 (cs_table_row_t, 1);
-  row->keyspace = CS_KEYSPACE_OPERATOR;
-  row->key = cs_unpack_text (in);
-  row->revision.version = cs_unpack_int64 (in);
-  bool exists = cs_unpack_int64 (in) != 0;
-  cs_revision_t base = { .version = cs_unpack_int64 (in) };
-  cs_str_t delta = cs_unpack_str (in);
-  /* Earlier releases name no era.  */
-  bool names_era = in->remaining >= 3;
-  row->revision.era = names_era ? cs_unpack_int64 (in) : control->table_era;
-  int64_t base_era = names_era ? cs_unpack_int64 (in) : control->table_era;
-  base.era = base.version ? base_era : 0;
-  bool certain = !names_era || cs_unpack_int64 (in) != 0;
+  row_frame_t frame;
+  row_frame_unpack (in, control->table_era, &frame);
+  *row = (cs_table_row_t){ .keyspace = CS_KEYSPACE_OPERATOR,
+                           .key = frame.key,
+                           .revision = frame.revision };
   if (in->failed)
     {
       cs_table_row_free (row);
@@ -301,9 +275,9 @@
   int order = held ? cs_revision_compare (row->revision, held->revision) : 1;
   bool is_document
       = control->adapter->classify_row (row->key) == CS_OPERATOR_ROW_CONFIG;
-  if (exists && (order > 0 || (order < 0 && is_document)))
-    row->value = value_from_delta (control, row->key, base, delta);
-  if (exists ? !row->value : order <= 0)
+  if (frame.exists && (order > 0 || (order < 0 && is_document)))
+    row->value = value_from_delta (control, row->key, frame.base, frame.delta);
+  if (frame.exists ? !row->value : order <= 0)
     {
       if (order > 0)
         rows_request (control, from);
@@ -311,7 +285,7 @@
       return;
     }
   char *key = g_strdup (row->key);
-  if (!rows_accept (control, row, certain,
+  if (!rows_accept (control, row, frame.certain,
                     is_elsewhere (control, from) ? &rows_own_region : NULL)
       && order > 0 && is_document)
     send_held_row (control, key, from);
@@ -362,31 +336,22 @@
                        cs_unpack_cursor_t *in)
 {
   cs_usec_t now = control_now (control);
-  cs_revision_t revision = { .version = cs_unpack_int64 (in) };
-  int64_t sum = cs_unpack_int64 (in);
-  cs_usec_t age = cs_unpack_int64 (in);
-  bool reads_table = cs_unpack_int64 (in) != 0;
-  /* Earlier releases do not send them.  */
-  bool names_keys = in->remaining >= 2;
-  cs_usec_t keys_age = names_keys ? cs_unpack_int64 (in) : 0;
-  cs_usec_t sent_at = names_keys ? cs_unpack_int64 (in) : 0;
-  bool has_hash = in->remaining >= 2;
-  uint64_t hash = has_hash ? (uint64_t)cs_unpack_int64 (in) : 0;
-  revision.era = has_hash ? cs_unpack_int64 (in) : control->table_era;
-  if (in->failed || age < 0 || age > REPORTED_ROWS_AGE_MAX)
+  freshness_frame_t frame, own;
+  freshness_frame_unpack (in, control->table_era, &frame);
+  if (in->failed || frame.age < 0 || frame.age > REPORTED_ROWS_AGE_MAX)
     return;
   const member_info_t *reader = g_hash_table_lookup (control->members, from);
   cs_node_info_t self = rows_own_info (control);
   bool elsewhere = is_elsewhere (control, from);
-  control_note_era (control, revision.era);
+  control_note_era (control, frame.revision.era);
   if (!elsewhere)
     control->heartbeat_received_at = now;
-  if (reads_table && reader && !elsewhere
+  if (frame.reads_table && reader && !elsewhere
       && cs_node_reads_before (&reader->member, &self))
     control->acting_reader = false;
-  rows_digest_t own = rows_digest (control);
-  bool same = has_hash ? hash == own.hash : sum == own.sum;
-  int order = cs_revision_compare (revision, control->rows_revision);
+  set_digest (control, &own);
+  bool same = frame.has_hash ? frame.hash == own.hash : frame.sum == own.sum;
+  int order = cs_revision_compare (frame.revision, control->rows_revision);
   if (!same && (!cs_revision_is_set (control->rows_revision) || order > 0))
     {
       /* FROM sent a row to the region before its connection to this node was
@@ -398,12 +363,14 @@
     return;
   if (order == 0 && needs_reconciling (control, same, now))
     rows_request (control, from);
-  control->rows_revision = cs_revision_max (control->rows_revision, revision);
-  control->rows_fresh_at = MAX (control->rows_fresh_at, now - age);
-  if (names_keys && reader)
+  control->rows_revision
+      = cs_revision_max (control->rows_revision, frame.revision);
+  control->rows_fresh_at = MAX (control->rows_fresh_at, now - frame.age);
+  if (frame.names_keys && reader)
     rows_note_keys_fresh (
-        control, now - MAX (keys_age, 0)
-                     - heartbeat_delay (control, &reader->member, sent_at));
+        control,
+        now - MAX (frame.keys_age, 0)
+            - heartbeat_delay (control, &reader->member, frame.sent_at));
   if (order > 0 && elsewhere)
     rows_send_heartbeat (control, rows_own_region, now);
 }
