sidecar-drill-moves.t: a copy that says running, or has the request before

No fault: both rules held, and had no test. The copy from which the table comes back says that a move runs which has been concluded, and its owner starts with it; and the copy has the request before the one that nodes hold. None begins anew or goes on, the verdict is written again, and the request before can be ordered again afterwards.

--- a/tests/sidecar-drill-moves.t
+++ b/tests/sidecar-drill-moves.t
@@ -2,8 +2,10 @@
 # The platform's table comes back from a copy that lacks what nodes wrote.
 # Guards against: a node's row, or the verdict on a move, that stays lost; a
 # move that begins anew because the operator writes its request again, also at
-# a process that finds no other node in the table; and one that runs being begun
-# anew or taken over by another node.
+# a process that finds no other node in the table; one that runs being begun
+# anew or taken over by another node; one that has been concluded going on
+# because the copy says that it runs; and the copy's request, or the later one,
+# being begun anew.
 . "$(dirname "$0")/tap.sh"
 dir=$(mktemp -d)
 pids=()
@@ -110,4 +112,34 @@
 ok "its state is written again" until_ok status_is running
 sleep 2
 is "by the same owner, which has not begun anew" "$owner 1" "$(owner v3) $(moves_begun v3)"
+
+order v4 3s
+until_ok has_begun 1 v4
+mark
+owner=$(basename "$(owner v4)" .log)
+ok "a move that runs is rolled back" until_ok status_is rolled_back
+kill -KILL "${node_pids[${owner#n}]}"
+wait "${node_pids[${owner#n}]}" 2>/dev/null
+sed -i 's/"first_start": 1/"first_start": 0/' "$dir/$owner.json"
+drill
+start_node "${owner#n}"
+order v4 3s
+ok "the copy says that it runs: the verdict is written again" until_ok status_is rolled_back
+sleep 4
+ok "and stays" status_is rolled_back
+is "and none has begun it anew or goes on with it" 1 "$(moves_begun v4)"
+
+mark
+order v5 2s
+until_ok has_begun 1 v5
+ok "a later move is rolled back" until_ok status_is rolled_back
+drill
+sleep 4
+is "the copy has the request before it: neither begins anew" "1 1" "$(moves_begun v4) $(moves_begun v5)"
+order v5 2s
+sleep 4
+is "nor when the later one is written again" "1 1" "$(moves_begun v4) $(moves_begun v5)"
+ok "whose verdict the table has" until_ok status_is rolled_back
+order v4 2s
+ok "the one before it can be ordered again" until_ok has_begun 2 v4
 done_testing
