Moves: a state from other nodes is matched with the request also where one was held

Callers could see a version that had been rolled back tried again: a process starts with the copy, which has the state of the move before; the operator writes the lost request again; and the other nodes are heard of 1.4 s later only (frozen). Their state of the move was taken, but as that of another request, for only the first state that a process has was matched with the request that was written again, and the copy's was the first. The move began anew once the era was settled.

Open, and in the design: the copy says that the move runs and no other node is heard for over 1 s.

--- a/source/sidecar/moves-internal.h
+++ b/source/sidecar/moves-internal.h
@@ -91,9 +91,10 @@
 bool move_record_is_newer (const move_record_t *a, const move_record_t *b);
 
 /* move-orders.c */
-/* STATE is the first that this process has of MOVE: if it follows the request
-   that MOVE holds, which the operator has written again since, have MOVE hold
-   the request as STATE names it.  */
+/* STATE is the first that this process has of MOVE beside what an older copy
+   of the table may hold: if it follows the request that MOVE holds, which the
+   operator has written again since, have MOVE hold the request as STATE names
+   it.  */
 void move_match_request (tracked_move_t *move, const move_record_t *state);
 
 /* moves.c */
--- a/source/sidecar/moves.c
+++ b/source/sidecar/moves.c
@@ -68,6 +68,16 @@
   g_hash_table_remove_all (move->evidence);
 }
 
+/* Whether this process has heard at NOW of the states of moves that other
+   nodes have from before the table came back.  */
+static bool
+knows_states (const control_t *control, cs_usec_t now)
+{
+  return control_era_is_settled (control, now)
+         && (control->settings.first_start
+             || now - control->started_at >= STARTUP_MEETING_TIME);
+}
+
 static void
 adopt_if_newer (tracked_move_t *move, const move_record_t *state)
 {
@@ -75,7 +85,9 @@
       = !move->has_state || move_record_is_newer (state, &move->state);
   if (!is_newer)
     return;
-  if (!move->has_state)
+  /* One that it had before may be the copy's.  */
+  if (!move->has_state
+      || !knows_states (move->control, control_now (move->control)))
     move_match_request (move, state);
   move->state = *state;
   move->has_state = true;
@@ -427,17 +439,6 @@
   return majority ? TICK_INTERVAL_SHORT : TICK_INTERVAL;
 }
 
-/* Whether MOVE, of which this process has no state, has none elsewhere either,
-   as far as it would have heard.  */
-static bool
-may_begin (const tracked_move_t *move, cs_usec_t now)
-{
-  const control_t *control = move->control;
-  return control_era_is_settled (control, now)
-         && (control->settings.first_start || move->has_state
-             || now - control->started_at >= STARTUP_MEETING_TIME);
-}
-
 static void
 tick_move (tracked_move_t *move, cs_usec_t now)
 {
@@ -461,7 +462,8 @@
   cs_usec_t since = begun ? MAX (move->owner_heard_at, move->requested_at)
                           : move->requested_at;
   if (!move->write_pending && now >= move->next_write_at
-      && move->control->table_up && (begun || may_begin (move, now))
+      && move->control->table_up
+      && (begun || knows_states (move->control, now))
       && cs_move_owner_should_take_over (move_owner_rank (move), begun,
                                          now - since))
     claim_ownership (move);
--- a/tests/sidecar-drill-moves.t
+++ b/tests/sidecar-drill-moves.t
@@ -2,10 +2,10 @@
 # The platform's table comes back from a copy that lacks what nodes wrote.
 # Guards against: a node's row, or the verdict on a move, that stays lost; a
 # move that begins anew because the operator writes its request again, also at
-# a process that finds no other node in the table; one that runs being begun
-# anew or taken over by another node; one that has been concluded going on
-# because the copy says that it runs; and the copy's request, or the later one,
-# being begun anew.
+# a process that finds no other node in the table, or hears of them late; one
+# that runs being begun anew or taken over by another node; one that has been
+# concluded going on because the copy says that it runs; and the copy's request,
+# or the later one, being begun anew.
 . "$(dirname "$0")/tap.sh"
 dir=$(mktemp -d)
 pids=()
@@ -142,4 +142,22 @@
 ok "whose verdict the table has" until_ok status_is rolled_back
 order v4 2s
 ok "the one before it can be ordered again" until_ok has_begun 2 v4
+ok "and rolled back" until_ok status_is rolled_back
+
+mark
+order v6 2s
+until_ok has_begun 1 v6
+ok "one more is rolled back" until_ok status_is rolled_back
+kill -KILL "${node_pids[1]}"
+wait "${node_pids[1]}" 2>/dev/null
+kill -STOP "${node_pids[2]}" "${node_pids[3]}"
+drill
+start_node 1
+until_ok is_ready 1
+order v6 2s
+sleep 0.7
+kill -CONT "${node_pids[2]}" "${node_pids[3]}"
+sleep 4
+is "nor does it begin anew at a process that hears of the others later" 1 "$(moves_begun v6)"
+ok "which has the verdict from them" until_ok status_is rolled_back
 done_testing
