Tests signal only processes that descend from them

The scripts' cleanup signalled the number of each process that they had ever started, also of those that had ended long before; with the numbers of 32,768 used up in about a minute beside load, such a number may be another's: of other tests, of a soak, of other users of the machine.

signal_own signals what descends from the script's shell. The cleanup of a script is otherwise as it was.

--- a/tests/crowd.sh
+++ b/tests/crowd.sh
@@ -6,7 +6,8 @@
 nodes="1 2"
 . "$(dirname "${BASH_SOURCE[0]}")/sidecar.sh"
 cleanup () {
-  for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null; kill "$pid" 2>/dev/null; done
+  signal_own CONT "${pids[@]}"
+  signal_own TERM "${pids[@]}"
   wait 2>/dev/null
   rm -rf "$dir"
 }
@@ -44,7 +45,7 @@
 stop_nodes () {
   local n stopped=("$server_pid")
   for n in $nodes; do stopped+=("${node_pids[$n]}"); done
-  kill "${stopped[@]}" 2>/dev/null
+  signal_own TERM "${stopped[@]}"
   wait "${stopped[@]}" 2>/dev/null
 }
 serves () { # [NODE]: an ordinary request is answered.
@@ -77,7 +78,7 @@
   held=$(cat "$dir"/held-* | sort | uniq -c | tr -s ' \n' ' ')
 }
 stop_crowds () {
-  kill "${crowd_pids[@]}" 2>/dev/null
+  signal_own TERM "${crowd_pids[@]}"
   wait "${crowd_pids[@]}" 2>/dev/null
   crowd_pids=()
   rm -f "$dir"/held-*
--- a/tests/mesh.sh
+++ b/tests/mesh.sh
@@ -38,8 +38,29 @@
   MESH_PIDS[$name]=$!
 }
 
+# is_own PID: whether the process descends from this shell.
+is_own () {
+  local pid=${1:-0} line
+  while [ "$pid" -gt 1 ]; do
+    [ "$pid" != $$ ] || return 0
+    read -r line <"/proc/$pid/stat" || return 1
+    # After the name, which may hold anything: the state, the parent.
+    line=${line##*) }
+    line=${line#* }
+    pid=${line%% *}
+  done 2>/dev/null
+  return 1
+}
+# signal_own SIGNAL PID...: send SIGNAL to those that descend from this shell:
+# the number of a process that has ended may be another's by now.
+signal_own () {
+  local signal=$1 pid own=()
+  shift
+  for pid in "$@"; do is_own "$pid" && own+=("$pid"); done
+  [ ${#own[@]} = 0 ] || kill -"$signal" "${own[@]}" 2>/dev/null || true
+}
 # mesh_signal NAME SIGNAL: send SIGNAL to the process, if it still runs.
-mesh_signal () { kill -"$2" "${MESH_PIDS[$1]}" 2>/dev/null || true; }
+mesh_signal () { signal_own "$2" "${MESH_PIDS[$1]}"; }
 
 # mesh_kill NAME: kill the process with SIGKILL and reap it.
 mesh_kill () {
@@ -73,7 +94,7 @@
     wait "${MESH_PIDS[$name]}" 2>/dev/null || true
   done
   MESH_PIDS=()
-}
+} 2>/dev/null # Without the lines of the shell on their ends.
 
 # mesh_start_platform [FLAG...]: start the platform's stand-in, as process
 # "platform".
--- a/tests/sidecar-crash.t
+++ b/tests/sidecar-crash.t
@@ -12,7 +12,7 @@
 pids=()
 cleanup () {
   touch "$dir/stopping"
-  for pid in "${pids[@]}" $(cat "$dir"/*.pid 2>/dev/null); do kill "$pid" 2>/dev/null; done
+  signal_own TERM "${pids[@]}" $(cat "$dir"/*.pid 2>/dev/null)
   wait 2>/dev/null
   [ -z "${KEEP_LOGS:-}" ] || cp -r "$dir/." "$KEEP_LOGS"
   rm -rf "$dir"
--- a/tests/sidecar-keys.t
+++ b/tests/sidecar-keys.t
@@ -9,7 +9,7 @@
 pids=()
 base=25900
 . "$(dirname "$0")/sidecar.sh"
-cleanup () { for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null; kill "$pid" 2>/dev/null; done; wait 2>/dev/null; rm -rf "$dir"; }
+cleanup () { signal_own CONT "${pids[@]}"; signal_own TERM "${pids[@]}"; wait 2>/dev/null; rm -rf "$dir"; }
 trap cleanup EXIT
 
 "$MESH_OUT/standin-rows" --port=$base &
--- a/tests/sidecar-places.t
+++ b/tests/sidecar-places.t
@@ -9,7 +9,7 @@
 pids=()
 base=25400
 . "$(dirname "$0")/sidecar.sh"
-cleanup () { for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null; done; wait 2>/dev/null; rm -rf "$dir"; }
+cleanup () { signal_own TERM "${pids[@]}"; wait 2>/dev/null; rm -rf "$dir"; }
 trap cleanup EXIT
 
 "$MESH_OUT/standin-rows" --port=$base --servers="$(port 1 9):s1,$(port 2 9):s2,$(port 3 9):s3" &
--- a/tests/tool.t
+++ b/tests/tool.t
@@ -73,4 +73,12 @@
 is "with a node that cannot be reached: exit code" 5 $?
 matches "that node is named" "node a-n2 cannot be reached: its calls are not in the report" "$(cat "$MESH_DIR/burn2.txt")"
 matches "counters" "cardamom_calls_total +[0-9]+" "$(mesh_ctl counters a-n0)"
+# The number of a process of these tests that has ended may be another's.
+other=$( (sleep 60 >/dev/null 2>&1 & echo $!) )
+sleep 60 &
+signal_own TERM "$other" $!
+wait $!
+is "a process of the tests is ended" 143 $?
+ok "a process that is not theirs runs on" grep -q '^State:.[^Z]' "/proc/$other/status"
+kill "$other"
 done_testing
