Tests: an end that was not traced is printed with what tells why

"for it ran" of mesh-drain.t and "ordinary requests are answered after it" of crowd-nodes.t failed once each with nothing but an empty line. They now print the exit code of curl or the status, which processes have ended, and the last lines of the logs on servers and requests without an answer. What passes and fails is the same, but for two equal empty counts in mesh-drain.t, which passed as "gets nothing after 3 s" and now fail.

--- a/tests/crowd-nodes.t
+++ b/tests/crowd-nodes.t
@@ -14,7 +14,7 @@
 
 large=/d/large-$BODY_BYTES
 all_within () { local n bad=0; for n in $nodes; do within $n $HOST_MB || bad=1; done; return $bad; }
-all_serve () { local n; for n in $nodes; do until_ok serves $n || return 1; done; }
+all_serve () { local n; for n in $nodes; do serves_again $n || return 1; done; }
 # reads_whole NODE: a caller who reads steadily gets a large answer, whole; and
 # no part of one that looks complete.
 reads_whole () {
--- a/tests/crowd.sh
+++ b/tests/crowd.sh
@@ -48,9 +48,23 @@
   signal_own TERM "${stopped[@]}"
   wait "${stopped[@]}" 2>/dev/null
 }
-serves () { # [NODE]: an ordinary request is answered.
-  [ "$(curl -s -o /dev/null -w '%{http_code}' -m 15 -X PUT -d small -H 'Host: h' -H 'Timeout-Remaining-Ms: 10000' \
-    -H "Attempt-Id: $BASHPID-$EPOCHREALTIME" "http://127.0.0.1:$(port "${1:-1}" 1)/d/x")" = 200 ]
+request_status () { # [NODE]: the status of an ordinary request.
+  curl -s -o /dev/null -w '%{http_code}' -m 15 -X PUT -d small -H 'Host: h' -H 'Timeout-Remaining-Ms: 10000' \
+    -H "Attempt-Id: $BASHPID-$EPOCHREALTIME" "http://127.0.0.1:$(port "${1:-1}" 1)/d/x"
+}
+serves () { [ "$(request_status "$@")" = 200 ]; } # [NODE]: an ordinary request is answered.
+# serves_again [NODE]: so it is in the end; otherwise print what may tell why.
+serves_again () {
+  local n
+  until_ok serves "$@" && return
+  echo "an ordinary request at node ${1:-1} gets $(request_status "$@")"
+  kill -0 "$server_pid" 2>/dev/null || echo "the server has ended"
+  for n in $nodes; do
+    kill -0 "${node_pids[$n]}" 2>/dev/null || echo "node $n has ended"
+  done
+  sleep 1 # The nodes write their logs a little later.
+  for n in $nodes; do grep -E 'event=(server|failed|refused|unanswered) ' "$dir/n$n.log" | tail -n 4; done
+  return 1
 }
 # memory_kb NODE: the most memory that the process has had.
 memory_kb () { sed -n 's/^VmHWM:[^0-9]*\([0-9]*\) kB/\1/p' "/proc/${node_pids[$1]}/status" 2>/dev/null || echo 0; }
--- a/tests/crowd.t
+++ b/tests/crowd.t
@@ -22,7 +22,7 @@
   ok "$1: the server's node lives within its memory" within 2 $HOST_MB
   ok "$1: an ordinary request is answered while the crowd stays" serves
   stop_crowds
-  ok "$1: and after it" until_ok serves
+  ok "$1: and after it" serves_again
   stop_nodes
 }
 
--- a/tests/mesh-drain.t
+++ b/tests/mesh-drain.t
@@ -49,8 +49,14 @@
   mesh_post "$MESH_HOST:$(mesh_backend_port $i)/standin/control" '{"latency_ms": 1}' >/dev/null
 done
 # count_runs NODE: the number of requests that the backend server beside NODE
-# has run.
-count_runs () { mesh_get "$MESH_HOST:$(mesh_backend_port "$1")/standin/stats" | sed 's/.*"runs":\([0-9]*\).*/\1/'; }
+# has run; why it can't be told, which is like no number, if it can't.
+count_runs () {
+  local stats code state=runs
+  stats=$(mesh_get "$MESH_HOST:$(mesh_backend_port "$1")/standin/stats") && sed 's/.*"runs":\([0-9]*\).*/\1/' <<<"$stats" && return
+  code=$?
+  kill -0 "${MESH_PIDS[backend$1]}" 2>/dev/null || state="has ended"
+  echo "at $EPOCHREALTIME: exit code $code of curl, the server $state: $(tail -n 3 "$MESH_DIR/backend$1.log")"
+}
 mesh_post "$MESH_HOST:$(mesh_backend_port 3)/standin/control" '{"state": "draining"}' >/dev/null
 sleep 3
 runs_before=$(count_runs 3)
