A move that was ordered again after a drill doesn't begin twice

The table lost an order that no node had begun yet, the operator wrote it again, and a node restarted. The nodes that had gone on began the move by the order's first row and concluded it; the restarted one knew the order by its second row, took the concluded move for another one's, and began it anew: a version that had been taken back got requests again, and the status went back to `running`.

Cause: a process matched its request with a state under an earlier row only for the first state that it got of the service; here it had that of an earlier move. It does for each state now, while the request may be one that was written again, also the other way round: with a state of a node that knows the later row only.

--- a/source/sidecar/move-orders.c
+++ b/source/sidecar/move-orders.c
@@ -40,8 +40,8 @@
 void
 move_match_request (tracked_move_t *move, const move_record_t *state)
 {
-  if (cs_revision_is_set (move->row_of_request)
-      && move->request_revision.era > state->request_revision.era
+  if (move->request_may_be_again
+      && move->request_revision.era != state->request_revision.era
       && strcmp (move->request.to_version, state->candidate) == 0)
     move->request_revision = state->request_revision;
 }
@@ -65,8 +65,8 @@
       || is_earlier_request (move, &request, row->revision))
     return;
   bool again = is_written_again (move, &request, row->revision);
-  bool may_be_again
-      = !cs_revision_is_set (move->row_of_request)
+  move->request_may_be_again
+      = again || !cs_revision_is_set (move->row_of_request)
         || !control_era_is_settled (control, control_now (control));
   move->row_of_request = row->revision;
   if (again)
@@ -74,7 +74,7 @@
   move->earlier_request = move->request;
   move->request = request;
   move->request_revision = row->revision;
-  if (may_be_again && move->has_state)
+  if (move->has_state)
     move_match_request (move, &move->state);
   move->requested_at = control_now (control);
   move->requested_wall_ms = move_wall_ms (control);
--- a/source/sidecar/moves-internal.h
+++ b/source/sidecar/moves-internal.h
@@ -44,6 +44,8 @@
   cs_revision_t request_revision;
   cs_revision_t row_of_request;      /* The last row that held it.  */
   cs_move_request_t earlier_request; /* The one before.  */
+  /* Other nodes may know the request by a row that the table has lost.  */
+  bool request_may_be_again;
   /* When this node first received the request, on the monotonic clock and as
      wall time.  */
   cs_usec_t requested_at;
@@ -91,9 +93,9 @@
 bool move_record_is_newer (const move_record_t *a, const move_record_t *b);
 
 /* move-orders.c */
-/* STATE is the first that this process has of MOVE: if it follows the request
-   that MOVE holds, which the operator has written again since, have MOVE hold
-   the request as STATE names it.  */
+/* STATE is new to this process: if it follows the request that MOVE holds,
+   which the operator has written again since, have MOVE hold the request as
+   STATE names it.  */
 void move_match_request (tracked_move_t *move, const move_record_t *state);
 
 /* moves.c */
--- a/source/sidecar/moves.c
+++ b/source/sidecar/moves.c
@@ -75,8 +75,7 @@
       = !move->has_state || move_record_is_newer (state, &move->state);
   if (!is_newer)
     return;
-  if (!move->has_state)
-    move_match_request (move, state);
+  move_match_request (move, state);
   move->state = *state;
   move->has_state = true;
   if (move->owned && strcmp (state->owner, move->control->settings.node) != 0)
