--- a/source/sidecar/moves.c
+++ b/source/sidecar/moves.c
@@ -85,10 +85,7 @@
       = !move->has_state || move_record_is_newer (state, &move->state);
   if (!is_newer)
     return;
-  /* One that it had before may be the copy's.  */
-  if (!move->has_state
-      || !knows_states (move->control, control_now (move->control)))
-    move_match_request (move, state);
+  move_match_request (move, state);
   move->state = *state;
   move->has_state = true;
   if (move->owned && strcmp (state->owner, move->control->settings.node) != 0)
