The owner of a move keeps it when its state could not be written again at once

Where the table was away a second time while the owner of a move wrote its state again after a drill, another node took the move over although the owner had the table back: with it, the evidence of the owner's evaluation is lost.

Causes: a failed write of this kind put the owner's next write off by the 2 s that are meant for the other nodes; and a conflict, which shows that the row is there, left the mark that the last write had failed, so that the owner's heartbeats said that it can't write until its next step.

sidecar-drill-owner.t, three pairs of drills in each run: failed 3 of 3 before, 3 of 3 with the first cause mended alone, 2 of 3 with the second alone, passes 3 of 3 with both.

--- a/source/sidecar/moves.c
+++ b/source/sidecar/moves.c
@@ -304,7 +304,10 @@
         moves_handle_row (control, rows->pdata[i]);
       move->next_write_at = control_now (control) + WRITE_RETRY_DELAY;
       if (rewritten)
-        return;
+        {
+          move->last_write_failed = false; /* The table is there.  */
+          return;
+        }
       bool is_ours
           = move->has_state && move->state.epoch == move->pending_state.epoch
             && move->state.step == move->pending_state.step
@@ -319,9 +322,9 @@
   if (status != CS_OK)
     {
       move->last_write_failed = true;
-      move->next_write_at
-          = control_now (control)
-            + (rewritten ? REWRITE_RETRY_DELAY : WRITE_RETRY_DELAY);
+      move->next_write_at = control_now (control)
+                            + (rewritten && !move->owned ? REWRITE_RETRY_DELAY
+                                                         : WRITE_RETRY_DELAY);
       return;
     }
   move->rewrite_due &= revision.era != control->table_era;
