A node that finds its own row in the table waits for no others

The only node of a mesh was ready 3.0 to 3.1 s after each restart (3 of 3), for it finds no other node in the table, which may mean that the copy lacks them. A copy that has the row of the process before is later than that. Only a table without the row of any node is waited for now.

--- a/source/sidecar/control.h
+++ b/source/sidecar/control.h
@@ -120,9 +120,11 @@
   cs_node_info_t previous_self; /* The row that the previous process wrote.  */
   bool resume_pending;          /* Its backend server is yet to be checked.  */
   struct cs_http1_client *health_check;
-  bool registered;         /* The table has this node's row.  */
-  bool mesh_has_peers;     /* The table has rows of other nodes.  */
-  bool region_has_peers;   /* And of some of the region.  */
+  bool registered; /* The table has this node's row.  */
+  /* The table had rows of nodes when this process began: of others, or of the
+     process before it.  */
+  bool table_has_nodes;
+  bool region_has_peers;   /* The table has rows of others of the region.  */
   bool table_call_pending; /* A read, a watch or the registration runs.  */
   /* The last startup step, read, watch or write of a move in the table ended
      with CS_OK, CS_CONFLICT or CS_NOT_FOUND.  Later writes of the node's row
--- a/source/sidecar/startup.c
+++ b/source/sidecar/startup.c
@@ -115,13 +115,14 @@
   cs_node_info_unpack (&in, &info);
   if (!in.failed && strcmp (info.name, control->settings.node) != 0)
     {
-      control->mesh_has_peers = true;
+      control->table_has_nodes = true;
       control->region_has_peers
           |= strcmp (info.region, control->settings.region) == 0;
       cs_traffic_update_member (control->traffic, &info);
     }
   else if (!in.failed)
     {
+      control->table_has_nodes |= !control->registered;
       control->registered
           |= strcmp (info.address, control->settings.advertised) == 0;
       resume_schedule (control, &info);
@@ -155,11 +156,11 @@
 bool
 startup_awaits_peers (const control_t *control)
 {
-  /* A table that names no other node may have come back from a copy that lacks
-     them.  */
-  cs_usec_t wait = control->region_has_peers ? PEERS_WAIT
-                   : control->mesh_has_peers ? 0
-                                             : STARTUP_MEETING_TIME;
+  /* A table that names no node, not even this one, may have come back from a
+     copy that lacks them.  */
+  cs_usec_t wait = control->region_has_peers  ? PEERS_WAIT
+                   : control->table_has_nodes ? 0
+                                              : STARTUP_MEETING_TIME;
   return !control->settings.first_start && !control->snapshot
          && control_now (control) - control->rows_awaited_since < wait;
 }
