--- a/Makefile
+++ b/Makefile
@@ -138,7 +138,8 @@
   source/sidecar/evidence.c source/sidecar/move-owner.c \
   source/sidecar/crash-rows.c source/sidecar/table-era.c \
   source/sidecar/move-record.c source/sidecar/move-orders.c \
-  source/sidecar/move-rewrite.c source/sidecar/row-frames.c \
+  source/sidecar/move-rewrite.c source/sidecar/move-send.c \
+  source/sidecar/row-frames.c \
   source/sidecar/settings.c $(EVENT_SRC) $(wildcard platform/*.c) \
   source/kernel/str.c source/kernel/context.c source/kernel/clock.c \
   source/kernel/counters.c source/kernel/pack.c source/kernel/registry.c \
--- a/source/sidecar/moves-internal.h
+++ b/source/sidecar/moves-internal.h
@@ -106,11 +106,6 @@
 int64_t move_wall_ms (const control_t *control);
 /* Have the traffic thread route by the state of MOVE.  */
 void move_apply (tracked_move_t *move);
-/* Send the state of MOVE, if it has one, to NODE.  */
-void move_send_record (const tracked_move_t *move, const char *node);
-/* Send the state of MOVE to all nodes, as the heartbeat of its owner.  Only
-   the owner calls it.  */
-void move_send_state (tracked_move_t *move);
 /* Write STATE, which is copied, to the row of MOVE unless another node has
    written there since.  It takes effect when the write succeeds.  */
 void move_write_state (tracked_move_t *move, const move_record_t *state);
@@ -118,6 +113,13 @@
 /* The rank of this node among those that may own moves of MOVE's service.  */
 unsigned move_owner_rank (const tracked_move_t *move);
 
+/* move-send.c */
+/* Send the state of MOVE, if it has one, to NODE.  */
+void move_send_record (const tracked_move_t *move, const char *node);
+/* Send the state of MOVE to all nodes, as the heartbeat of its owner.  Only
+   the owner calls it.  */
+void move_send_state (tracked_move_t *move);
+
 /* move-rewrite.c */
 /* Write the state of MOVE again if that is due.  */
 void move_rewrite (tracked_move_t *move, cs_usec_t now);
