sidecar-drill.t: a process that finds no other node in the copy does not go back

The copy names no other node here, and those try to connect every 2 s. Without the wait the node serves the copy's configuration, and both checks fail, in 1 of 1; with it they pass.

--- a/tests/sidecar-drill.t
+++ b/tests/sidecar-drill.t
@@ -88,6 +88,8 @@
 
 start_table
 put_config 1
+mark
+without_nodes=$marked
 for n in 1 2 3 4; do start_in_region $n 1; done
 for n in 1 2 3 4; do until_ok is_ready $n; done
 put_config 2
@@ -144,8 +146,14 @@
 # No server runs there, and version 8 does not exist yet.
 is "the reader, started with the copy, gets ready and serves the version in force, each time" \
   "100 no-server 404 5 ready" "$(sed 's/^50[34] /no-server /' "$dir/reader-statuses" | sort | uniq -c | xargs)"
+sleep 3 # By now the others try to connect every 2 s.
+marked=$without_nodes
+drill 10
 start_in_region 1 0
-until_ok serves 1 7
+for k in $(seq 500); do status 1 7; echo; ! is_ready 1 || break; sleep 0.01; done >"$dir/alone-statuses"
+for k in $(seq 20); do status 1 7; echo; done >>"$dir/alone-statuses"
+is "nor does it go back where the copy names no other node" "" "$(grep -m1 404 "$dir/alone-statuses")"
+is "and serves the version in force" "no-server 404" "$(status 1 7 | sed 's/^50[34]/no-server/') $(status 1 8)"
 put_config 7
 mark
 evacuate x
