--- a/tests/sidecar-drill-owner.t
+++ b/tests/sidecar-drill-owner.t
@@ -7,7 +7,7 @@
 pids=()
 base=33200
 . "$(dirname "$0")/sidecar.sh"
-cleanup () { for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null; done; wait 2>/dev/null; rm -rf "$dir"; }
+cleanup () { signal_own TERM "${pids[@]}"; wait 2>/dev/null; rm -rf "$dir"; }
 trap cleanup EXIT
 
 put_row () { # KEY JSON: as the operator.
