--- a/tests/sidecar-drill-owner.t
+++ b/tests/sidecar-drill-owner.t
@@ -5,7 +5,7 @@
 . "$(dirname "$0")/tap.sh"
 dir=$(mktemp -d)
 pids=()
-base=33200
+base=20000
 . "$(dirname "$0")/sidecar.sh"
 cleanup () { signal_own TERM "${pids[@]}"; wait 2>/dev/null; rm -rf "$dir"; }
 trap cleanup EXIT
