--- a/source/sidecar/moves-internal.h
+++ b/source/sidecar/moves-internal.h
@@ -44,6 +44,8 @@
   cs_revision_t request_revision;
   cs_revision_t row_of_request;      /* The last row that held it.  */
   cs_move_request_t earlier_request; /* The one before.  */
+  /* Other nodes may know the request by a row that the table has lost.  */
+  bool request_may_be_again;
   /* When this node first received the request, on the monotonic clock and as
      wall time.  */
   cs_usec_t requested_at;
@@ -91,10 +93,9 @@
 bool move_record_is_newer (const move_record_t *a, const move_record_t *b);
 
 /* move-orders.c */
-/* STATE is the first that this process has of MOVE beside what an older copy
-   of the table may hold: if it follows the request that MOVE holds, which the
-   operator has written again since, have MOVE hold the request as STATE names
-   it.  */
+/* STATE is new to this process: if it follows the request that MOVE holds,
+   which the operator has written again since, have MOVE hold the request as
+   STATE names it.  */
 void move_match_request (tracked_move_t *move, const move_record_t *state);
 
 /* moves.c */
@@ -105,11 +106,6 @@
 int64_t move_wall_ms (const control_t *control);
 /* Have the traffic thread route by the state of MOVE.  */
 void move_apply (tracked_move_t *move);
-/* Send the state of MOVE, if it has one, to NODE.  */
-void move_send_record (const tracked_move_t *move, const char *node);
-/* Send the state of MOVE to all nodes, as the heartbeat of its owner.  Only
-   the owner calls it.  */
-void move_send_state (tracked_move_t *move);
 /* Write STATE, which is copied, to the row of MOVE unless another node has
    written there since.  It takes effect when the write succeeds.  */
 void move_write_state (tracked_move_t *move, const move_record_t *state);
@@ -117,6 +113,13 @@
 /* The rank of this node among those that may own moves of MOVE's service.  */
 unsigned move_owner_rank (const tracked_move_t *move);
 
+/* move-send.c */
+/* Send the state of MOVE, if it has one, to NODE.  */
+void move_send_record (const tracked_move_t *move, const char *node);
+/* Send the state of MOVE to all nodes, as the heartbeat of its owner.  Only
+   the owner calls it.  */
+void move_send_state (tracked_move_t *move);
+
 /* move-rewrite.c */
 /* Write the state of MOVE again if that is due.  */
 void move_rewrite (tracked_move_t *move, cs_usec_t now);
--- a/source/sidecar/moves.c
+++ b/source/sidecar/moves.c
@@ -16,9 +16,6 @@
 /* Delay before the next write after a failed one or a conflict.  */
 #define WRITE_RETRY_DELAY (250 * CS_MSEC)
 #define REWRITE_RETRY_DELAY (2 * CS_SEC)
-/* A slow table answers a write within some hundred milliseconds.  After this
-   time the owner most likely cannot reach the table.  */
-#define WRITE_DURATION_MAX (800 * CS_MSEC)
 
 int64_t
 move_wall_ms (const control_t *control)
@@ -85,10 +82,7 @@
       = !move->has_state || move_record_is_newer (state, &move->state);
   if (!is_newer)
     return;
-  /* One that it had before may be the copy's.  */
-  if (!move->has_state
-      || !knows_states (move->control, control_now (move->control)))
-    move_match_request (move, state);
+  move_match_request (move, state);
   move->state = *state;
   move->has_state = true;
   if (move->owned && strcmp (state->owner, move->control->settings.node) != 0)
@@ -220,49 +214,6 @@
   g_free (text);
 }
 
-void
-move_send_record (const tracked_move_t *move, const char *node)
-{
-  cs_pack_t pack;
-  if (!move->has_state)
-    return;
-  cs_pack_init (&pack);
-  move_record_pack (&pack, move->service, &move->state, false);
-  cs_traffic_send_control (move->control->traffic, node, NULL,
-                           cs_pack_payload (&pack));
-  cs_pack_clear (&pack);
-}
-
-void
-moves_send_all (control_t *control, const char *node)
-{
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, control->moves);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    move_send_record (value, node);
-}
-
-void
-move_send_state (tracked_move_t *move)
-{
-  cs_pack_t pack;
-  cs_pack_init (&pack);
-  /* An owner that cannot write reports it, and another node takes over.  */
-  bool slow = move->write_pending
-              && control_now (move->control) - move->write_started_at
-                     > WRITE_DURATION_MAX;
-  bool can_write = !move->last_write_failed && !slow;
-  move_record_pack (&pack, move->service, &move->state, can_write);
-  cs_traffic_send_control (move->control->traffic, NULL, NULL,
-                           cs_pack_payload (&pack));
-  cs_pack_clear (&pack);
-  if (move->state.phase == CS_MOVE_RUNNING
-      && strcmp (move->control->backend.report.service, move->service) == 0)
-    cs_traffic_send_version_stats (move->control->traffic,
-                                   move->control->settings.node);
-}
-
 static void
 assume_ownership (tracked_move_t *move)
 {
@@ -317,7 +268,10 @@
         moves_handle_row (control, rows->pdata[i]);
       move->next_write_at = control_now (control) + WRITE_RETRY_DELAY;
       if (rewritten)
-        return;
+        {
+          move->last_write_failed = false; /* The table is there.  */
+          return;
+        }
       bool is_ours
           = move->has_state && move->state.epoch == move->pending_state.epoch
             && move->state.step == move->pending_state.step
@@ -332,9 +286,9 @@
   if (status != CS_OK)
     {
       move->last_write_failed = true;
-      move->next_write_at
-          = control_now (control)
-            + (rewritten ? REWRITE_RETRY_DELAY : WRITE_RETRY_DELAY);
+      move->next_write_at = control_now (control)
+                            + (rewritten && !move->owned ? REWRITE_RETRY_DELAY
+                                                         : WRITE_RETRY_DELAY);
       return;
     }
   move->rewrite_due &= revision.era != control->table_era;
