--- a/review/standins-3/case-14.c
+++ b/review/standins-3/case-14.c
@@ -1,188 +1,131 @@
-/* Case 14: the operator lowers a tenant's usage cap.
+/* Case 14: a crowd of callers with chunked bodies, and the memory of a node.
 
-     case-14 RECORD TABLE_PORT NODE_PORTS TROUBLE
+     case-14 RECORD TABLE_PORT NODE_PORTS TROUBLE NODE_PID MEMORY_MB
 
-   NODE_PORTS is the port before those of node 1; node N has 20 more each.  */
+   NODE_PORTS is the port before those of node 1; node N has 20 more each.
+   What run.sh does is asked for on standard output, a word a line, and
+   confirmed by a line on standard input.  */
 #include "kit.h"
 
-#define NODES 4
-#define HIGH 592 /* Cap and burst, requests a second.  */
-#define LOW 5
-#define USUAL_S 4.0        /* The tenant sends nearly its first cap.  */
-#define USUAL_PER_S 560
-#define QUIET_S 9.5        /* It sends less than LOW.  */
-#define MANY_PER_NODE 60   /* Then many times its usual.  */
-/* Bounds of the deployments with tenants.  */
-#define CONFIG_APPLY_S 3.0
+#define NODES 2
 #define CONTACT_S 4.0
-#define WINDOW_S 5.0
-#define OVER 0.1
-#define SLACK 20
+#define CROWD_S 9.0
+#define ORDINARY 20
 
 static server_t servers[NODES];
-static int callers_base;
 
-typedef struct
-{
-  int node, count;
-  double per_s;
-  const char *prefix;
-  int served, over_cap, other;
-} sender_t;
-
-/* Send requests on one kept connection to a node.  */
-static void *
-send_requests (void *arg)
-{
-  sender_t *s = arg;
-  message_t *answer = calloc (1, sizeof *answer);
-  int fd = -1;
-  double start = now_s ();
-  for (int i = 0; i < s->count; i++)
-    {
-      char head[400];
-      if (s->per_s > 0)
-        sleep_until (start + i / s->per_s);
-      if (fd < 0)
-        {
-          fd = dial (callers_base + 20 * s->node + 1);
-          answer->rest_len = 0;
-        }
-      int n = snprintf (head, sizeof head,
-                        "GET /d/x HTTP/1.1\r\nHost: h.example\r\n"
-                        "Attempt-Id: %s-%d-%d\r\nTimeout-Remaining-Ms: 1200"
-                        "\r\nAuthorization: Bearer key-of-shop\r\n\r\n",
-                        s->prefix, s->node, i);
-      int status = 0;
-      char value[32];
-      if (fd >= 0 && write_all (fd, head, (size_t)n)
-          && read_message (fd, answer, now_s () + 1.2))
-        status = status_of (answer);
-      s->served += status == 200;
-      s->over_cap += status == 429;
-      s->other += status != 200 && status != 429;
-      if (!status
-          || (field (answer, "connection", value, sizeof value)
-              && strcasecmp (value, "close") == 0))
-        {
-          close (fd);
-          fd = -1;
-        }
-    }
-  if (fd >= 0)
-    close (fd);
-  free (answer);
-  return NULL;
-}
-
-/* COUNT requests to each node, PER_S a second at each (0: one after the
-   other).  */
 static void
-send_everywhere (const char *prefix, int count, double per_s, const char *what)
+ask (const char *what)
 {
-  pthread_t threads[NODES];
-  sender_t senders[NODES];
-  int served = 0, over_cap = 0, other = 0;
-  double start = now_s ();
-  for (int n = 0; n < NODES; n++)
-    {
-      senders[n] = (sender_t){ .node = n + 1, .count = count, .per_s = per_s,
-                               .prefix = prefix };
-      pthread_create (&threads[n], NULL, send_requests, &senders[n]);
-    }
-  for (int n = 0; n < NODES; n++)
-    {
-      pthread_join (threads[n], NULL);
-      served += senders[n].served;
-      over_cap += senders[n].over_cap;
-      other += senders[n].other;
-    }
-  note ("%s: %d requests in %.2f s, answered 200: %d, 429: %d, other: %d",
-        what, NODES * count, now_s () - start, served, over_cap, other);
+  char line[80];
+  puts (what);
+  fflush (stdout);
+  if (!fgets (line, sizeof line, stdin))
+    exit (2);
 }
 
-static double
-put_config (int table, int version, int cap)
+/* A line of /proc/PID/status, in kB; -1 if the process has ended.  */
+static long
+memory_kb (int pid, const char *name)
 {
-  char text[2000];
-  snprintf (text, sizeof text,
-            "{\"version\":\"%08x\",\"services\":{\"desk\":{\"healthPath\":"
-            "\"/health\",\"maxConnections\":550,\"protocol\":\"h1\",\"tls\":"
-            "false}},\"routes\":{\"r-1\":{\"host\":\"h.example\",\"prefix\":"
-            "\"/d/\",\"kind\":\"safe\",\"timeout\":\"1200ms\","
-            "\"targetLatency\":\"500ms\",\"priority\":1,\"service\":\"desk\","
-            "\"maxAttempts\":2,\"anonymous\":false}},\"limits\":{"
-            "\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,"
-            "\"headerTimeout\":\"3000ms\",\"idleTimeout\":\"15000ms\"},"
-            "\"tenants\":{\"shop\":{\"apiKeys\":[\"key-of-shop\"],"
-            "\"priority\":1,\"ratePerS\":%d,\"burst\":%d}}}",
-            version, cap, cap);
-  int status = put_operator_row (table, "config", text);
-  note ("configuration %08x, ratePerS %d, burst %d: %d", version, cap, cap,
-        status);
-  return now_s ();
+  char path[64], line[200];
+  long kb = -1;
+  snprintf (path, sizeof path, "/proc/%d/status", pid);
+  FILE *file = fopen (path, "r");
+  while (file && fgets (line, sizeof line, file))
+    if (strncmp (line, name, strlen (name)) == 0)
+      kb = atol (line + strlen (name) + 1);
+  if (file)
+    fclose (file);
+  return kb;
 }
 
+/* The number of ordinary requests to node 1 that are answered 200.  */
 static int
-compare (const void *a, const void *b)
+ordinary_requests (int callers)
 {
-  double left = *(const double *)a, right = *(const double *)b;
-  return (left > right) - (left < right);
+  message_t *answer = calloc (1, sizeof *answer);
+  int served = 0;
+  for (int i = 0; i < ORDINARY; i++)
+    {
+      static int count;
+      char head[300];
+      int fd = dial (callers);
+      int n = snprintf (head, sizeof head,
+                        "POST /d/x HTTP/1.1\r\nHost: h\r\n"
+                        "Attempt-Id: o-%d\r\nTimeout-Remaining-Ms: 1500\r\n"
+                        "Content-Length: 0\r\nConnection: close\r\n\r\n",
+                        count++);
+      answer->rest_len = 0;
+      served += fd >= 0 && write_all (fd, head, (size_t)n)
+                && read_message (fd, answer, now_s () + 1.5)
+                && status_of (answer) == 200;
+      if (fd >= 0)
+        close (fd);
+    }
+  free (answer);
+  return served;
 }
 
 int
 main (int argc, char **argv)
 {
-  if (argc != 5)
+  if (argc != 7)
     return 2;
   open_record (argv[1]);
-  int table = atoi (argv[2]);
+  int table = atoi (argv[2]), base = atoi (argv[3]), pid = atoi (argv[5]);
   bool trouble = atoi (argv[4]);
-  callers_base = atoi (argv[3]);
-  put_config (table, 1, HIGH);
+  long limit_kb = atol (argv[6]) * 1024, most_kb = 0;
+  static const char config[]
+      = "{\"version\":\"00000001\",\"services\":{\"desk\":{\"healthPath\":"
+        "\"/health\",\"maxConnections\":550,\"protocol\":\"h1\",\"tls\":false}"
+        "},\"routes\":{\"r-1\":{\"host\":\"h\",\"prefix\":\"/\",\"kind\":"
+        "\"upload\",\"timeout\":\"2000ms\",\"targetLatency\":\"800ms\","
+        "\"priority\":1,\"service\":\"desk\",\"maxAttempts\":2}},\"limits\":{"
+        "\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,"
+        "\"headerTimeout\":\"3000ms\",\"idleTimeout\":\"15000ms\"}}";
+  note ("the operator writes a configuration: %d",
+        put_operator_row (table, "config", config));
   for (int n = 0; n < NODES; n++)
     {
       static char names[NODES][16];
       snprintf (names[n], sizeof names[n], "i-%d", n + 1);
-      int ports = callers_base + 20 * (n + 1);
+      int ports = base + 20 * (n + 1);
       servers[n] = (server_t){ .id = names[n], .service = "desk",
                                .version = "v1", .port = ports + 9,
-                               .reports = ports + 3, .slots = 12,
+                               .reports = ports + 3, .slots = 6,
                                .work_s = 0.005 };
       await_ready (ports + 2);
       start_server (&servers[n]);
     }
   sleep_s (CONTACT_S + 1);
-  send_everywhere ("usual", (int)(USUAL_S * USUAL_PER_S / NODES),
-                   (double)USUAL_PER_S / NODES, "the tenant's usual");
-  int cap = trouble ? LOW : HIGH;
-  double acked_at = trouble ? put_config (table, 2, LOW) : now_s ();
-  double binds_at = acked_at + CONFIG_APPLY_S + WINDOW_S;
-  send_everywhere ("quiet", (int)(QUIET_S / 2), 0.5, "then less");
-  sleep_until (acked_at + QUIET_S);
-  send_everywhere ("many", MANY_PER_NODE, 0, "then many times as much");
-  sleep_s (1);
-  /* Arrivals at servers in the worst window after the limit binds.  */
-  double *at = malloc (sizeof *at * RUNS_MAX);
-  int count = 0, worst = 0;
-  pthread_mutex_lock (&runs_lock);
-  for (int r = 0; r < run_count; r++)
-    if (runs[r].began >= binds_at)
-      at[count++] = runs[r].began;
-  pthread_mutex_unlock (&runs_lock);
-  qsort (at, (size_t)count, sizeof *at, compare);
-  for (int i = 0, j = 0; j < count; j++)
+  note ("%d of %d ordinary requests are served; node 1 has %ld kB",
+        ordinary_requests (base + 21), ORDINARY, memory_kb (pid, "VmRSS:"));
+  if (trouble)
+    {
+      ask ("crowd");
+      note ("a crowd begins");
+    }
+  for (double until = now_s () + CROWD_S, at = 0; now_s () < until;
+       sleep_s (0.05))
     {
-      while (at[j] - at[i] > WINDOW_S)
-        i++;
-      if (j - i + 1 > worst)
-        worst = j - i + 1;
+      long kb = memory_kb (pid, "VmRSS:");
+      if (kb < 0)
+        {
+          note ("node 1 has ended");
+          break;
+        }
+      most_kb = kb > most_kb ? kb : most_kb;
+      if (now_s () - at >= 0.5)
+        {
+          at = now_s ();
+          note ("node 1 has %ld kB", kb);
+        }
     }
-  double allowed = (cap * WINDOW_S + cap) * (1 + OVER) + SLACK;
-  bool broken = worst > allowed;
-  note ("QUOTA: from %.3f on, %d requests ran in some %.0f s; %.1f are "
-        "allowed: %s",
-        binds_at - record_start, worst, WINDOW_S, allowed,
-        broken ? "broken" : "held");
+  note ("%d of %d ordinary requests are served",
+        ordinary_requests (base + 21), ORDINARY);
+  bool broken = memory_kb (pid, "VmRSS:") < 0 || most_kb > limit_kb;
+  note ("Fault: node 1 had up to %ld kB resident; its machine has %ld kB: %s",
+        most_kb, limit_kb, broken ? "broken" : "held");
   return broken ? 1 : 0;
 }
