--- a/review/standins-3/case-14.c
+++ b/review/standins-3/case-11.c
@@ -1,6 +1,6 @@
-/* Case 14: a crowd of callers with chunked bodies, and the memory of a node.
+/* Case 11: a crowd of callers with chunked bodies, and the memory of a node.
 
-     case-14 RECORD TABLE_PORT NODE_PORTS TROUBLE NODE_PID MEMORY_MB
+     case-11 RECORD TABLE_PORT NODE_PORTS TROUBLE NODE_PID MEMORY_MB
 
    NODE_PORTS is the port before those of node 1; node N has 20 more each.
    What run.sh does is asked for on standard output, a word a line, and
