--- a/review/standins-3/case-12.c
+++ b/review/standins-3/case-12.c
@@ -150,7 +150,13 @@
   int ran = 0;
   pthread_mutex_lock (&runs_lock);
   for (int r = 0; r < run_count; r++)
-    ran += strncmp (runs[r].id, "late-", 5) == 0;
+    if (strncmp (runs[r].id, "late-", 5) == 0)
+      {
+        ran++;
+        note ("%s ran at %s from %.3f to %.3f", runs[r].id,
+              runs[r].server->id, runs[r].began - record_start,
+              runs[r].ended - record_start);
+      }
   pthread_mutex_unlock (&runs_lock);
   note ("CONFIG: %d requests ran that were sent later than %.1f s after the "
         "acknowledgement of the configuration that took their key away: %s",
--- a/review/standins-3/case-14.c
+++ b/review/standins-3/case-14.c
@@ -168,7 +168,11 @@
   pthread_mutex_lock (&runs_lock);
   for (int r = 0; r < run_count; r++)
     if (runs[r].began >= binds_at)
-      at[count++] = runs[r].began;
+      {
+        at[count++] = runs[r].began;
+        note ("%s ran at %s from %.3f on", runs[r].id, runs[r].server->id,
+              runs[r].began - record_start);
+      }
   pthread_mutex_unlock (&runs_lock);
   qsort (at, (size_t)count, sizeof *at, compare);
   for (int i = 0, j = 0; j < count; j++)
